--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! `rosemarymoor-bench`, stand-ins and measures.
+
+fn main() {}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! `rosemarymoor`, the command line.
+
+fn main() {}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,6 @@
+//! The daemon: an entry before the callers or a sidecar beside a target.
+
+pub mod entry;
+pub mod logging;
+pub mod settings;
+pub mod sidecar;
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! `rosemarymoord`, the daemon.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/id.rs
@@ -0,0 +1,125 @@
+//! Identifiers that cross process borders.
+
+use derive_more::{Display, From, Into};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+/// One start of an entry process; names its grants in the ledger.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:016x}")]
+pub struct EpochId(pub u64);
+
+impl EpochId {
+    /// Fresh random epoch.
+    pub fn random() -> EpochId {
+        EpochId(rand::rng().random())
+    }
+}
+
+/// Identity of a caller's request; equal for every retry of it.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:032x}")]
+pub struct RequestId(pub u128);
+
+impl RequestId {
+    /// Fresh random identity, for a request that carries none of its own.
+    pub fn random() -> RequestId {
+        RequestId(rand::rng().random())
+    }
+
+    /// Identity derived from the workspace and the caller's idempotency key.
+    pub fn from_key(workspace: &str, key: &str) -> RequestId {
+        RequestId(digest128(&["idempotency-key", workspace, key]))
+    }
+}
+
+/// Number of one delivery of a request to a sidecar.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+pub struct Attempt(pub u32);
+
+/// Name of a budget: its workspace and its name within it.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{workspace}/{name}")]
+pub struct BudgetId {
+    pub workspace: String,
+    pub name: String,
+}
+
+/// Identity of an operator's change or top-up; makes its retries idempotent.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:032x}")]
+pub struct OperationId(pub u128);
+
+impl OperationId {
+    /// Fresh random operation.
+    pub fn random() -> OperationId {
+        OperationId(rand::rng().random())
+    }
+}
+
+/// First 128 bits of the BLAKE3 digest over length-prefixed parts.
+pub fn digest128(parts: &[&str]) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    let mut first = [0; 16];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    u128::from_le_bytes(first)
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,20 @@
+//! Coordination parts of a router fleet for prepaid token budgets.
+//!
+//! The crate holds everything that decides: budgets, claims, routing, limits,
+//! configuration and the messages between processes. It contains no HTTP
+//! server; the daemon and the command line are thin front ends over it.
+//!
+//! Decision code is pure: a [`control::System`] maps its tables, an event and
+//! the current time to effects, which a driver carries out.
+
+pub mod config;
+pub mod control;
+pub mod fleet_key;
+pub mod host_list;
+pub mod id;
+pub mod kv_store;
+pub mod result_code;
+pub mod target_client;
+pub mod time;
+pub mod transport;
+pub mod wire;
--- /dev/null
+++ b/lib/src/wire.rs
@@ -0,0 +1,34 @@
+//! Messages between the fleet's processes.
+//!
+//! Each message is one frame: a version byte and a postcard-encoded type. A
+//! connection carries one stream a request; the first frame is a
+//! [`PeerRequest`], and what follows depends on its variant.
+
+mod admin;
+mod run;
+
+pub use admin::*;
+pub use run::*;
+
+use serde::{Deserialize, Serialize};
+
+/// Version of the encoding, first byte of every frame.
+pub const WIRE_VERSION: u8 = 1;
+
+/// Largest frame that a process accepts, in bytes.
+pub const MAX_FRAME_BYTES: usize = 20 << 20;
+
+/// First message on a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Runs a request at a sidecar; answered by [`RunEnvelope`]s.
+    Run(Box<RunRequest>),
+    /// Takes up the answer of a running or finished request again.
+    Resume(ResumeRequest),
+    /// Asks what a sidecar knows of a request; answered by [`RequestRecord`].
+    Lookup(LookupRequest),
+    /// Asks for the state of a process; answered by [`StatusReply`].
+    Status,
+    /// Asks a process to drain and stop; answered by [`StatusReply`].
+    Drain,
+}
--- /dev/null
+++ b/lib/tests/test_transport.rs
@@ -0,0 +1,68 @@
+//! The transport between processes over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rosemarymoor_lib::fleet_key::FleetKey;
+use rosemarymoor_lib::host_list::Role;
+use rosemarymoor_lib::transport::{FrameStream, PeerHandler, Transport};
+use rosemarymoor_lib::wire::{PeerRequest, StatusReply};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+struct Status;
+
+#[async_trait]
+impl PeerHandler for Status {
+    async fn handle(&self, req: PeerRequest, mut stream: FrameStream) {
+        assert_eq!(req, PeerRequest::Status);
+        stream.send(&status()).await.unwrap();
+        stream.tx.finish().await;
+    }
+}
+
+fn status() -> StatusReply {
+    StatusReply {
+        name: "entry-1".to_owned(),
+        role: Role::Entry,
+        data_center: "wien-a".to_owned(),
+        region: "at-east".to_owned(),
+        config_revision: 7,
+        running: 1,
+        queued: 2,
+        draining: false,
+        memory_bytes: 3,
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn serve(key: &FleetKey) -> SocketAddr {
+    let server = Transport::bind(loopback(), key).unwrap();
+    let address = server.local_address().unwrap();
+    tokio::spawn(server.serve(Arc::new(Status)));
+    address
+}
+
+#[tokio::test]
+async fn a_request_is_answered() {
+    let key = FleetKey::open(&FleetKey::generate().unwrap()).unwrap();
+    let peer = serve(&key);
+    let client = Transport::bind(loopback(), &key).unwrap();
+    let reply: StatusReply = client.call(peer, &PeerRequest::Status, TIMEOUT).await.unwrap();
+    assert_eq!(reply, status());
+}
+
+#[tokio::test]
+async fn a_peer_with_another_fleet_key_is_refused() {
+    let key = FleetKey::open(&FleetKey::generate().unwrap()).unwrap();
+    let other = FleetKey::open(&FleetKey::generate().unwrap()).unwrap();
+    let peer = serve(&key);
+    let client = Transport::bind(loopback(), &other).unwrap();
+    let reply = client.call::<StatusReply>(peer, &PeerRequest::Status, TIMEOUT).await;
+    assert!(reply.unwrap_err().certainly_undelivered());
+}
