lib: borders of budgets, routing and configuration

Cause: entry, sidecar and budgets are built beside each other. Conclusion: each part can be written against a trait.

--- /dev/null
+++ b/lib/src/budget.rs
@@ -0,0 +1,55 @@
+//! Prepaid budgets: ledger, grants, reservations and receipts.
+//!
+//! The invariant lives in the key-value service alone: for each budget,
+//! `settled + sum(open grants) <= prepaid`. An entry spends only inside grants
+//! whose write it has seen confirmed.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use crate::id::{BudgetId, EpochId};
+use crate::result_code::Refusal;
+use crate::wire::{Class, Funding};
+
+/// Money that a request needs before it may be dispatched.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReserveRequest {
+    pub budget: BudgetId,
+    /// Worst case of the request, in tokens.
+    pub tokens: u64,
+    pub class: Class,
+    /// How long the request may wait for money before it is refused.
+    pub patience: Duration,
+}
+
+/// Reserves and settles money for the entry's traffic threads.
+#[async_trait]
+pub trait BudgetGate: Send + Sync {
+    /// Reserves the worst case of a request, or refuses it as not run.
+    async fn reserve(&self, req: ReserveRequest) -> Result<Funding, Refusal>;
+
+    /// Ends a reservation: `charge` tokens are spent and the rest is free again.
+    ///
+    /// A charge above the reserve counts as the whole reserve.
+    fn settle(&self, funding: &Funding, charge: u64);
+
+    /// Ends a reservation whose charge is unknown; its money stays counted as
+    /// spent until a witness reports the true charge.
+    fn settle_unknown(&self, funding: &Funding);
+
+    /// Returns all unspent money and closes the epoch; for a graceful stop.
+    async fn close(&self);
+}
+
+/// Sidecar's books: what it ran for which epoch.
+pub trait SpendWitness: Send + Sync {
+    /// Admits a request's money, unless its holder or a root epoch is closed.
+    fn admit(&self, funding: &Funding) -> Result<(), Refusal>;
+
+    /// Replaces an admitted reserve by the true charge.
+    fn charge(&self, funding: &Funding, charge: u64);
+
+    /// Whether an epoch is known to be closed.
+    fn is_closed(&self, epoch: EpochId) -> bool;
+}
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -4,6 +4,7 @@
 //! answers with effects; the driver given to [`spawn`] carries the effects out
 //! and feeds what comes of them back as further events.
 
+use std::sync::Arc;
 use std::sync::mpsc::{self, RecvTimeoutError};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -25,6 +26,9 @@
     fn tick(&mut self, now: Millis, effects: &mut Vec<Self::Effect>);
 }
 
+/// Where a handle sends its system's events, whatever system embeds that one.
+pub type EventSink<E> = Arc<dyn Fn(E) + Send + Sync>;
+
 /// Sends events to a control thread.
 pub struct ControlSender<E> {
     tx: mpsc::Sender<E>,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 //! Decision code is pure: a [`control::System`] maps its tables, an event and
 //! the current time to effects, which a driver carries out.
 
+pub mod budget;
 pub mod config;
 pub mod control;
 pub mod fleet_key;
@@ -14,6 +15,7 @@
 pub mod id;
 pub mod kv_store;
 pub mod result_code;
+pub mod routing;
 pub mod target_client;
 pub mod time;
 pub mod transport;
