--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -1,9 +1,15 @@
 //! Settings of one process, read from its INI file.
 
 use std::net::SocketAddr;
+use std::path::Path;
 
 use log::LevelFilter;
+use rosemarymoor_lib::fleet_key::FleetKey;
 use rosemarymoor_lib::host_list::Role;
+use rosemarymoor_lib::ini::{
+    IniDocument, IniError, IniErrors, IniSection, Position, SectionReader,
+};
+use snafu::Snafu;
 
 /// Settings of one process.
 #[derive(Clone, Debug)]
@@ -47,3 +53,187 @@
     /// Base URL of the target.
     pub url: String,
 }
+
+/// Why a settings file was refused.
+#[derive(Debug, Snafu)]
+#[snafu(display("{errors}"))]
+pub struct SettingsError {
+    /// Every fault found, with file, line and hint.
+    pub errors: IniErrors,
+}
+
+/// Largest number of ledger shards.
+const MAX_SHARDS: u64 = 65_536;
+const DEFAULT_SHARDS: u64 = 64;
+/// Longest drain that may be configured, in milliseconds.
+const MAX_DRAIN_MS: u64 = 86_400_000;
+const DEFAULT_DRAIN_MS: u64 = 600_000;
+
+const ROLES: &[(&str, Role)] = &[("entry", Role::Entry), ("sidecar", Role::Sidecar)];
+const LOG_LEVELS: &[(&str, LevelFilter)] = &[
+    ("error", LevelFilter::Error),
+    ("warn", LevelFilter::Warn),
+    ("info", LevelFilter::Info),
+    ("debug", LevelFilter::Debug),
+    ("trace", LevelFilter::Trace),
+];
+const BUDGET_POLICIES: &[(&str, &str)] =
+    &[("adaptive", "adaptive"), ("static-split", "static-split"), ("per-request", "per-request")];
+const SECTIONS: &[&str] = &["process", "platform", "budgets", "target"];
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn open(path: &Path) -> Result<Settings, SettingsError> {
+        let document = IniDocument::open(path).map_err(|errors| SettingsError { errors })?;
+        Settings::from_document(&document)
+    }
+
+    /// Checks settings that are already parsed.
+    pub fn from_document(document: &IniDocument) -> Result<Settings, SettingsError> {
+        let mut errors = Vec::new();
+        refuse_unknown_sections(document, &mut errors);
+        let settings = read(document, &mut errors);
+        match settings {
+            Some(settings) if errors.is_empty() => Ok(settings),
+            _ => Err(SettingsError { errors: IniErrors(errors) }),
+        }
+    }
+}
+
+fn refuse_unknown_sections(document: &IniDocument, errors: &mut Vec<IniError>) {
+    for section in &document.sections {
+        if SECTIONS.contains(&section.name.as_str()) {
+            continue;
+        }
+        errors.push(IniError::UnknownSection {
+            at: section.at.clone(),
+            section: section.name.clone(),
+            known: SECTIONS.iter().map(|name| (*name).to_owned()).collect(),
+        });
+    }
+}
+
+fn read(document: &IniDocument, errors: &mut Vec<IniError>) -> Option<Settings> {
+    let empty =
+        IniSection { name: "budgets".to_owned(), at: document_start(document), keys: Vec::new() };
+    let process = required_section(document, "process", errors);
+    let platform = required_section(document, "platform", errors);
+    let budgets = read_budgets(document.section("budgets").unwrap_or(&empty), errors);
+    let (process, platform) = (process?, platform?);
+    let (kv_url, hosts_url) = read_platform(platform, errors);
+
+    let mut reader = SectionReader::new(process, errors);
+    let name = reader.text("name");
+    let role = reader.choice("role", ROLES, None);
+    let data_center = reader.text("data_center");
+    let region = reader.text("region");
+    let quic = reader.parse("quic", ADDRESS_EXPECTED);
+    let http = reader.parse("http", ADDRESS_EXPECTED);
+    let fleet_key = read_fleet_key(&mut reader);
+    let log_level = reader.choice("log_level", LOG_LEVELS, Some(LevelFilter::Info));
+    let drain_ms = reader.number_or("drain_ms", 0..=MAX_DRAIN_MS, DEFAULT_DRAIN_MS);
+    reader.finish();
+
+    let target = read_target(document, role, errors);
+    Some(Settings {
+        name,
+        role,
+        data_center,
+        region,
+        quic: quic?,
+        http: http?,
+        kv_url,
+        hosts_url,
+        fleet_key,
+        log_level,
+        drain_ms,
+        budgets,
+        target,
+    })
+}
+
+const ADDRESS_EXPECTED: &str = "an IP address with a port, as 10.0.0.1:7000";
+
+fn read_platform(section: &IniSection, errors: &mut Vec<IniError>) -> (String, String) {
+    let mut reader = SectionReader::new(section, errors);
+    let kv_url = read_url(&mut reader, "kv");
+    let hosts_url = read_url(&mut reader, "hosts");
+    reader.finish();
+    (kv_url, hosts_url)
+}
+
+fn read_budgets(section: &IniSection, errors: &mut Vec<IniError>) -> BudgetsSettings {
+    let mut reader = SectionReader::new(section, errors);
+    let shards = reader.number_or("shards", 1..=MAX_SHARDS, DEFAULT_SHARDS) as u32;
+    let policy = reader.choice("policy", BUDGET_POLICIES, Some("adaptive")).to_owned();
+    reader.finish();
+    BudgetsSettings { shards, policy }
+}
+
+fn read_target(
+    document: &IniDocument,
+    role: Role,
+    errors: &mut Vec<IniError>,
+) -> Option<TargetSettings> {
+    let section = match role {
+        Role::Sidecar => required_section(document, "target", errors)?,
+        Role::Entry => {
+            let section = document.section("target")?;
+            errors.push(IniError::Conflict {
+                at: section.at.clone(),
+                detail: "an entry has no `[target]` section".to_owned(),
+                hint: "remove it, or set `role = sidecar`".to_owned(),
+            });
+            return None;
+        }
+    };
+    let mut reader = SectionReader::new(section, errors);
+    let name = reader.text("name");
+    let url = read_url(&mut reader, "url");
+    reader.finish();
+    Some(TargetSettings { name, url })
+}
+
+fn read_fleet_key(reader: &mut SectionReader<'_>) -> String {
+    let text = reader.text("fleet_key");
+    if !text.is_empty() && FleetKey::open(&text).is_err() {
+        // The key itself stays out of the message, which may end in a log.
+        let at = reader.position("fleet_key");
+        reader.push(IniError::Conflict {
+            at,
+            detail: "`fleet_key` is not a fleet key".to_owned(),
+            hint: "write the line that `rosemarymoor keygen` prints".to_owned(),
+        });
+    }
+    text
+}
+
+fn read_url(reader: &mut SectionReader<'_>, name: &'static str) -> String {
+    let text = reader.text(name);
+    let is_url = reqwest::Url::parse(&text)
+        .is_ok_and(|url| matches!(url.scheme(), "http" | "https") && url.has_host());
+    if let Some(key) = reader.key(name)
+        && !text.is_empty()
+        && !is_url
+    {
+        reader.bad_value(key, "a URL, as http://10.0.0.1:2379");
+    }
+    text
+}
+
+fn required_section<'a>(
+    document: &'a IniDocument,
+    name: &str,
+    errors: &mut Vec<IniError>,
+) -> Option<&'a IniSection> {
+    let section = document.section(name);
+    if section.is_none() {
+        let at = document_start(document);
+        errors.push(IniError::MissingSection { at, section: name.to_owned() });
+    }
+    section
+}
+
+fn document_start(document: &IniDocument) -> Position {
+    Position { file: document.file.clone(), line: 1 }
+}
--- a/lib/src/config/model.rs
+++ b/lib/src/config/model.rs
@@ -27,6 +27,21 @@
         find(&self.routes, |route| route.name.as_str().cmp(name))
     }
 
+    /// Budget by workspace and name.
+    pub fn budget(&self, workspace: &str, name: &str) -> Option<&BudgetSettings> {
+        find(&self.budgets, |budget| {
+            (budget.workspace.as_str(), budget.name.as_str()).cmp(&(workspace, name))
+        })
+    }
+
+    /// Sorts every table, as all look-ups and the store expect.
+    pub fn sort(&mut self) {
+        self.workspaces.sort_by(|a, b| a.name.cmp(&b.name));
+        self.budgets.sort_by(|a, b| (&a.workspace, &a.name).cmp(&(&b.workspace, &b.name)));
+        self.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        self.targets.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+
     /// Target by name.
     pub fn target(&self, name: &str) -> Option<&Target> {
         find(&self.targets, |target| target.name.as_str().cmp(name))
--- /dev/null
+++ b/lib/src/ini.rs
@@ -0,0 +1,180 @@
+//! INI documents that know the file and line of each key.
+//!
+//! rust-ini parses the text but keeps no lines, so a scan of the same text
+//! finds where each section and key stands. A section or key that occurs twice
+//! in one file is refused, which makes the match unambiguous. Values are taken
+//! as written: no quotes, no escapes, comments only on lines of their own.
+
+mod error;
+mod reader;
+
+pub use error::{IniError, IniErrors};
+pub use reader::SectionReader;
+
+use std::path::Path;
+
+use derive_more::Display;
+use ini::{Ini, ParseOption};
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use error::{OutsideSectionSnafu, ReadSnafu, RepeatedSnafu, SyntaxSnafu};
+
+/// Place in a file.
+#[derive(
+    Clone, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[display("{file}:{line}")]
+pub struct Position {
+    pub file: String,
+    /// Counted from one.
+    pub line: u32,
+}
+
+/// Key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IniKey {
+    pub name: String,
+    pub value: String,
+    pub at: Position,
+}
+
+/// Section with its keys in the order of the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IniSection {
+    pub name: String,
+    pub at: Position,
+    pub keys: Vec<IniKey>,
+}
+
+impl IniSection {
+    /// Key by name.
+    pub fn key(&self, name: &str) -> Option<&IniKey> {
+        self.keys.iter().find(|key| key.name == name)
+    }
+
+    /// First word of the section's name, as `route` in `[route dossier]`.
+    pub fn kind(&self) -> &str {
+        self.name.split_whitespace().next().unwrap_or_default()
+    }
+
+    /// Rest of the section's name, as `dossier` in `[route dossier]`.
+    pub fn label(&self) -> &str {
+        let name = self.name.trim_start();
+        name[self.kind().len()..].trim()
+    }
+}
+
+/// Sections of a file in its order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct IniDocument {
+    /// Name of the file for messages.
+    pub file: String,
+    pub sections: Vec<IniSection>,
+}
+
+impl IniDocument {
+    /// Reads and parses a file.
+    pub fn open(path: &Path) -> Result<IniDocument, IniErrors> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .context(ReadSnafu { file: file.clone() })
+            .map_err(IniErrors::from)?;
+        IniDocument::parse(&file, &text)
+    }
+
+    /// Parses the text of a file.
+    pub fn parse(file: &str, text: &str) -> Result<IniDocument, IniErrors> {
+        check_lines(file, text)?;
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            enabled_indented_mutiline_value: false,
+            enabled_preserve_key_leading_whitespace: false,
+        };
+        let values = Ini::load_from_str_opt(text, options).map_err(|err| {
+            let at = Position { file: file.to_owned(), line: err.line as u32 };
+            SyntaxSnafu { at, detail: err.msg.to_string() }.build()
+        })?;
+        let mut scan = Scan { file, document: IniDocument::default(), errors: Vec::new() };
+        for (index, line) in text.lines().enumerate() {
+            scan.line(index as u32 + 1, line.trim(), &values);
+        }
+        scan.finish()
+    }
+
+    /// Section by name.
+    pub fn section(&self, name: &str) -> Option<&IniSection> {
+        self.sections.iter().find(|section| section.name == name)
+    }
+}
+
+/// Refuses what rust-ini would read on over the end of a line.
+fn check_lines(file: &str, text: &str) -> Result<(), IniError> {
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        let is_section = line.starts_with('[');
+        let detail = match is_section {
+            true if !line.ends_with(']') => "the section's `]` is missing",
+            false if !is_blank(line) && !line.contains(['=', ':']) => "there is no `=`",
+            _ => continue,
+        };
+        let at = Position { file: file.to_owned(), line: index as u32 + 1 };
+        return SyntaxSnafu { at, detail }.fail();
+    }
+    Ok(())
+}
+
+fn is_blank(line: &str) -> bool {
+    line.is_empty() || line.starts_with([';', '#'])
+}
+
+/// Pass over the lines that finds where sections and keys stand.
+struct Scan<'a> {
+    file: &'a str,
+    document: IniDocument,
+    errors: Vec<IniError>,
+}
+
+impl Scan<'_> {
+    fn line(&mut self, number: u32, line: &str, values: &Ini) {
+        let at = Position { file: self.file.to_owned(), line: number };
+        let line = line.trim_start_matches('\u{feff}');
+        if is_blank(line) {
+            return;
+        }
+        match line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']')) {
+            Some(name) => self.section(name.trim(), at),
+            None => self.key(line, at, values),
+        }
+    }
+
+    fn section(&mut self, name: &str, at: Position) {
+        if let Some(first) = self.document.section(name) {
+            let first = first.at.clone();
+            self.errors.push(RepeatedSnafu { at: at.clone(), name, first }.build());
+        }
+        self.document.sections.push(IniSection { name: name.to_owned(), at, keys: Vec::new() });
+    }
+
+    fn key(&mut self, line: &str, at: Position, values: &Ini) {
+        let name = line.split(['=', ':']).next().unwrap_or_default().trim();
+        let Some(section) = self.document.sections.last_mut() else {
+            self.errors.push(OutsideSectionSnafu { at, key: name }.build());
+            return;
+        };
+        if let Some(first) = section.key(name) {
+            let first = first.at.clone();
+            self.errors.push(RepeatedSnafu { at, name, first }.build());
+            return;
+        }
+        let value = values.get_from(Some(section.name.as_str()), name);
+        let value = value.unwrap_or_default().trim().to_owned();
+        section.keys.push(IniKey { name: name.to_owned(), value, at });
+    }
+
+    fn finish(mut self) -> Result<IniDocument, IniErrors> {
+        self.document.file = self.file.to_owned();
+        if self.errors.is_empty() { Ok(self.document) } else { Err(IniErrors(self.errors)) }
+    }
+}
--- /dev/null
+++ b/lib/src/ini/reader.rs
@@ -0,0 +1,181 @@
+//! Typed access to the keys of one section.
+
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use super::error::{BadValueSnafu, MissingKeySnafu, UnknownKeySnafu};
+use super::{IniError, IniKey, IniSection, Position};
+
+/// Reads the keys of a section and notes each fault.
+///
+/// A method that finds a fault records it and answers a placeholder; the
+/// caller discards what it built if any fault was recorded.
+pub struct SectionReader<'a> {
+    section: &'a IniSection,
+    errors: &'a mut Vec<IniError>,
+    known: Vec<&'static str>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Starts reading a section.
+    pub fn new(section: &'a IniSection, errors: &'a mut Vec<IniError>) -> SectionReader<'a> {
+        SectionReader { section, errors, known: Vec::new() }
+    }
+
+    /// Key that may be missing.
+    pub fn key(&mut self, name: &'static str) -> Option<&'a IniKey> {
+        self.known.push(name);
+        self.section.key(name)
+    }
+
+    /// Text of a key that must be there and not empty.
+    pub fn text(&mut self, name: &'static str) -> String {
+        match self.key(name) {
+            Some(key) if key.value.is_empty() => {
+                self.bad_value(key, "a value");
+                String::new()
+            }
+            Some(key) => key.value.clone(),
+            None => {
+                self.missing(name);
+                String::new()
+            }
+        }
+    }
+
+    /// Text of a key, or `default` if it is missing.
+    pub fn text_or(&mut self, name: &'static str, default: &str) -> String {
+        self.key(name).map_or_else(|| default.to_owned(), |key| key.value.clone())
+    }
+
+    /// Parsed value of a key that must be there; `None` after a fault.
+    pub fn parse<T: FromStr>(&mut self, name: &'static str, expected: &str) -> Option<T> {
+        if self.section.key(name).is_none() {
+            self.missing(name);
+        }
+        self.parse_optional(name, expected)
+    }
+
+    /// Parsed value of a key that may be missing; `None` after a fault, too.
+    pub fn parse_optional<T: FromStr>(&mut self, name: &'static str, expected: &str) -> Option<T> {
+        let key = self.key(name)?;
+        match key.value.parse() {
+            Ok(value) => Some(value),
+            Err(_) => {
+                self.bad_value(key, expected);
+                None
+            }
+        }
+    }
+
+    /// Number of a key that must be there and lie in `range`.
+    pub fn number(&mut self, name: &'static str, range: RangeInclusive<u64>) -> u64 {
+        if self.section.key(name).is_none() {
+            self.missing(name);
+        }
+        self.optional_number(name, range).unwrap_or_default()
+    }
+
+    /// Number of a key, or `default` if it is missing.
+    pub fn number_or(
+        &mut self,
+        name: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> u64 {
+        self.optional_number(name, range).unwrap_or(default)
+    }
+
+    /// Number of a key that may be missing.
+    pub fn optional_number(
+        &mut self,
+        name: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let key = self.key(name)?;
+        match key.value.replace('_', "").parse() {
+            Ok(value) if range.contains(&value) => Some(value),
+            _ => {
+                let expected = format!("a number from {} to {}", range.start(), range.end());
+                self.bad_value(key, &expected);
+                None
+            }
+        }
+    }
+
+    /// One of the named options; `default` if the key is missing.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there are no options.
+    pub fn choice<T: Copy>(
+        &mut self,
+        name: &'static str,
+        options: &[(&str, T)],
+        default: Option<T>,
+    ) -> T {
+        let fallback = default.unwrap_or(options[0].1);
+        let Some(key) = self.key(name) else {
+            if default.is_none() {
+                self.missing(name);
+            }
+            return fallback;
+        };
+        if let Some((_, value)) = options.iter().find(|(option, _)| *option == key.value) {
+            return *value;
+        }
+        let names: Vec<&str> = options.iter().map(|(option, _)| *option).collect();
+        self.bad_value(key, &format!("one of {}", names.join(", ")));
+        fallback
+    }
+
+    /// `yes` or `no`; `default` if the key is missing.
+    pub fn flag(&mut self, name: &'static str, default: bool) -> bool {
+        self.choice(name, &[("yes", true), ("no", false)], Some(default))
+    }
+
+    /// Comma-separated names, sorted and without repetition; empty if missing.
+    pub fn list(&mut self, name: &'static str) -> Vec<String> {
+        let Some(key) = self.key(name) else {
+            return Vec::new();
+        };
+        let items = key.value.split(',').map(str::trim).filter(|item| !item.is_empty());
+        let mut items: Vec<String> = items.map(str::to_owned).collect();
+        items.sort_unstable();
+        items.dedup();
+        items
+    }
+
+    /// Records that a key's value does not fit.
+    pub fn bad_value(&mut self, key: &IniKey, expected: &str) {
+        let (at, name, value) = (key.at.clone(), &key.name, &key.value);
+        self.push(BadValueSnafu { at, key: name, value, expected }.build());
+    }
+
+    /// Records any other fault.
+    pub fn push(&mut self, error: IniError) {
+        self.errors.push(error);
+    }
+
+    /// Where a key stands, or else its section.
+    pub fn position(&self, name: &str) -> Position {
+        self.section.key(name).map_or_else(|| self.section.at.clone(), |key| key.at.clone())
+    }
+
+    /// Ends the reading; refuses every key that was never asked for.
+    pub fn finish(self) {
+        for key in &self.section.keys {
+            if self.known.contains(&key.name.as_str()) {
+                continue;
+            }
+            let known: Vec<String> = self.known.iter().map(|name| (*name).to_owned()).collect();
+            let (at, section) = (key.at.clone(), &self.section.name);
+            self.errors.push(UnknownKeySnafu { at, section, key: &key.name, known }.build());
+        }
+    }
+
+    fn missing(&mut self, name: &str) {
+        let (at, section) = (self.section.at.clone(), &self.section.name);
+        self.push(MissingKeySnafu { at, section, key: name }.build());
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet_key;
 pub mod host_list;
 pub mod id;
+pub mod ini;
 pub mod kv_store;
 pub mod result_code;
 pub mod routing;
