budget: ledger shards, top-ups and receipts

Cause: entries, sidecars and operators need the ledger's encoding and the witness. Change: shards with running totals per epoch, top-ups applied once per operation, receipts per root epoch that admit only enrolled epochs, messages between holders.

--- a/lib/src/budget.rs
+++ b/lib/src/budget.rs
@@ -4,6 +4,14 @@
 //! `settled + sum(open grants) <= prepaid`. An entry spends only inside grants
 //! whose write it has seen confirmed.
 
+mod ledger;
+mod receipts;
+mod store;
+
+pub use ledger::{Account, Grant, Shard, initial_operation, ledger_key, shard_of};
+pub use receipts::Receipts;
+pub use store::{LedgerError, read, top_up};
+
 use std::time::Duration;
 
 use async_trait::async_trait;
--- /dev/null
+++ b/lib/src/budget/store.rs
@@ -0,0 +1,95 @@
+//! Operators' access to the ledger: top-ups and reads.
+
+use std::time::Duration;
+
+use rand::Rng;
+use snafu::Snafu;
+
+use super::ledger::{Account, Shard, ledger_key, shard_of};
+use crate::id::{BudgetId, OperationId};
+use crate::kv_store::{KvStore, NotDone, Outcome, Revision};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_ATTEMPTS: u32 = 40;
+const BACKOFF_MS: u64 = 8;
+const MAX_BACKOFF_MS: u64 = 500;
+
+/// Why an operator's access to the ledger failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum LedgerError {
+    #[snafu(display("the key-value service did not answer"))]
+    Unavailable,
+    #[snafu(display("the ledger shard has an unknown encoding"))]
+    Malformed,
+    #[snafu(display("the ledger shard is full"))]
+    Full,
+    #[snafu(display("whether the top-up took effect is unknown; repeat it with the same id"))]
+    Unknown,
+}
+
+/// Credits `tokens` to a budget once for each operation; opens the account if needed.
+///
+/// After [`LedgerError::Unknown`] the same operation can be repeated safely.
+pub async fn top_up(
+    kv: &dyn KvStore,
+    shards: u32,
+    budget: &BudgetId,
+    tokens: u64,
+    operation: OperationId,
+) -> Result<Account, LedgerError> {
+    let shard_number = shard_of(budget, shards);
+    let key = ledger_key(shard_number);
+    let mut failure = LedgerError::Unavailable;
+    for attempt in 0..MAX_ATTEMPTS {
+        back_off(attempt).await;
+        let Some((revision, mut shard)) = read_shard(kv, &key).await? else { continue };
+        let account = shard.open_account(budget);
+        if !account.top_up(tokens, operation) {
+            return Ok(account.clone());
+        }
+        let credited = account.clone();
+        match kv.compare_and_swap(&key, revision, shard.encode(), None, CALL_TIMEOUT).await {
+            Outcome::Done(_) => return Ok(credited),
+            Outcome::NotDone(NotDone::TooLarge) => return Err(LedgerError::Full),
+            Outcome::NotDone(_) => {}
+            Outcome::Unknown => failure = LedgerError::Unknown,
+        }
+    }
+    Err(failure)
+}
+
+/// Reads a budget's account; `None` if it was never credited.
+pub async fn read(
+    kv: &dyn KvStore,
+    shards: u32,
+    budget: &BudgetId,
+) -> Result<Option<Account>, LedgerError> {
+    let key = ledger_key(shard_of(budget, shards));
+    for attempt in 0..MAX_ATTEMPTS {
+        back_off(attempt).await;
+        if let Some((_, shard)) = read_shard(kv, &key).await? {
+            return Ok(shard.account(budget).cloned());
+        }
+    }
+    Err(LedgerError::Unavailable)
+}
+
+async fn read_shard(kv: &dyn KvStore, key: &str) -> Result<Option<(Revision, Shard)>, LedgerError> {
+    match kv.get(key, CALL_TIMEOUT).await {
+        Outcome::Done(None) => Ok(Some((Revision::ABSENT, Shard::default()))),
+        Outcome::Done(Some(held)) => {
+            let shard = Shard::decode(&held.value).ok_or(LedgerError::Malformed)?;
+            Ok(Some((held.revision, shard)))
+        }
+        Outcome::NotDone(_) | Outcome::Unknown => Ok(None),
+    }
+}
+
+async fn back_off(attempt: u32) {
+    if attempt == 0 {
+        return;
+    }
+    let limit = (BACKOFF_MS << attempt.min(10)).min(MAX_BACKOFF_MS);
+    let wait = rand::rng().random_range(limit / 2..=limit);
+    tokio::time::sleep(Duration::from_millis(wait)).await;
+}
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -5,9 +5,11 @@
 //! [`PeerRequest`], and what follows depends on its variant.
 
 mod admin;
+mod budget;
 mod run;
 
 pub use admin::*;
+pub use budget::*;
 pub use run::*;
 
 use serde::{Deserialize, Serialize};
@@ -27,6 +29,10 @@
     Resume(ResumeRequest),
     /// Asks what a sidecar knows of a request; answered by [`RequestRecord`].
     Lookup(LookupRequest),
+    /// Exchanges money with an entry; answered by [`PeerSync`].
+    Budget(Box<PeerSync>),
+    /// Enrols an epoch at a sidecar or closes it; answered by [`WitnessReply`].
+    Witness(WitnessRequest),
     /// Asks for the state of a process; answered by [`StatusReply`].
     Status,
     /// Asks a process to drain and stop; answered by [`StatusReply`].
--- a/lib/src/wire/run.rs
+++ b/lib/src/wire/run.rs
@@ -51,6 +51,16 @@
     pub fn reserve(&self) -> u64 {
         self.parts.iter().map(|part| part.amount).sum()
     }
+
+    /// Each part with what a charge takes from it; a charge above the reserve is cut.
+    pub fn split(&self, charge: u64) -> impl Iterator<Item = (FundingPart, u64)> + '_ {
+        let mut left = charge;
+        self.parts.iter().map(move |part| {
+            let spent = left.min(part.amount);
+            left -= spent;
+            (*part, spent)
+        })
+    }
 }
 
 /// How a request is priced.
