host_follower: poll the host list and pass on changes

Cause: routing, membership and budgets all need the platform's list. Change: one poller; the last list stays in force while the service is away. Conclusion: the entry can feed its control thread.

--- /dev/null
+++ b/lib/src/host_follower.rs
@@ -0,0 +1,48 @@
+//! Polls the platform's host list and passes on each change.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+
+use crate::control::EventSink;
+use crate::host_list::{Host, HostList};
+
+/// Interval between two reads of the host list.
+pub const POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Running poller; it stops when dropped.
+pub struct HostFollower {
+    task: JoinHandle<()>,
+}
+
+impl HostFollower {
+    /// Spawns a poller that sends each list that differs from the one before.
+    ///
+    /// While the service does not answer, the last list stays in force.
+    pub fn spawn(
+        list: Arc<dyn HostList>,
+        interval: Duration,
+        sink: EventSink<Vec<Host>>,
+    ) -> HostFollower {
+        let task = tokio::spawn(async move {
+            let mut last: Option<Vec<Host>> = None;
+            loop {
+                if let Some(hosts) = list.hosts().await
+                    && last.as_ref() != Some(&hosts)
+                {
+                    sink(hosts.clone());
+                    last = Some(hosts);
+                }
+                tokio::time::sleep(interval).await;
+            }
+        });
+        HostFollower { task }
+    }
+}
+
+impl Drop for HostFollower {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod control;
 pub mod fleet_key;
+pub mod host_follower;
 pub mod host_list;
 pub mod host_list_http;
 pub mod http_client;
