--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: an entry before the callers or a sidecar beside a target.
 
 pub mod entry;
+pub mod http_server;
 pub mod logging;
 pub mod settings;
 pub mod sidecar;
