--- a/lib/src/budget.rs
+++ b/lib/src/budget.rs
@@ -4,13 +4,27 @@
 //! `settled + sum(open grants) <= prepaid`. An entry spends only inside grants
 //! whose write it has seen confirmed.
 
+mod book;
+mod driver;
+mod epoch_record;
+mod event;
+mod handle;
 mod ledger;
+mod policy;
 mod receipts;
 mod store;
+mod system;
 
+pub use book::{Book, Holding, Loan, OwnGrant, ReserveReply};
+pub use driver::BudgetDriver;
+pub use epoch_record::{EpochRecord, EpochState, Witness, epoch_key};
+pub use event::{BudgetEffect, BudgetEvent, StoreKey};
+pub use handle::{BudgetHandle, BudgetParams, Budgets, open};
 pub use ledger::{Account, Grant, Shard, initial_operation, ledger_key, shard_of};
+pub use policy::{GrantPolicy, GrantPolicyName, PolicyView};
 pub use receipts::Receipts;
 pub use store::{LedgerError, read, top_up};
+pub use system::{BudgetSystem, SystemParams};
 
 use std::time::Duration;
 
@@ -46,6 +60,13 @@
     /// spent until a witness reports the true charge.
     fn settle_unknown(&self, funding: &Funding);
 
+    /// Ends a reservation that a sidecar refused with
+    /// [`EpochClosed`](crate::result_code::ResultCode::EpochClosed); nothing is
+    /// charged, and a new reservation may be paid under another epoch.
+    fn epoch_refused(&self, funding: &Funding) {
+        self.settle(funding, 0);
+    }
+
     /// Returns all unspent money and closes the epoch; for a graceful stop.
     async fn close(&self);
 }
--- /dev/null
+++ b/lib/src/budget/epoch_record.rs
@@ -0,0 +1,67 @@
+//! Record of an epoch in the store: who must be asked before its grants are closed.
+
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::id::EpochId;
+
+/// Version of the encoding, first byte of every record.
+const EPOCH_VERSION: u8 = 1;
+
+/// Key of an epoch's record.
+pub fn epoch_key(epoch: EpochId) -> String {
+    format!("epoch/{epoch}")
+}
+
+/// Whether an epoch's grants may be spent.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EpochState {
+    /// The holder spends under the epoch.
+    #[display("open")]
+    Open,
+    /// Its witnesses are being asked for its totals.
+    #[display("closing")]
+    Closing,
+    /// Every grant of it is settled.
+    #[display("closed")]
+    Closed,
+    /// A witness lost its receipts: what is open stays counted as spent.
+    #[display("unwitnessed")]
+    Unwitnessed,
+}
+
+/// Sidecar incarnation at which an epoch may spend.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Witness {
+    pub name: String,
+    pub address: SocketAddr,
+    pub incarnation: u64,
+}
+
+/// Value of an epoch's key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochRecord {
+    pub state: EpochState,
+    /// Host name of the holder.
+    pub host: String,
+    /// Witnesses, sorted.
+    pub witnesses: Vec<Witness>,
+}
+
+impl EpochRecord {
+    /// Reads a record; `None` if its encoding is unknown.
+    pub fn decode(bytes: &[u8]) -> Option<EpochRecord> {
+        let (version, body) = bytes.split_first()?;
+        if *version != EPOCH_VERSION {
+            return None;
+        }
+        postcard::from_bytes(body).ok()
+    }
+
+    /// Encoding that [`EpochRecord::decode`] reads.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![EPOCH_VERSION]).expect("a record can be encoded")
+    }
+}
--- /dev/null
+++ b/lib/src/budget/handle.rs
@@ -0,0 +1,131 @@
+//! Handle of the traffic threads to the budget system.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+use super::driver::BudgetDriver;
+use super::event::BudgetEvent;
+use super::policy::GrantPolicyName;
+use super::system::{BudgetSystem, SystemParams};
+use super::{BudgetGate, ReserveRequest};
+use crate::control::EventSink;
+use crate::host_list::Host;
+use crate::id::EpochId;
+use crate::kv_store::KvStore;
+use crate::result_code::{Refusal, ResultCode};
+use crate::transport::Transport;
+use crate::wire::{Funding, PeerSync};
+
+/// What the budgets of an entry are opened with.
+pub struct BudgetParams {
+    pub kv: Arc<dyn KvStore>,
+    pub transport: Arc<Transport>,
+    /// Runtime on which calls to the store and to peers run.
+    pub runtime: Handle,
+    /// Name of this host in the platform's list.
+    pub host: String,
+    pub data_center: String,
+    pub region: String,
+    /// Fresh epoch of this process start.
+    pub epoch: EpochId,
+    /// Number of ledger shards in the store; equal for the whole fleet.
+    pub shards: u32,
+    pub policy: GrantPolicyName,
+}
+
+/// System, driver and handle of an entry's budgets.
+///
+/// The caller runs the system on its control thread and passes its effects to
+/// the driver.
+pub struct Budgets {
+    pub system: BudgetSystem,
+    pub driver: BudgetDriver,
+    pub handle: BudgetHandle,
+}
+
+/// Opens the budgets of an entry; `sink` leads to the thread that will run the system.
+pub fn open(params: BudgetParams, sink: EventSink<BudgetEvent>) -> Budgets {
+    let system = BudgetSystem::open(SystemParams {
+        host: params.host,
+        data_center: params.data_center,
+        region: params.region,
+        epoch: params.epoch,
+        shards: params.shards,
+        policy: params.policy,
+        seed: params.epoch.0,
+    });
+    let driver = BudgetDriver::open(params.kv, params.transport, params.runtime, sink.clone());
+    Budgets { system, driver, handle: BudgetHandle { sink } }
+}
+
+/// Traffic threads' way to the budget system.
+#[derive(Clone)]
+pub struct BudgetHandle {
+    sink: EventSink<BudgetEvent>,
+}
+
+impl BudgetHandle {
+    /// Handle over a sink of the system's events.
+    pub fn new(sink: EventSink<BudgetEvent>) -> BudgetHandle {
+        BudgetHandle { sink }
+    }
+
+    /// Passes on the platform's host list; call it whenever the list was read.
+    pub fn hosts(&self, hosts: Vec<Host>) {
+        (self.sink)(BudgetEvent::Hosts(hosts));
+    }
+
+    /// Answers a peer's [`PeerRequest::Budget`](crate::wire::PeerRequest::Budget).
+    pub async fn answer(&self, sync: PeerSync) -> Option<PeerSync> {
+        let (reply, answer) = oneshot::channel();
+        (self.sink)(BudgetEvent::PeerAsked { sync, reply });
+        answer.await.ok()
+    }
+}
+
+#[async_trait]
+impl BudgetGate for BudgetHandle {
+    async fn reserve(&self, req: ReserveRequest) -> Result<Funding, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        (self.sink)(BudgetEvent::Reserve { req, reply });
+        let mut reservation = Reservation { answer, sink: &self.sink };
+        let stopped = || Refusal::new(ResultCode::ShuttingDown, "the control thread has stopped");
+        (&mut reservation.answer).await.unwrap_or_else(|_| Err(stopped()))
+    }
+
+    fn settle(&self, funding: &Funding, charge: u64) {
+        (self.sink)(BudgetEvent::Settle { funding: funding.clone(), charge });
+    }
+
+    fn settle_unknown(&self, funding: &Funding) {
+        (self.sink)(BudgetEvent::SettleUnknown { funding: funding.clone() });
+    }
+
+    fn epoch_refused(&self, funding: &Funding) {
+        (self.sink)(BudgetEvent::EpochRefused { funding: funding.clone() });
+    }
+
+    async fn close(&self) {
+        let (reply, answer) = oneshot::channel();
+        (self.sink)(BudgetEvent::Close { reply });
+        let _ = answer.await;
+    }
+}
+
+/// Reservation that was asked for; frees the money of a caller that went away.
+struct Reservation<'a> {
+    answer: oneshot::Receiver<Result<Funding, Refusal>>,
+    sink: &'a EventSink<BudgetEvent>,
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.answer.close();
+        if let Ok(Ok(funding)) = self.answer.try_recv() {
+            (self.sink)(BudgetEvent::Settle { funding, charge: 0 });
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/budget/system.rs
@@ -0,0 +1,260 @@
+//! The budget system: tables of one entry and the decisions over them.
+//!
+//! The modules below share [`BudgetSystem`]: [`shards`] writes the ledger,
+//! [`epochs`] registers and rolls this entry's epoch, [`closing`] reclaims the
+//! grants of closed epochs and [`peers`] lends and borrows.
+
+mod closing;
+mod epochs;
+mod peers;
+mod reserve;
+mod shards;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::ReserveRequest;
+use super::book::Book;
+use super::event::{BudgetEffect, BudgetEvent, StoreKey};
+use super::policy::{GrantPolicy, GrantPolicyName, PolicyView};
+use crate::control::System;
+use crate::id::{BudgetId, EpochId};
+use crate::time::Millis;
+use closing::{Closing, ForeignEpoch};
+use epochs::{EpochSlot, SidecarRow};
+use peers::PeerRow;
+use shards::ShardSlot;
+use tokio::sync::oneshot;
+
+/// Time without draws after which a budget's money goes back, in milliseconds.
+const IDLE_MS: u64 = 20_000;
+
+/// Time without draws after which settled books are dropped, in milliseconds.
+const FORGET_MS: u64 = 60_000;
+
+/// Longest time that a graceful stop waits for its writes, in milliseconds.
+const CLOSE_TIMEOUT_MS: u64 = 5_000;
+
+/// What a budget system is opened with.
+#[derive(Clone, Debug)]
+pub struct SystemParams {
+    /// Name of this host in the platform's list.
+    pub host: String,
+    pub data_center: String,
+    pub region: String,
+    /// Epoch of this process start.
+    pub epoch: EpochId,
+    /// Number of ledger shards in the store.
+    pub shards: u32,
+    pub policy: GrantPolicyName,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+/// Tables of the money that one entry holds.
+pub struct BudgetSystem {
+    params: SystemParams,
+    policy: Box<dyn GrantPolicy>,
+    rng: SmallRng,
+    /// Epoch that new grants are drawn under.
+    epoch: EpochId,
+    /// Whether the epoch's record is confirmed, so that grants may be drawn.
+    registered: bool,
+    rolls: u64,
+    rolled_at: Millis,
+    current: EpochSlot,
+    next: Option<EpochSlot>,
+    /// Books, sorted by budget.
+    books: Vec<Book>,
+    slots: Vec<ShardSlot>,
+    sidecars: Vec<SidecarRow>,
+    peers: Vec<PeerRow>,
+    /// Epochs of others seen in the ledger, sorted.
+    foreign: Vec<ForeignEpoch>,
+    closings: Vec<Closing>,
+    /// Epochs of others that no witness can account for.
+    given_up: Vec<EpochId>,
+    /// Root epochs whose money must not be borrowed any more, sorted.
+    closed_roots: Vec<EpochId>,
+    stopping: Option<Stopping>,
+}
+
+struct Stopping {
+    since: Millis,
+    replies: Vec<oneshot::Sender<()>>,
+}
+
+impl BudgetSystem {
+    /// Opens a system without any money.
+    pub fn open(params: SystemParams) -> BudgetSystem {
+        let slots = (0..params.shards.max(1)).map(|_| ShardSlot::new()).collect();
+        BudgetSystem {
+            policy: params.policy.open(),
+            rng: SmallRng::seed_from_u64(params.seed),
+            epoch: params.epoch,
+            registered: false,
+            rolls: 0,
+            rolled_at: Millis(0),
+            current: EpochSlot::new(params.epoch, Millis(0)),
+            next: None,
+            books: Vec::new(),
+            slots,
+            sidecars: Vec::new(),
+            peers: Vec::new(),
+            foreign: Vec::new(),
+            closings: Vec::new(),
+            given_up: Vec::new(),
+            closed_roots: Vec::new(),
+            stopping: None,
+            params,
+        }
+    }
+
+    /// Epoch that new grants are drawn under.
+    pub fn epoch(&self) -> EpochId {
+        self.epoch
+    }
+
+    /// Whether grants may be drawn.
+    pub fn is_registered(&self) -> bool {
+        self.registered
+    }
+
+    /// Books of the budgets in use, sorted by budget.
+    pub fn books(&self) -> &[Book] {
+        &self.books
+    }
+
+    fn book_at(&self, budget: &BudgetId) -> Result<usize, usize> {
+        self.books.binary_search_by(|book| book.budget.cmp(budget))
+    }
+
+    fn book_mut(&mut self, budget: &BudgetId) -> Option<&mut Book> {
+        let at = self.book_at(budget).ok()?;
+        Some(&mut self.books[at])
+    }
+
+    fn open_book(&mut self, budget: &BudgetId, now: Millis) -> usize {
+        match self.book_at(budget) {
+            Ok(at) => at,
+            Err(at) => {
+                let shard = super::ledger::shard_of(budget, self.params.shards);
+                self.books.insert(at, Book::new(budget.clone(), shard, self.epoch, now));
+                at
+            }
+        }
+    }
+
+    /// Entries that share the fleet's money, this one included.
+    fn entries(&self) -> u64 {
+        1 + self.peers.iter().filter(|peer| peer.listed).count() as u64
+    }
+
+    fn is_closed_root(&self, root: EpochId) -> bool {
+        self.closed_roots.binary_search(&root).is_ok()
+    }
+
+    fn add_closed_root(&mut self, root: EpochId) {
+        if let Err(at) = self.closed_roots.binary_search(&root) {
+            self.closed_roots.insert(at, root);
+        }
+    }
+
+    fn stop(&mut self, reply: oneshot::Sender<()>, now: Millis) {
+        let stopping =
+            self.stopping.get_or_insert_with(|| Stopping { since: now, replies: Vec::new() });
+        stopping.replies.push(reply);
+        for book in &mut self.books {
+            book.holdings.iter_mut().for_each(|holding| holding.hand_back(u64::MAX));
+        }
+        for slot in &mut self.slots {
+            slot.wake();
+        }
+    }
+
+    fn finish_stop(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        let Some(stopping) = &self.stopping else { return };
+        let handed_back = self.books.iter().all(is_handed_back);
+        if !handed_back && now.since(stopping.since) < CLOSE_TIMEOUT_MS {
+            return;
+        }
+        let open: u64 = self.books.iter().map(|book| book.own.record.open()).sum();
+        log::info!("decision=stop epoch={} handed_back={handed_back} open={open}", self.epoch);
+        let stopping = self.stopping.as_mut().expect("checked above");
+        for reply in stopping.replies.drain(..) {
+            effects.push(BudgetEffect::Closed { reply });
+        }
+    }
+
+    fn forget_books(&mut self, now: Millis) {
+        let forget = |book: &Book| now.since(book.last_used) > FORGET_MS && book.is_settled();
+        self.books.retain(|book| !forget(book));
+    }
+}
+
+fn is_handed_back(book: &Book) -> bool {
+    book.holdings.iter().all(|holding| !holding.dirty)
+        && book.own.pending.is_none()
+        && book.own.record.granted == book.own.committed()
+        && book.own.record.settled == book.own.settled()
+}
+
+/// What the policy knows of a budget, given what the store shows as free.
+fn policy_view(book: &Book, free: u64, prepaid: u64, entries: u64, now: Millis) -> PolicyView {
+    PolicyView {
+        rate: book.rate(),
+        request: book.request,
+        available: book.own.available(),
+        reserved: book.own.reserved,
+        granted: book.own.record.granted,
+        free,
+        prepaid,
+        entries,
+        idle: now.since(book.last_used) > IDLE_MS,
+    }
+}
+
+impl System for BudgetSystem {
+    type Event = BudgetEvent;
+    type Effect = BudgetEffect;
+
+    fn handle(&mut self, event: BudgetEvent, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        match event {
+            BudgetEvent::Reserve { req, reply } => self.reserve(req, reply, now, effects),
+            BudgetEvent::Settle { funding, charge } => self.settle(&funding, charge, now, effects),
+            BudgetEvent::SettleUnknown { funding } => self.settle_unknown(&funding),
+            BudgetEvent::EpochRefused { funding } => self.epoch_refused(&funding, now, effects),
+            BudgetEvent::Hosts(hosts) => self.hear_hosts(&hosts, now),
+            BudgetEvent::Read { key: StoreKey::Ledger(shard), outcome } => {
+                self.shard_read(shard, outcome, now, effects);
+            }
+            BudgetEvent::Written { key: StoreKey::Ledger(shard), outcome } => {
+                self.shard_written(shard, outcome, now, effects);
+            }
+            BudgetEvent::Read { key: StoreKey::Epoch(epoch), outcome } => {
+                self.epoch_read(epoch, outcome, now);
+            }
+            BudgetEvent::Written { key: StoreKey::Epoch(epoch), outcome } => {
+                self.epoch_written(epoch, outcome, now);
+            }
+            BudgetEvent::PeerAsked { sync, reply } => self.peer_asked(sync, reply, now, effects),
+            BudgetEvent::PeerAnswered { peer, answer } => {
+                self.peer_answered(&peer, answer, now, effects);
+            }
+            BudgetEvent::WitnessAnswered { name, req, answer } => {
+                self.witness_answered(&name, req, answer, now);
+            }
+            BudgetEvent::Close { reply } => self.stop(reply, now),
+        }
+    }
+
+    fn tick(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        self.tick_epochs(now, effects);
+        self.tick_closings(now, effects);
+        self.tick_waiters(now, effects);
+        self.tick_shards(now, effects);
+        self.tick_peers(now, effects);
+        self.forget_books(now);
+        self.finish_stop(now, effects);
+    }
+}
--- /dev/null
+++ b/lib/src/budget/system/epochs.rs
@@ -0,0 +1,481 @@
+//! This entry's epoch: its record, its witnesses, and the change to a new one.
+//!
+//! An epoch may spend at a sidecar only after its record names the sidecar's
+//! incarnation, and grants are drawn only after the record is confirmed.
+
+use std::net::SocketAddr;
+
+use super::*;
+use crate::budget::epoch_record::{EpochRecord, EpochState, Witness};
+use crate::host_list::{Host, HostState, Role};
+use crate::id::digest128;
+use crate::kv_store::{Outcome, Revision, Versioned};
+use crate::wire::{Funding, WitnessReply, WitnessRequest};
+
+/// Longest time that a registration waits for sidecars, in milliseconds.
+const COLLECT_MS: u64 = 1_000;
+
+/// Longest time that a change of epochs waits for enrolments, in milliseconds.
+const ENROLL_MS: u64 = 500;
+
+/// Time between two questions to a sidecar, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 2_000;
+
+/// Time between two questions to a sidecar that does not know the epoch yet.
+const ENROLL_INTERVAL_MS: u64 = 100;
+
+/// Least time between two changes of the epoch, in milliseconds.
+const ROLL_INTERVAL_MS: u64 = 3_000;
+
+const STORE_RETRY_MS: u64 = 200;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Idle,
+    /// What the store holds is not known.
+    Doubtful,
+    Reading,
+    Writing,
+}
+
+/// State of this entry's access to one epoch's record.
+pub(super) struct EpochSlot {
+    pub(super) epoch: EpochId,
+    pub(super) confirmed: Option<(Revision, EpochRecord)>,
+    pub(super) since: Millis,
+    phase: Phase,
+    writing: Option<EpochRecord>,
+    not_before: Millis,
+    /// When the record was first confirmed.
+    confirmed_at: Option<Millis>,
+}
+
+impl EpochSlot {
+    pub(super) fn new(epoch: EpochId, now: Millis) -> EpochSlot {
+        EpochSlot {
+            epoch,
+            confirmed: None,
+            since: now,
+            phase: Phase::Idle,
+            writing: None,
+            not_before: now,
+            confirmed_at: None,
+        }
+    }
+
+    /// Record whose state another entry decides on, too.
+    pub(super) fn unread(epoch: EpochId, now: Millis) -> EpochSlot {
+        EpochSlot { phase: Phase::Doubtful, ..EpochSlot::new(epoch, now) }
+    }
+
+    pub(super) fn record(&self) -> Option<&EpochRecord> {
+        self.confirmed.as_ref().map(|(_, record)| record)
+    }
+
+    /// Whether nothing is in flight and what the store holds is known.
+    pub(super) fn is_idle(&self) -> bool {
+        self.phase == Phase::Idle
+    }
+
+    pub(super) fn write(
+        &mut self,
+        record: EpochRecord,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        if self.phase != Phase::Idle || now < self.not_before {
+            return;
+        }
+        let expected = self.confirmed.as_ref().map_or(Revision::ABSENT, |(revision, _)| *revision);
+        let value = record.encode();
+        self.phase = Phase::Writing;
+        self.writing = Some(record);
+        effects.push(BudgetEffect::Write { key: StoreKey::Epoch(self.epoch), expected, value });
+    }
+
+    pub(super) fn read_if_doubtful(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        if self.phase == Phase::Doubtful && now >= self.not_before {
+            self.phase = Phase::Reading;
+            effects.push(BudgetEffect::Read { key: StoreKey::Epoch(self.epoch) });
+        }
+    }
+
+    /// Has the record read again.
+    pub(super) fn doubt(&mut self) {
+        if self.phase == Phase::Idle {
+            self.phase = Phase::Doubtful;
+        }
+    }
+
+    fn on_read(&mut self, outcome: Outcome<Option<Versioned>>, now: Millis) {
+        let Outcome::Done(held) = outcome else {
+            self.phase = Phase::Doubtful;
+            self.not_before = now.plus(STORE_RETRY_MS);
+            return;
+        };
+        self.phase = Phase::Idle;
+        self.confirmed = held.and_then(|held| {
+            EpochRecord::decode(&held.value).map(|record| (held.revision, record))
+        });
+        self.note_confirmed(now);
+    }
+
+    fn on_written(&mut self, outcome: Outcome<Revision>, now: Millis) {
+        let writing = self.writing.take();
+        match (outcome, writing) {
+            (Outcome::Done(revision), Some(record)) => {
+                self.confirmed = Some((revision, record));
+                self.phase = Phase::Idle;
+                self.note_confirmed(now);
+            }
+            _ => {
+                self.phase = Phase::Doubtful;
+                self.not_before = now.plus(STORE_RETRY_MS);
+            }
+        }
+    }
+
+    fn note_confirmed(&mut self, now: Millis) {
+        if self.confirmed.is_some() && self.confirmed_at.is_none() {
+            self.confirmed_at = Some(now);
+        }
+    }
+}
+
+/// Sidecar as far as enrolment goes.
+pub(super) struct SidecarRow {
+    pub(super) name: String,
+    pub(super) address: SocketAddr,
+    listed: bool,
+    incarnation: Option<u64>,
+    /// Epoch that the sidecar is known to admit.
+    enrolled: Option<EpochId>,
+    /// Epoch that the sidecar was last asked to admit.
+    enrolled_asked: Option<EpochId>,
+    asked_at: Option<Millis>,
+    in_flight: bool,
+}
+
+impl BudgetSystem {
+    pub(super) fn hear_hosts(&mut self, hosts: &[Host], now: Millis) {
+        self.hear_entries(hosts, now);
+        for row in &mut self.sidecars {
+            row.listed = false;
+        }
+        for host in hosts.iter().filter(|host| host.role == Role::Sidecar) {
+            let at = match self.sidecars.binary_search_by(|row| row.name.cmp(&host.name)) {
+                Ok(at) => at,
+                Err(at) => {
+                    self.sidecars.insert(at, SidecarRow::new(host));
+                    at
+                }
+            };
+            self.sidecars[at].listed = host.state == HostState::Live;
+            self.sidecars[at].address = host.address;
+        }
+    }
+
+    pub(super) fn tick_epochs(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        self.current.read_if_doubtful(now, effects);
+        if let Some(next) = &mut self.next {
+            next.read_if_doubtful(now, effects);
+        }
+        self.ask_sidecars(now, effects);
+        if self.stopping.is_some() {
+            return;
+        }
+        if self.next.is_some() {
+            self.advance_next(now, effects);
+        } else if !self.registered {
+            self.register(now, effects);
+        } else {
+            self.amend_record(now, effects);
+            self.roll_for_unknown(now);
+            self.roll_for_restart(now);
+        }
+    }
+
+    /// Registers the epoch of the process start.
+    fn register(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        if self.current.record().is_some() && self.is_enrolled_or_late(&self.current, now) {
+            self.registered = true;
+            log::info!("decision=register epoch={}", self.epoch);
+            return;
+        }
+        if self.current.record().is_none() && self.has_collected(self.current.since, now) {
+            let record = self.open_record();
+            self.current.write(record, now, effects);
+        }
+    }
+
+    fn has_collected(&self, since: Millis, now: Millis) -> bool {
+        let mut listed = self.sidecars.iter().filter(|row| row.listed);
+        let known = !self.sidecars.is_empty() && listed.all(|row| row.incarnation.is_some());
+        known || now.since(since) >= COLLECT_MS
+    }
+
+    fn is_enrolled_or_late(&self, slot: &EpochSlot, now: Millis) -> bool {
+        let Some(record) = slot.record() else { return false };
+        let enrolled = |witness: &Witness| {
+            self.sidecars
+                .iter()
+                .any(|row| row.name == witness.name && row.enrolled == Some(slot.epoch))
+        };
+        let late = slot.confirmed_at.is_some_and(|at| now.since(at) >= ENROLL_MS);
+        late || record.witnesses.iter().all(enrolled)
+    }
+
+    fn open_record(&self) -> EpochRecord {
+        let witnesses = self.sidecars.iter().filter(|row| row.listed);
+        let witnesses = witnesses.filter_map(SidecarRow::witness).collect();
+        EpochRecord { state: EpochState::Open, host: self.params.host.clone(), witnesses }
+    }
+
+    /// Adds sidecars that appeared since the record was written.
+    fn amend_record(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        let Some(record) = self.current.record() else { return };
+        let named =
+            |row: &&SidecarRow| !record.witnesses.iter().any(|witness| witness.name == row.name);
+        let rows = self.sidecars.iter().filter(|row| row.listed).filter(named);
+        let missing: Vec<Witness> = rows.filter_map(SidecarRow::witness).collect();
+        if missing.is_empty() {
+            return;
+        }
+        let mut record = record.clone();
+        record.witnesses.extend(missing);
+        record.witnesses.sort();
+        self.current.write(record, now, effects);
+    }
+
+    /// Asks sidecars for their incarnation, or to admit an epoch that names it.
+    fn ask_sidecars(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        let slot = self.next.as_ref().unwrap_or(&self.current);
+        let record = slot.record().filter(|record| record.state == EpochState::Open);
+        for row in self.sidecars.iter_mut().filter(|row| row.listed && !row.in_flight) {
+            let witness = record.and_then(|record| {
+                record.witnesses.iter().find(|witness| {
+                    witness.name == row.name && Some(witness.incarnation) == row.incarnation
+                })
+            });
+            let pending = match witness {
+                Some(_) => row.enrolled != Some(slot.epoch),
+                None => row.incarnation.is_none(),
+            };
+            let interval = if pending { ENROLL_INTERVAL_MS } else { CHECK_INTERVAL_MS };
+            let first = pending && witness.is_some() && row.enrolled_asked != Some(slot.epoch);
+            if !first && row.asked_at.is_some_and(|at| now.since(at) < interval) {
+                continue;
+            }
+            let req = match witness {
+                Some(witness) => {
+                    row.enrolled_asked = Some(slot.epoch);
+                    WitnessRequest::Enroll { epoch: slot.epoch, incarnation: witness.incarnation }
+                }
+                None => WitnessRequest::Incarnation,
+            };
+            row.asked_at = Some(now);
+            row.in_flight = true;
+            let name = row.name.clone();
+            effects.push(BudgetEffect::AskWitness { name, address: row.address, req });
+        }
+    }
+
+    pub(super) fn witness_answered(
+        &mut self,
+        name: &str,
+        req: WitnessRequest,
+        answer: Option<WitnessReply>,
+        now: Millis,
+    ) {
+        if let WitnessRequest::Close { epoch } = req {
+            self.witness_closed(epoch, name, answer, now);
+            return;
+        }
+        let Ok(at) = self.sidecars.binary_search_by(|row| row.name.as_str().cmp(name)) else {
+            return;
+        };
+        let row = &mut self.sidecars[at];
+        row.in_flight = false;
+        let Some(answer) = answer else { return };
+        let restarted = row.incarnation.is_some_and(|held| held != answer.incarnation);
+        row.incarnation = Some(answer.incarnation);
+        if restarted {
+            row.enrolled = None;
+            return;
+        }
+        let WitnessRequest::Enroll { epoch, .. } = req else { return };
+        if answer.enrolled {
+            row.enrolled = Some(epoch);
+        } else {
+            row.enrolled = None;
+            self.doubt_epoch(epoch);
+        }
+    }
+
+    /// Starts a new epoch if the present one names a lost incarnation.
+    fn roll_for_restart(&mut self, now: Millis) {
+        let lost = |witness: &Witness| {
+            self.sidecars.iter().any(|row| {
+                row.name == witness.name
+                    && row.incarnation.is_some_and(|held| held != witness.incarnation)
+            })
+        };
+        if self.current.record().is_some_and(|record| record.witnesses.iter().any(lost)) {
+            self.roll("sidecar-restarted", now);
+        }
+    }
+
+    /// Has the record of an epoch of ours read again.
+    fn doubt_epoch(&mut self, epoch: EpochId) {
+        if self.current.epoch == epoch {
+            self.current.doubt();
+        }
+        if let Some(next) = self.next.as_mut().filter(|next| next.epoch == epoch) {
+            next.doubt();
+        }
+    }
+
+    pub(super) fn epoch_refused(
+        &mut self,
+        funding: &Funding,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        for part in &funding.parts {
+            self.doubt_epoch(part.root);
+            let book = self.book_mut(&funding.budget);
+            if let Some(held) = book.and_then(|book| book.holding_mut(part.root)) {
+                held.hand_back(u64::MAX);
+            }
+        }
+        self.settle(funding, 0, now, effects);
+    }
+
+    fn roll_for_unknown(&mut self, now: Millis) {
+        let unknown = self.books.iter().any(|book| book.own.unknown > 0);
+        let orphaned = self.has_orphaned_loan(now);
+        if (unknown || orphaned) && now.since(self.rolled_at) >= ROLL_INTERVAL_MS {
+            self.roll(if unknown { "unknown-charge" } else { "borrower-lost" }, now);
+        }
+    }
+
+    /// Starts the change to a new epoch; the present one serves until it is ready.
+    pub(super) fn roll(&mut self, reason: &str, now: Millis) {
+        if self.next.is_some() || self.stopping.is_some() {
+            return;
+        }
+        self.rolls += 1;
+        self.rolled_at = now;
+        let seed = format!("{:?}", (self.params.epoch, self.rolls));
+        let epoch = EpochId(digest128(&["epoch", &seed]) as u64);
+        log::info!("decision=roll epoch={} next={epoch} reason={reason}", self.epoch);
+        self.next = Some(EpochSlot::new(epoch, now));
+    }
+
+    fn advance_next(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        let Some(next) = &self.next else { return };
+        if next.record().is_none() {
+            let collected = !self.registered || self.has_collected(next.since, now);
+            let record = self.open_record();
+            if let Some(next) = self.next.as_mut().filter(|_| collected) {
+                next.write(record, now, effects);
+            }
+            return;
+        }
+        if self.is_enrolled_or_late(next, now) {
+            self.switch_epoch(now);
+        }
+    }
+
+    fn switch_epoch(&mut self, now: Millis) {
+        let Some(next) = self.next.take() else { return };
+        let former = std::mem::replace(&mut self.current, next);
+        self.epoch = self.current.epoch;
+        self.registered = true;
+        log::info!("decision=switch epoch={} former={}", self.epoch, former.epoch);
+        self.books.iter_mut().for_each(|book| book.roll(self.epoch));
+        self.close_own(former.epoch, now);
+    }
+
+    /// Gives up the present epoch, which another entry has closed.
+    pub(super) fn lose_epoch(&mut self, now: Millis) {
+        if !self.registered && self.next.is_some() {
+            return;
+        }
+        log::info!("decision=lose epoch={} reason=closed-by-another", self.epoch);
+        self.registered = false;
+        let former = self.epoch;
+        self.roll("closed", now);
+        if let Some(next) = &self.next {
+            self.epoch = next.epoch;
+        }
+        self.books.iter_mut().for_each(|book| book.roll(self.epoch));
+        self.close_own(former, now);
+    }
+
+    pub(super) fn epoch_read(
+        &mut self,
+        epoch: EpochId,
+        outcome: Outcome<Option<Versioned>>,
+        now: Millis,
+    ) {
+        if let Some(slot) = self.epoch_slot(epoch) {
+            slot.on_read(outcome, now);
+            let lost = slot.record().is_some_and(|record| record.state != EpochState::Open);
+            if lost && self.current.epoch == epoch {
+                self.lose_epoch(now);
+            }
+            return;
+        }
+        if let Some(closing) = self.closing_mut(epoch) {
+            closing.slot.on_read(outcome, now);
+            return;
+        }
+        self.foreign_read(epoch, outcome);
+    }
+
+    pub(super) fn epoch_written(
+        &mut self,
+        epoch: EpochId,
+        outcome: Outcome<Revision>,
+        now: Millis,
+    ) {
+        if let Some(slot) = self.epoch_slot(epoch) {
+            slot.on_written(outcome, now);
+        } else if let Some(closing) = self.closing_mut(epoch) {
+            closing.slot.on_written(outcome, now);
+        }
+    }
+
+    fn epoch_slot(&mut self, epoch: EpochId) -> Option<&mut EpochSlot> {
+        if self.current.epoch == epoch && self.registered_or_first() {
+            return Some(&mut self.current);
+        }
+        self.next.as_mut().filter(|next| next.epoch == epoch)
+    }
+
+    /// Whether the current slot is in use, rather than that of a lost epoch.
+    fn registered_or_first(&self) -> bool {
+        self.registered || self.next.is_none()
+    }
+}
+
+impl SidecarRow {
+    fn new(host: &Host) -> SidecarRow {
+        SidecarRow {
+            name: host.name.clone(),
+            address: host.address,
+            listed: false,
+            incarnation: None,
+            enrolled: None,
+            enrolled_asked: None,
+            asked_at: None,
+            in_flight: false,
+        }
+    }
+
+    fn witness(&self) -> Option<Witness> {
+        let incarnation = self.incarnation?;
+        Some(Witness { name: self.name.clone(), address: self.address, incarnation })
+    }
+}
--- /dev/null
+++ b/lib/src/budget/system/peers.rs
@@ -0,0 +1,374 @@
+//! Lending between entries, without a write to the store.
+//!
+//! Both sides exchange running totals: what was given, what of it was spent and
+//! what was handed back. A lost, repeated or late message changes nothing that
+//! the next one does not mend. A lender counts money as lent before it tells
+//! the borrower; a borrower counts money as handed back before it tells the
+//! lender. Totals are bound to both processes and to the lender's epoch.
+
+use std::net::SocketAddr;
+
+use super::*;
+use crate::budget::book::Holding;
+use crate::host_list::{Host, HostState, Role};
+use crate::wire::{BudgetSync, PeerSync};
+
+/// Time between two reports to a lender, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 500;
+
+/// Time between two requests for money to the same peer, in milliseconds.
+const ASK_INTERVAL_MS: u64 = 40;
+
+/// Time without draws after which borrowed money goes back, in milliseconds.
+const BORROWED_IDLE_MS: u64 = 4_000;
+
+/// Silence after which a borrower counts as lost, in milliseconds.
+const BORROWER_LOST_MS: u64 = 15_000;
+
+/// Time between two looks at a quiet borrower, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 3_000;
+
+/// Budgets in one message.
+const MAX_BUDGETS: usize = 256;
+
+/// Peers asked for the same budget at the same time.
+const ASKED_AT_ONCE: usize = 2;
+
+/// Requests of the usual size that a borrower asks for beyond its need.
+const EXTRA_REQUESTS: u64 = 4;
+
+/// Another entry.
+pub(super) struct PeerRow {
+    pub(super) name: String,
+    pub(super) address: SocketAddr,
+    pub(super) listed: bool,
+    /// Whether it is in this entry's data centre and region.
+    distance: u8,
+    /// Process that answered last.
+    pub(super) instance: Option<EpochId>,
+    /// Epoch under which it draws.
+    pub(super) epoch: Option<EpochId>,
+    pub(super) answered_at: Millis,
+    in_flight: bool,
+    asked_at: Option<Millis>,
+    /// Whether it is to be asked although there is nothing to exchange.
+    pub(super) probe: bool,
+    /// Budgets that lack money and for which it is its turn.
+    wanted: Vec<BudgetId>,
+}
+
+impl BudgetSystem {
+    pub(super) fn hear_entries(&mut self, hosts: &[Host], now: Millis) {
+        for row in &mut self.peers {
+            row.listed = false;
+        }
+        let entries = hosts.iter().filter(|host| host.role == Role::Entry);
+        for host in entries.filter(|host| host.name != self.params.host) {
+            let at = match self.peers.binary_search_by(|row| row.name.cmp(&host.name)) {
+                Ok(at) => at,
+                Err(at) => {
+                    self.peers.insert(at, PeerRow::new(host, &self.params, now));
+                    at
+                }
+            };
+            self.peers[at].listed = host.state == HostState::Live;
+            self.peers[at].address = host.address;
+        }
+    }
+
+    pub(super) fn tick_peers(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        if !self.policy.lends() {
+            return;
+        }
+        self.hand_back_idle(now);
+        self.plan_asks(now);
+        self.probe_borrowers(now);
+        for at in 0..self.peers.len() {
+            self.ask_peer(at, now, effects);
+        }
+    }
+
+    fn hand_back_idle(&mut self, now: Millis) {
+        for book in &mut self.books {
+            if now.since(book.last_used) > BORROWED_IDLE_MS && book.waiters.is_empty() {
+                book.holdings.iter_mut().for_each(|holding| holding.hand_back(u64::MAX));
+            }
+        }
+    }
+
+    /// Chooses which peers are asked for budgets that lack money, near ones first.
+    fn plan_asks(&mut self, now: Millis) {
+        let mut order: Vec<usize> = (0..self.peers.len()).collect();
+        order.retain(|at| self.peers[*at].listed);
+        order.sort_by_key(|at| (self.peers[*at].distance, *at));
+        if order.is_empty() {
+            return;
+        }
+        for book in &mut self.books {
+            if book.lacking() == 0 || !has_asked_store(book, &self.slots, now) {
+                continue;
+            }
+            for _ in 0..ASKED_AT_ONCE.min(order.len()) {
+                let peer = &mut self.peers[order[book.next_peer % order.len()]];
+                book.next_peer = book.next_peer.wrapping_add(1);
+                if !peer.in_flight && !peer.wanted.contains(&book.budget) {
+                    peer.wanted.push(book.budget.clone());
+                }
+            }
+        }
+    }
+
+    /// Keeps in touch with peers that hold borrowed money.
+    fn probe_borrowers(&mut self, now: Millis) {
+        for peer in &mut self.peers {
+            let quiet = now.since(peer.answered_at) >= PROBE_INTERVAL_MS;
+            let asked = peer.asked_at.is_some_and(|at| now.since(at) < PROBE_INTERVAL_MS);
+            if quiet && !asked {
+                let loans = self.books.iter().flat_map(|book| &book.own.loans);
+                peer.probe |= loans
+                    .filter(|loan| loan.is_open())
+                    .any(|loan| peer.instance == Some(loan.instance));
+            }
+        }
+    }
+
+    fn ask_peer(&mut self, at: usize, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        let peer = &self.peers[at];
+        if peer.in_flight {
+            return;
+        }
+        let waited = peer.asked_at.map_or(u64::MAX, |asked| now.since(asked));
+        let interval = if peer.wanted.is_empty() { REPORT_INTERVAL_MS } else { ASK_INTERVAL_MS };
+        if waited < interval {
+            return;
+        }
+        let budgets = self.news_for(at);
+        let peer = &mut self.peers[at];
+        if budgets.is_empty() && !peer.probe {
+            return;
+        }
+        peer.wanted.clear();
+        peer.probe = false;
+        peer.in_flight = true;
+        peer.asked_at = Some(now);
+        let sync = PeerSync {
+            from: self.params.host.clone(),
+            instance: self.params.epoch,
+            epoch: self.epoch,
+            to: peer.instance,
+            budgets,
+        };
+        let name = peer.name.clone();
+        effects.push(BudgetEffect::AskPeer { peer: name, address: peer.address, sync });
+    }
+
+    /// Totals and wants that a peer should hear.
+    fn news_for(&mut self, at: usize) -> Vec<BudgetSync> {
+        let peer = &self.peers[at];
+        let mut news = Vec::new();
+        for book in &mut self.books {
+            let wanted = peer.wanted.contains(&book.budget);
+            let dirty = book.holdings.iter().any(|held| held.dirty && is_from(held, peer));
+            if !wanted && !dirty {
+                continue;
+            }
+            let need = if wanted { book.lacking() } else { 0 };
+            let want = if need > 0 { book.request * EXTRA_REQUESTS } else { 0 };
+            news.push(totals(book, peer, need, want));
+            for held in book.holdings.iter_mut().filter(|held| is_from(held, peer)) {
+                held.dirty = false;
+            }
+            if news.len() == MAX_BUDGETS {
+                break;
+            }
+        }
+        news
+    }
+
+    /// Answers a peer: takes its totals over, lends, and tells the own totals.
+    pub(super) fn peer_asked(
+        &mut self,
+        sync: PeerSync,
+        reply: oneshot::Sender<PeerSync>,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        self.hear_peer(&sync, now, effects);
+        let mut budgets = Vec::new();
+        if let Ok(at) = self.peers.binary_search_by(|row| row.name.cmp(&sync.from)) {
+            for asked in &sync.budgets {
+                if asked.need > 0 {
+                    self.lend(sync.instance, asked);
+                }
+                let peer = &self.peers[at];
+                if let Ok(book) = self.books.binary_search_by(|book| book.budget.cmp(&asked.budget))
+                {
+                    budgets.push(totals(&self.books[book], peer, 0, 0));
+                }
+            }
+        }
+        let answer = PeerSync {
+            from: self.params.host.clone(),
+            instance: self.params.epoch,
+            epoch: self.epoch,
+            to: Some(sync.instance),
+            budgets,
+        };
+        effects.push(BudgetEffect::AnswerPeer { reply, sync: answer });
+    }
+
+    pub(super) fn peer_answered(
+        &mut self,
+        name: &str,
+        answer: Option<PeerSync>,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        let Ok(at) = self.peers.binary_search_by(|row| row.name.as_str().cmp(name)) else { return };
+        let peer = &mut self.peers[at];
+        peer.in_flight = false;
+        if answer.is_none() {
+            let holdings = self.books.iter_mut().flat_map(|book| &mut book.holdings);
+            holdings.filter(|held| is_from(held, peer)).for_each(|held| held.dirty = true);
+        }
+        if let Some(answer) = answer.filter(|answer| answer.from == name) {
+            self.hear_peer(&answer, now, effects);
+        }
+    }
+
+    /// Takes over a peer's totals.
+    fn hear_peer(&mut self, sync: &PeerSync, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        let Ok(at) = self.peers.binary_search_by(|row| row.name.cmp(&sync.from)) else { return };
+        if self.is_closed_root(sync.epoch) {
+            return;
+        }
+        let peer = &mut self.peers[at];
+        peer.answered_at = now;
+        peer.instance = Some(sync.instance);
+        let former = peer.epoch.replace(sync.epoch).filter(|former| *former != sync.epoch);
+        if let Some(former) = former {
+            self.add_closed_root(former);
+        }
+        self.drop_former_roots(sync.instance, sync.epoch);
+        if sync.to != Some(self.params.epoch) {
+            return;
+        }
+        for heard in &sync.budgets {
+            if heard.root == self.epoch {
+                self.hear_borrower(sync.instance, heard);
+            }
+            if heard.given > 0 {
+                let book = self.open_book(&heard.budget, now);
+                self.books[book].hear_lender(sync.epoch, sync.instance, heard.given);
+            }
+            if let Ok(book) = self.book_at(&heard.budget) {
+                self.serve_waiters(book, now, effects);
+            }
+        }
+    }
+
+    fn hear_borrower(&mut self, instance: EpochId, heard: &BudgetSync) {
+        let Some(book) = self.book_mut(&heard.budget) else { return };
+        if heard.spent + heard.returned > 0 {
+            book.own.hear_borrower(instance, heard.spent, heard.returned);
+        }
+    }
+
+    /// Forgets money borrowed under epochs that its lender has left.
+    fn drop_former_roots(&mut self, instance: EpochId, epoch: EpochId) {
+        let mut former = Vec::new();
+        for book in &mut self.books {
+            book.holdings.retain(|held| {
+                let keep = held.instance != instance || held.root == epoch;
+                if !keep {
+                    former.push(held.root);
+                }
+                keep
+            });
+        }
+        former.into_iter().for_each(|root| self.add_closed_root(root));
+    }
+
+    /// Lends what a peer needs, and part of what it wants, out of the own grant.
+    fn lend(&mut self, instance: EpochId, asked: &BudgetSync) {
+        if !self.registered || !self.policy.lends() {
+            return;
+        }
+        let Some(book) = self.book_mut(&asked.budget) else { return };
+        book.holdings.iter_mut().for_each(|held| held.hand_back(asked.need));
+        let available = book.own.available();
+        if available == 0 || !book.waiters.is_empty() {
+            return;
+        }
+        let need = asked.need.min(available);
+        let extra = asked.want.min((available - need) / 2);
+        let loan = book.own.loan(instance);
+        loan.given += need + extra;
+        log::info!(
+            "decision=lend budget={} to={instance} tokens={} need={} left={}",
+            asked.budget,
+            need + extra,
+            asked.need,
+            available - need - extra
+        );
+    }
+
+    /// Whether a borrower of unspent money was not heard of for long, or restarted.
+    pub(super) fn has_orphaned_loan(&self, now: Millis) -> bool {
+        let lost = |instance: EpochId| {
+            let peer = self.peers.iter().find(|peer| peer.instance == Some(instance));
+            peer.is_none_or(|peer| now.since(peer.answered_at) > BORROWER_LOST_MS)
+        };
+        self.books
+            .iter()
+            .flat_map(|book| &book.own.loans)
+            .any(|loan| loan.is_open() && lost(loan.instance))
+    }
+}
+
+impl PeerRow {
+    fn new(host: &Host, params: &SystemParams, now: Millis) -> PeerRow {
+        let distance = u8::from(host.data_center != params.data_center)
+            + u8::from(host.region != params.region);
+        PeerRow {
+            name: host.name.clone(),
+            address: host.address,
+            listed: false,
+            distance,
+            instance: None,
+            epoch: None,
+            answered_at: now,
+            in_flight: false,
+            asked_at: None,
+            probe: true,
+            wanted: Vec::new(),
+        }
+    }
+}
+
+fn is_from(held: &Holding, peer: &PeerRow) -> bool {
+    peer.instance == Some(held.instance)
+}
+
+/// Whether the store has said that it lacks the money, or says nothing.
+fn has_asked_store(book: &Book, slots: &[ShardSlot], now: Millis) -> bool {
+    let Some(oldest) = book.waiters.front() else { return false };
+    let seen = book.seen.is_some_and(|seen| seen.at >= oldest.since);
+    seen || slots[book.shard as usize].silent || now.since(oldest.since) >= 2 * ASK_INTERVAL_MS
+}
+
+fn totals(book: &Book, peer: &PeerRow, need: u64, want: u64) -> BudgetSync {
+    let given = peer.instance.and_then(|instance| {
+        book.own.loans.iter().find(|loan| loan.instance == instance).map(|loan| loan.given)
+    });
+    let held = book.holdings.iter().find(|held| is_from(held, peer));
+    BudgetSync {
+        budget: book.budget.clone(),
+        need,
+        want,
+        given: given.unwrap_or(0),
+        root: held.map_or(peer.epoch.unwrap_or(EpochId(0)), |held| held.root),
+        spent: held.map_or(0, |held| held.charged),
+        returned: held.map_or(0, |held| held.returned),
+    }
+}
--- /dev/null
+++ b/lib/src/budget/system/reserve.rs
@@ -0,0 +1,171 @@
+//! Reservations: taking money, waiting for it, and refusing.
+
+use super::*;
+use crate::budget::book::{ReserveReply, Waiter};
+use crate::result_code::{Refusal, ResultCode};
+use crate::wire::Funding;
+
+/// Least time that a request waits for the store and the peers, in milliseconds.
+const MIN_PATIENCE_MS: u64 = 400;
+
+/// Requests that may wait for one budget.
+const MAX_WAITERS: usize = 1_024;
+
+/// Age up to which the store's view of a budget counts as current, in milliseconds.
+const FRESH_MS: u64 = 1_000;
+
+/// When a refused caller may ask again.
+const RETRY_MS: u64 = 1_000;
+
+impl BudgetSystem {
+    pub(super) fn reserve(
+        &mut self,
+        req: ReserveRequest,
+        reply: ReserveReply,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        if self.stopping.is_some() {
+            let refusal = Refusal::new(ResultCode::ShuttingDown, "the entry hands its money back");
+            effects.push(BudgetEffect::Answer { reply, result: Err(refusal) });
+            return;
+        }
+        let at = self.open_book(&req.budget, now);
+        let book = &mut self.books[at];
+        book.count_draw(req.tokens, now);
+        let patience = (req.patience.as_millis() as u64).max(MIN_PATIENCE_MS);
+        book.waiters.push_back(Waiter {
+            tokens: req.tokens,
+            deadline: now.plus(patience),
+            since: now,
+            reply,
+        });
+        self.serve_waiters(at, now, effects);
+        self.seek_money(at, now, effects);
+    }
+
+    pub(super) fn settle(
+        &mut self,
+        funding: &Funding,
+        charge: u64,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        if let Ok(at) = self.book_at(&funding.budget) {
+            self.books[at].settle(funding, charge);
+            self.serve_waiters(at, now, effects);
+        }
+    }
+
+    pub(super) fn settle_unknown(&mut self, funding: &Funding) {
+        if let Some(book) = self.book_mut(&funding.budget) {
+            book.settle_unknown(funding);
+        }
+    }
+
+    /// Gives money to waiting requests, oldest first, passing over those that lack it.
+    pub(super) fn serve_waiters(
+        &mut self,
+        at: usize,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        let holder = self.epoch;
+        let book = &mut self.books[at];
+        let mut index = 0;
+        while index < book.waiters.len() {
+            let tokens = book.waiters[index].tokens;
+            let Some(funding) = book.take(holder, tokens) else {
+                index += 1;
+                continue;
+            };
+            let waiter = book.waiters.remove(index).expect("the index is in range");
+            log::debug!(
+                "decision=reserve budget={} tokens={tokens} waited_ms={}",
+                book.budget,
+                now.since(waiter.since)
+            );
+            effects.push(BudgetEffect::Answer { reply: waiter.reply, result: Ok(funding) });
+        }
+    }
+
+    /// Starts the next step to get money for waiting requests.
+    pub(super) fn seek_money(&mut self, at: usize, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        let book = &self.books[at];
+        if book.waiters.is_empty() {
+            return;
+        }
+        let shard = book.shard;
+        if now >= book.retry_at {
+            self.slots[shard as usize].wake();
+            self.start_shard(shard, now, effects);
+        }
+    }
+
+    /// Refuses requests whose patience is over or whose money certainly is spent.
+    pub(super) fn tick_waiters(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        for at in 0..self.books.len() {
+            if self.books[at].waiters.is_empty() {
+                continue;
+            }
+            self.serve_waiters(at, now, effects);
+            self.refuse_waiters(at, now, effects);
+            self.seek_money(at, now, effects);
+        }
+    }
+
+    pub(super) fn refuse_waiters(
+        &mut self,
+        at: usize,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        let left = self.books[at].certainly_left();
+        let book = &mut self.books[at];
+        let fresh = book.seen.is_some_and(|seen| now.since(seen.at) < FRESH_MS);
+        let seen_at = book.seen.map_or(Millis(0), |seen| seen.at);
+        let mut index = 0;
+        while index < book.waiters.len() {
+            let waiter = &book.waiters[index];
+            let crowded = index >= MAX_WAITERS;
+            let spent = seen_at >= waiter.since && left.is_some_and(|left| left < waiter.tokens);
+            if !crowded && !spent && now < waiter.deadline {
+                index += 1;
+                continue;
+            }
+            let waiter = book.waiters.remove(index).expect("the index is in range");
+            let refusal = refusal(fresh, spent);
+            log::info!(
+                "decision=refuse budget={} tokens={} reason={:?} waited_ms={} available={} left={left:?}",
+                book.budget,
+                waiter.tokens,
+                refusal.code,
+                now.since(waiter.since),
+                book.available(),
+            );
+            effects.push(BudgetEffect::Answer { reply: waiter.reply, result: Err(refusal) });
+        }
+    }
+
+    /// Refuses every request that waits for a budget without an account.
+    pub(super) fn refuse_unknown(&mut self, at: usize, effects: &mut Vec<BudgetEffect>) {
+        let book = &mut self.books[at];
+        for waiter in book.waiters.drain(..) {
+            log::info!("decision=refuse budget={} reason=UnknownBudget", book.budget);
+            let refusal = Refusal::new(ResultCode::UnknownBudget, "the budget was never credited");
+            effects.push(BudgetEffect::Answer { reply: waiter.reply, result: Err(refusal) });
+        }
+    }
+}
+
+fn refusal(fresh: bool, spent: bool) -> Refusal {
+    if spent {
+        return Refusal::new(ResultCode::BudgetExhausted, "the prepaid tokens are spent");
+    }
+    if fresh {
+        let detail = "the unspent tokens are reserved by other requests";
+        return Refusal::new(ResultCode::BudgetExhausted, detail).retry_after(RETRY_MS);
+    }
+    let detail = "neither the ledger nor the peers answered in time";
+    Refusal::new(ResultCode::BudgetUnavailable, detail).retry_after(RETRY_MS)
+}
--- /dev/null
+++ b/lib/src/budget/system/shards.rs
@@ -0,0 +1,385 @@
+//! Writes to the ledger: one at a time for each shard, with everything that is due.
+//!
+//! A write with unknown outcome may take effect as long as the shard stands at
+//! the revision that it expected. Until then the lower of its total and the
+//! recorded one limits what may be spent.
+
+use super::*;
+use crate::budget::book::{OwnGrant, Seen};
+use crate::budget::ledger::{Account, Grant, Shard};
+use crate::kv_store::{NotDone, Outcome, Revision, Versioned};
+
+/// Time between two writes that only report spending, in milliseconds.
+const SETTLE_INTERVAL_MS: u64 = 5_000;
+
+/// Time between two looks for money that the store did not have, in milliseconds.
+const DRY_RETRY_MS: u64 = 200;
+
+const FIRST_BACKOFF_MS: u64 = 4;
+const MAX_CONFLICT_BACKOFF_MS: u64 = 200;
+const MAX_OUTAGE_BACKOFF_MS: u64 = 1_000;
+
+/// Reads in flight at the same time.
+const MAX_READS: usize = 16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Idle,
+    Reading,
+    Writing { expected: Revision },
+}
+
+/// State of this entry's access to one shard.
+pub(super) struct ShardSlot {
+    phase: Phase,
+    /// Revision expected by a write whose outcome is unknown.
+    unresolved: Option<Revision>,
+    /// Whether something is to be read or written.
+    due: bool,
+    not_before: Millis,
+    failures: u32,
+    settled_at: Millis,
+    /// Whether the last access failed for want of an answer.
+    pub(super) silent: bool,
+}
+
+impl ShardSlot {
+    pub(super) fn new() -> ShardSlot {
+        ShardSlot {
+            phase: Phase::Idle,
+            unresolved: None,
+            due: false,
+            not_before: Millis(0),
+            failures: 0,
+            settled_at: Millis(0),
+            silent: false,
+        }
+    }
+
+    /// Marks the shard for its next access.
+    pub(super) fn wake(&mut self) {
+        self.due = true;
+    }
+
+    fn done(&mut self) {
+        self.phase = Phase::Idle;
+        self.failures = 0;
+        self.silent = false;
+    }
+
+    fn back_off(&mut self, now: Millis, limit: u64, jitter: u64) {
+        self.phase = Phase::Idle;
+        self.due = true;
+        let wait = (FIRST_BACKOFF_MS << self.failures.min(12)).min(limit);
+        self.failures += 1;
+        self.not_before = now.plus(wait / 2 + jitter % wait.max(1));
+    }
+}
+
+impl BudgetSystem {
+    pub(super) fn tick_shards(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        self.wake_due_shards(now);
+        for shard in 0..self.params.shards.max(1) {
+            self.start_shard(shard, now, effects);
+        }
+    }
+
+    /// Reads a shard that is due, as the first half of a write.
+    pub(super) fn start_shard(&mut self, shard: u32, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        let reading = self.slots.iter().filter(|slot| slot.phase == Phase::Reading).count();
+        let slot = &mut self.slots[shard as usize];
+        let waits = slot.phase != Phase::Idle || now < slot.not_before || reading >= MAX_READS;
+        if waits || !slot.due {
+            return;
+        }
+        slot.due = false;
+        slot.phase = Phase::Reading;
+        effects.push(BudgetEffect::Read { key: StoreKey::Ledger(shard) });
+    }
+
+    fn wake_due_shards(&mut self, now: Millis) {
+        let entries = self.entries();
+        let stopping = self.stopping.is_some();
+        for book in &mut self.books {
+            let slot = &mut self.slots[book.shard as usize];
+            if slot.due || slot.phase != Phase::Idle {
+                continue;
+            }
+            book.decay(now);
+            let reports = now.since(slot.settled_at) >= SETTLE_INTERVAL_MS;
+            let unsettled = book.own.settled() > book.own.record.settled;
+            let returns = book.retired.iter().any(has_news);
+            let moves = now >= book.retry_at && wants_move(book, &*self.policy, entries, now);
+            let hands_back = stopping && !is_handed_back(book);
+            slot.due = (reports && unsettled) || returns || moves || hands_back;
+        }
+    }
+
+    pub(super) fn shard_read(
+        &mut self,
+        shard: u32,
+        outcome: Outcome<Option<Versioned>>,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        let jitter = self.rng.random();
+        let slot = &mut self.slots[shard as usize];
+        let Outcome::Done(held) = outcome else {
+            slot.silent = true;
+            slot.back_off(now, MAX_OUTAGE_BACKOFF_MS, jitter);
+            return;
+        };
+        slot.done();
+        let revision = held.as_ref().map_or(Revision::ABSENT, |held| held.revision);
+        let decoded = held.map_or(Some(Shard::default()), |held| Shard::decode(&held.value));
+        let Some(mut ledger) = decoded else {
+            log::error!("decision=skip shard={shard} reason=malformed");
+            return;
+        };
+        if slot.unresolved != Some(revision) {
+            slot.unresolved = None;
+        }
+        let resolved = slot.unresolved.is_none();
+        let closed = self.observe_shard(shard, &ledger, resolved, now);
+        if closed {
+            self.lose_epoch(now);
+        }
+        self.observe_foreign(shard, &ledger, now);
+        let changed = self.change_shard(shard, &mut ledger, now);
+        let closed_others = self.apply_closings(shard, &mut ledger);
+        if changed || closed_others {
+            let slot = &mut self.slots[shard as usize];
+            slot.phase = Phase::Writing { expected: revision };
+            slot.settled_at = now;
+            let key = StoreKey::Ledger(shard);
+            effects.push(BudgetEffect::Write { key, expected: revision, value: ledger.encode() });
+        }
+        self.after_shard(shard, now, effects);
+    }
+
+    pub(super) fn shard_written(
+        &mut self,
+        shard: u32,
+        outcome: Outcome<Revision>,
+        now: Millis,
+        effects: &mut Vec<BudgetEffect>,
+    ) {
+        let jitter = self.rng.random();
+        let slot = &mut self.slots[shard as usize];
+        let Phase::Writing { expected } = slot.phase else { return };
+        let resolve: fn(&mut OwnGrant) = match &outcome {
+            Outcome::Done(_) => confirm_write,
+            Outcome::NotDone(_) => drop_write,
+            Outcome::Unknown => doubt_write,
+        };
+        match outcome {
+            Outcome::Done(_) => {
+                slot.done();
+                slot.unresolved = None;
+            }
+            Outcome::NotDone(NotDone::Conflict { .. }) => {
+                slot.back_off(now, MAX_CONFLICT_BACKOFF_MS, jitter);
+            }
+            Outcome::NotDone(_) => {
+                slot.silent = true;
+                slot.back_off(now, MAX_OUTAGE_BACKOFF_MS, jitter);
+            }
+            Outcome::Unknown => {
+                slot.silent = true;
+                slot.unresolved = Some(expected);
+                slot.back_off(now, MAX_OUTAGE_BACKOFF_MS, jitter);
+            }
+        }
+        for book in self.books.iter_mut().filter(|book| book.shard == shard) {
+            resolve(&mut book.own);
+            book.retired.iter_mut().for_each(resolve);
+            book.retired.retain(|grant| grant.pending.is_some() || !is_closed(grant));
+        }
+        self.after_shard(shard, now, effects);
+    }
+
+    /// Takes over what the store shows; tells whether this epoch was closed by another.
+    fn observe_shard(&mut self, shard: u32, ledger: &Shard, resolved: bool, now: Millis) -> bool {
+        let mut closed = false;
+        for book in self.books.iter_mut().filter(|book| book.shard == shard) {
+            let account = ledger.account(&book.budget);
+            closed |= observe_grant(&mut book.own, account, resolved);
+            book.retired.retain_mut(|grant| {
+                let vanished = observe_grant(grant, account, resolved);
+                let recorded = account.is_some_and(|held| held.grant(grant.epoch).is_some());
+                recorded || !(vanished || resolved)
+            });
+            book.seen = account.map(|account| Seen {
+                at: now,
+                prepaid: account.prepaid,
+                free: account.free(),
+                spent: account.spent(),
+            });
+        }
+        closed
+    }
+
+    /// Puts everything that is due into the shard; tells whether anything was.
+    fn change_shard(&mut self, shard: u32, ledger: &mut Shard, now: Millis) -> bool {
+        let entries = self.entries();
+        let stopping = self.stopping.is_some();
+        let registered = self.registered;
+        let mut changed = false;
+        for book in self.books.iter_mut().filter(|book| book.shard == shard) {
+            let Some(account) = ledger.account_mut(&book.budget) else { continue };
+            for grant in &mut book.retired {
+                changed |= settle_retired(grant, account);
+            }
+            if !registered {
+                continue;
+            }
+            let target = if stopping {
+                book.own.committed()
+            } else {
+                next_total(book, account, &*self.policy, entries, now)
+            };
+            changed |= write_grant(book, account, target);
+        }
+        changed
+    }
+
+    fn after_shard(&mut self, shard: u32, now: Millis, effects: &mut Vec<BudgetEffect>) {
+        for at in 0..self.books.len() {
+            if self.books[at].shard != shard || self.books[at].waiters.is_empty() {
+                continue;
+            }
+            self.serve_waiters(at, now, effects);
+            let slot = &self.slots[shard as usize];
+            if slot.phase != Phase::Idle || slot.silent {
+                continue;
+            }
+            if self.books[at].seen.is_none() {
+                self.refuse_unknown(at, effects);
+                continue;
+            }
+            self.refuse_waiters(at, now, effects);
+            if self.books[at].lacking() > 0 {
+                self.books[at].retry_at = now.plus(DRY_RETRY_MS);
+            }
+        }
+    }
+}
+
+/// Whether the policy would move money, as far as the last read tells.
+fn wants_move(book: &Book, policy: &dyn GrantPolicy, entries: u64, now: Millis) -> bool {
+    let Some(seen) = book.seen else { return !book.waiters.is_empty() };
+    if book.lacking() > 0 {
+        return true;
+    }
+    let view = policy_view(book, seen.free, seen.prepaid, entries, now);
+    policy.surplus(view) > 0 || policy.prefetch(view).min(seen.free) > 0
+}
+
+/// Total that the current grant should have after the next write.
+fn next_total(
+    book: &Book,
+    account: &Account,
+    policy: &dyn GrantPolicy,
+    entries: u64,
+    now: Millis,
+) -> u64 {
+    let granted = book.own.record.granted;
+    let need = book.lacking();
+    let free = account.free();
+    if need > free {
+        return granted + free;
+    }
+    let mut view = policy_view(book, free - need, account.prepaid, entries, now);
+    if need > 0 {
+        view.available = 0;
+        return granted + need + policy.prefetch(view).min(free - need);
+    }
+    let surplus = policy.surplus(view).min(book.own.available());
+    if surplus > 0 {
+        return granted - surplus;
+    }
+    granted + policy.prefetch(view).min(free)
+}
+
+/// Puts the current grant into the account if its totals move.
+fn write_grant(book: &mut Book, account: &mut Account, granted: u64) -> bool {
+    let own = &mut book.own;
+    let granted = granted.max(own.committed().min(own.record.granted));
+    let grant = Grant { epoch: own.epoch, granted, settled: own.settled().min(granted) };
+    if grant == own.record || !account.set_grant(grant) {
+        return false;
+    }
+    log::info!(
+        "decision=grant budget={} epoch={} granted={} was={} settled={} free={}",
+        book.budget,
+        own.epoch,
+        granted,
+        own.record.granted,
+        grant.settled,
+        account.free()
+    );
+    own.pending = Some(grant);
+    true
+}
+
+/// Releases what a former epoch's grant does not need; tells whether anything.
+fn settle_retired(grant: &mut OwnGrant, account: &mut Account) -> bool {
+    let Some(held) = account.grant(grant.epoch).copied() else { return false };
+    let settled = grant.settled().max(held.settled).min(held.granted);
+    let granted = grant.committed().max(settled).min(held.granted);
+    let next = Grant { epoch: grant.epoch, granted, settled };
+    grant.pending = Some(next);
+    if granted == settled {
+        account.set_grant(next);
+        account.close_grant(grant.epoch);
+        return true;
+    }
+    next != held && account.set_grant(next)
+}
+
+/// Whether a former epoch's grant can be written lower or higher settled.
+fn has_news(grant: &OwnGrant) -> bool {
+    is_closed(grant)
+        || grant.settled() > grant.record.settled
+        || grant.committed() < grant.record.granted
+}
+
+/// Whether nothing of a former epoch's grant is open.
+fn is_closed(grant: &OwnGrant) -> bool {
+    grant.floor.is_none() && grant.record.granted == grant.record.settled
+}
+
+/// Takes over the recorded grant; tells whether it vanished.
+fn observe_grant(own: &mut OwnGrant, account: Option<&Account>, resolved: bool) -> bool {
+    let held = account.and_then(|account| account.grant(own.epoch));
+    own.pending = None;
+    if resolved {
+        own.floor = None;
+    }
+    let Some(held) = held else { return own.record.granted > 0 };
+    own.record = *held;
+    if !own.loaded {
+        own.loaded = true;
+        own.charged = own.charged.max(held.settled);
+    }
+    false
+}
+
+fn confirm_write(own: &mut OwnGrant) {
+    if let Some(pending) = own.pending.take() {
+        own.record = pending;
+        own.loaded = true;
+    }
+    own.floor = None;
+}
+
+fn drop_write(own: &mut OwnGrant) {
+    own.pending = None;
+}
+
+fn doubt_write(own: &mut OwnGrant) {
+    if let Some(pending) = own.pending.take() {
+        let floor = own.floor.unwrap_or(u64::MAX);
+        own.floor = Some(floor.min(pending.granted));
+    }
+}
--- a/lib/src/wire/budget.rs
+++ b/lib/src/wire/budget.rs
@@ -30,8 +30,12 @@
 pub struct PeerSync {
     /// Host name of the sender.
     pub from: String,
+    /// Epoch that the sender's process started with.
+    pub instance: EpochId,
     /// Current epoch of the sender.
     pub epoch: EpochId,
+    /// Process that the totals are meant for, as far as the sender knows it.
+    pub to: Option<EpochId>,
     pub budgets: Vec<BudgetSync>,
 }
 
