--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -198,12 +198,11 @@
     let text = reader.text("fleet_key");
     if !text.is_empty() && FleetKey::open(&text).is_err() {
         // The key itself stays out of the message, which may end in a log.
-        let at = reader.position("fleet_key");
-        reader.push(IniError::Conflict {
-            at,
-            detail: "`fleet_key` is not a fleet key".to_owned(),
-            hint: "write the line that `rosemarymoor keygen` prints".to_owned(),
-        });
+        reader.conflict(
+            "fleet_key",
+            "`fleet_key` is not a fleet key",
+            "write the line that `rosemarymoor keygen` prints",
+        );
     }
     text
 }
--- a/lib/src/ini.rs
+++ b/lib/src/ini.rs
@@ -96,7 +96,12 @@
             let at = Position { file: file.to_owned(), line: err.line as u32 };
             SyntaxSnafu { at, detail: err.msg.to_string() }.build()
         })?;
-        let mut scan = Scan { file, document: IniDocument::default(), errors: Vec::new() };
+        let mut scan = Scan {
+            file,
+            section_as_written: "",
+            document: IniDocument::default(),
+            errors: Vec::new(),
+        };
         for (index, line) in text.lines().enumerate() {
             scan.line(index as u32 + 1, line.trim(), &values);
         }
@@ -132,12 +137,13 @@
 /// Pass over the lines that finds where sections and keys stand.
 struct Scan<'a> {
     file: &'a str,
+    section_as_written: &'a str,
     document: IniDocument,
     errors: Vec<IniError>,
 }
 
-impl Scan<'_> {
-    fn line(&mut self, number: u32, line: &str, values: &Ini) {
+impl<'a> Scan<'a> {
+    fn line(&mut self, number: u32, line: &'a str, values: &Ini) {
         let at = Position { file: self.file.to_owned(), line: number };
         let line = line.trim_start_matches('\u{feff}');
         if is_blank(line) {
@@ -149,12 +155,10 @@
         }
     }
 
-    fn section(&mut self, name: &str, at: Position) {
-        if let Some(first) = self.document.section(name) {
-            let first = first.at.clone();
-            self.errors.push(RepeatedSnafu { at: at.clone(), name, first }.build());
-        }
-        self.document.sections.push(IniSection { name: name.to_owned(), at, keys: Vec::new() });
+    fn section(&mut self, name: &'a str, at: Position) {
+        self.section_as_written = name;
+        let name = name.split_whitespace().collect::<Vec<_>>().join(" ");
+        self.document.sections.push(IniSection { name, at, keys: Vec::new() });
     }
 
     fn key(&mut self, line: &str, at: Position, values: &Ini) {
@@ -168,12 +172,24 @@
             self.errors.push(RepeatedSnafu { at, name, first }.build());
             return;
         }
-        let value = values.get_from(Some(section.name.as_str()), name);
+        let value = values.get_from(Some(self.section_as_written), name);
         let value = value.unwrap_or_default().trim().to_owned();
         section.keys.push(IniKey { name: name.to_owned(), value, at });
     }
 
+    fn refuse_repeated_sections(&mut self) {
+        let mut sorted: Vec<&IniSection> = self.document.sections.iter().collect();
+        sorted.sort_by(|a, b| a.name.cmp(&b.name));
+        for pair in sorted.windows(2) {
+            if pair[0].name == pair[1].name {
+                let (at, first) = (pair[1].at.clone(), pair[0].at.clone());
+                self.errors.push(RepeatedSnafu { at, name: &pair[1].name, first }.build());
+            }
+        }
+    }
+
     fn finish(mut self) -> Result<IniDocument, IniErrors> {
+        self.refuse_repeated_sections();
         self.document.file = self.file.to_owned();
         if self.errors.is_empty() { Ok(self.document) } else { Err(IniErrors(self.errors)) }
     }
--- a/lib/src/ini/reader.rs
+++ b/lib/src/ini/reader.rs
@@ -3,7 +3,7 @@
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 
-use super::error::{BadValueSnafu, MissingKeySnafu, UnknownKeySnafu};
+use super::error::{BadValueSnafu, ConflictSnafu, MissingKeySnafu, UnknownKeySnafu};
 use super::{IniError, IniKey, IniSection, Position};
 
 /// Reads the keys of a section and notes each fault.
@@ -152,6 +152,18 @@
         self.push(BadValueSnafu { at, key: name, value, expected }.build());
     }
 
+    /// Records that a key contradicts something else.
+    pub fn conflict(&mut self, name: &str, detail: &str, hint: &str) {
+        let at = self.position(name);
+        self.push(ConflictSnafu { at, detail, hint }.build());
+    }
+
+    /// Records that the section as a whole is wrong.
+    pub fn section_conflict(&mut self, detail: &str, hint: &str) {
+        let at = self.section.at.clone();
+        self.push(ConflictSnafu { at, detail, hint }.build());
+    }
+
     /// Records any other fault.
     pub fn push(&mut self, error: IniError) {
         self.errors.push(error);
@@ -174,7 +186,8 @@
         }
     }
 
-    fn missing(&mut self, name: &str) {
+    /// Records that a key is missing.
+    pub fn missing(&mut self, name: &str) {
         let (at, section) = (self.section.at.clone(), &self.section.name);
         self.push(MissingKeySnafu { at, section, key: name }.build());
     }
