--- /dev/null
+++ b/lib/testutils/src/application.rs
@@ -0,0 +1,171 @@
+//! Stand-in for an application target that records each run by its marker.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use hyper::Request;
+use hyper::body::Incoming;
+use rosemarymoor_lib::target_client::TargetLoad;
+use serde::{Deserialize, Serialize};
+
+use crate::dice::Dice;
+use crate::marker;
+use crate::server::{DropConnection, Handler, Reply, Server, answer, read_body};
+
+const HANG: Duration = Duration::from_secs(3_600);
+
+/// Faults of an application, as probabilities of a call.
+#[derive(Clone, Debug, Default)]
+pub struct ApplicationFaults {
+    /// Runs the call and never answers.
+    pub hang: f64,
+    /// Runs the call and answers after [`ApplicationFaults::late_by`].
+    pub late: f64,
+    pub late_by: Duration,
+    /// Answers with the identity and marker of another call.
+    pub crossed: f64,
+    /// Runs the call and then closes the connection.
+    pub drop_reply: f64,
+}
+
+/// One run as the application saw it.
+#[derive(Clone, Debug)]
+pub struct ApplicationRun {
+    pub request: String,
+    pub attempt: u32,
+    pub marker: String,
+    pub method: String,
+    pub path: String,
+    pub started: Instant,
+}
+
+/// Body of the application's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ApplicationAnswer {
+    pub marker: String,
+    pub method: String,
+    pub path: String,
+}
+
+/// Running application.
+pub struct ApplicationStandIn {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    work: Duration,
+    faults: Mutex<ApplicationFaults>,
+    runs: Mutex<Vec<ApplicationRun>>,
+    generation: Mutex<u64>,
+    dice: Dice,
+}
+
+impl ApplicationStandIn {
+    /// Starts an application whose calls take `work`.
+    pub async fn bind(work: Duration, seed: u64) -> io::Result<ApplicationStandIn> {
+        let shared = Arc::new(Shared {
+            work,
+            faults: Mutex::default(),
+            runs: Mutex::default(),
+            generation: Mutex::new(1),
+            dice: Dice::new(seed),
+        });
+        let server = Server::bind(Arc::new(Service(shared.clone()))).await?;
+        Ok(ApplicationStandIn { server, shared })
+    }
+
+    /// Port and address of the application.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut ApplicationFaults)) {
+        change(&mut self.shared.faults.lock().expect("no holder panics"));
+    }
+
+    /// Every run so far.
+    pub fn runs(&self) -> Vec<ApplicationRun> {
+        self.shared.runs.lock().expect("no holder panics").clone()
+    }
+
+    /// Stops the application until [`ApplicationStandIn::restart`].
+    pub fn kill(&self) {
+        self.server.stop();
+        *self.shared.generation.lock().expect("no holder panics") += 1;
+    }
+
+    /// Listens again after [`ApplicationStandIn::kill`].
+    pub async fn restart(&self) -> io::Result<()> {
+        self.server.restart().await
+    }
+}
+
+struct Service(Arc<Shared>);
+
+#[async_trait]
+impl Handler for Service {
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        let shared = self.0.clone();
+        if req.uri().path() == "/load" {
+            return Ok(shared.load_report());
+        }
+        // A call that was taken in runs to its end although its caller goes away.
+        let serving = tokio::spawn(async move { shared.serve(req).await });
+        serving.await.unwrap_or(Err(DropConnection))
+    }
+}
+
+impl Shared {
+    fn load_report(&self) -> hyper::Response<crate::server::Body> {
+        let generation = *self.generation.lock().expect("no holder panics");
+        let load = TargetLoad { generation, ..TargetLoad::default() };
+        let body = serde_json::to_vec(&load).expect("the report has string keys");
+        answer(200, "application/json", body)
+    }
+
+    async fn serve(&self, req: Request<Incoming>) -> Reply {
+        let faults = self.faults.lock().expect("no holder panics").clone();
+        let run = read_run(req).await?;
+        let other = self.runs.lock().expect("no holder panics").last().cloned();
+        self.runs.lock().expect("no holder panics").push(run.clone());
+        tokio::time::sleep(self.work).await;
+        if self.dice.roll(faults.hang) {
+            tokio::time::sleep(HANG).await;
+        }
+        if self.dice.roll(faults.late) {
+            tokio::time::sleep(faults.late_by).await;
+        }
+        if self.dice.roll(faults.drop_reply) {
+            return Err(DropConnection);
+        }
+        let shown = if self.dice.roll(faults.crossed) { other.unwrap_or(run) } else { run };
+        let created = shown.method == "POST";
+        let body =
+            ApplicationAnswer { marker: shown.marker, method: shown.method, path: shown.path };
+        let body = serde_json::to_vec(&body).expect("the answer has string keys");
+        let mut resp = answer(if created { 201 } else { 200 }, "application/json", body);
+        if let Ok(request) = shown.request.parse() {
+            resp.headers_mut().insert("x-request-id", request);
+        }
+        resp.headers_mut().insert("x-attempt", shown.attempt.into());
+        Ok(resp)
+    }
+}
+
+async fn read_run(req: Request<Incoming>) -> Result<ApplicationRun, DropConnection> {
+    let header = |name: &str| {
+        let value = req.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let request = header("x-request-id");
+    let attempt = header("x-attempt").parse().unwrap_or(0);
+    let method = req.method().to_string();
+    let path = req.uri().to_string();
+    let body = read_body(req).await?;
+    let marker = marker::find(&format!("{path}\n{}", String::from_utf8_lossy(&body)));
+    Ok(ApplicationRun { request, attempt, marker, method, path, started: Instant::now() })
+}
--- /dev/null
+++ b/lib/testutils/src/fault_proxy.rs
@@ -0,0 +1,216 @@
+//! Forwarding links on loopback that can be cut, healed and delayed.
+//!
+//! A cut link loses datagrams and holds TCP bytes back without a reset, as a
+//! network partition does. TCP connections opened meanwhile are accepted and
+//! then hang.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
+
+const BUFFER_BYTES: usize = 64 << 10;
+const QUEUED_DATAGRAMS: usize = 4_096;
+const RECONNECT: Duration = Duration::from_millis(20);
+
+/// State of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkState {
+    pub cut: bool,
+    /// One-way delay.
+    pub delay: Duration,
+}
+
+/// One forwarded address; it stops when it is dropped.
+pub struct Link {
+    address: SocketAddr,
+    state: watch::Sender<LinkState>,
+    task: JoinHandle<()>,
+}
+
+impl Link {
+    /// Forwards TCP connections to `target`.
+    pub async fn bind_tcp(target: SocketAddr) -> io::Result<Link> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let (state, seen) = watch::channel(LinkState::default());
+        let task = tokio::spawn(forward_tcp(listener, target, seen));
+        Ok(Link { address, state, task })
+    }
+
+    /// Forwards datagrams to `target` and its replies back.
+    pub async fn bind_udp(target: SocketAddr) -> io::Result<Link> {
+        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = socket.local_addr()?;
+        let (state, seen) = watch::channel(LinkState::default());
+        let task = tokio::spawn(forward_udp(Arc::new(socket), target, seen));
+        Ok(Link { address, state, task })
+    }
+
+    /// Address to connect to in place of the target's.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts or heals the link.
+    pub fn set_cut(&self, cut: bool) {
+        self.state.send_modify(|state| state.cut = cut);
+    }
+
+    /// Changes the one-way delay.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.send_modify(|state| state.delay = delay);
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn forward_tcp(listener: TcpListener, target: SocketAddr, state: watch::Receiver<LinkState>) {
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        if let Ok((socket, _)) = listener.accept().await {
+            connections.spawn(forward_connection(socket, target, state.clone()));
+        }
+    }
+}
+
+async fn forward_connection(
+    socket: TcpStream,
+    target: SocketAddr,
+    mut state: watch::Receiver<LinkState>,
+) {
+    if state.wait_for(|state| !state.cut).await.is_err() {
+        return;
+    }
+    let Ok(upstream) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = socket.set_nodelay(true);
+    let _ = upstream.set_nodelay(true);
+    let (down_rx, down_tx) = socket.into_split();
+    let (up_rx, up_tx) = upstream.into_split();
+    // A connection that ends on one side ends on both.
+    tokio::select! {
+        () = pump(down_rx, up_tx, state.clone()) => {}
+        () = pump(up_rx, down_tx, state) => {}
+    }
+}
+
+async fn pump(
+    mut rx: OwnedReadHalf,
+    mut tx: OwnedWriteHalf,
+    mut state: watch::Receiver<LinkState>,
+) {
+    let mut buf = vec![0; BUFFER_BYTES];
+    loop {
+        let length = match rx.read(&mut buf).await {
+            Ok(length) if length > 0 => length,
+            _ => return,
+        };
+        let delay = state.borrow().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        if state.wait_for(|state| !state.cut).await.is_err() {
+            return;
+        }
+        if tx.write_all(&buf[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// One client of a UDP link with its own socket towards the target.
+struct Flow {
+    client: SocketAddr,
+    tx: mpsc::Sender<(Instant, Vec<u8>)>,
+}
+
+async fn forward_udp(
+    socket: Arc<UdpSocket>,
+    target: SocketAddr,
+    state: watch::Receiver<LinkState>,
+) {
+    let mut flows: Vec<Flow> = Vec::new();
+    let mut tasks = JoinSet::new();
+    let mut buf = vec![0; BUFFER_BYTES];
+    loop {
+        let Ok((length, client)) = socket.recv_from(&mut buf).await else {
+            continue;
+        };
+        let seen = *state.borrow();
+        if seen.cut {
+            continue;
+        }
+        let at = match flows.binary_search_by_key(&client, |flow| flow.client) {
+            Ok(at) => at,
+            Err(at) => {
+                let Ok(upstream) = connect_udp(target).await else {
+                    continue;
+                };
+                let (tx, rx) = mpsc::channel(QUEUED_DATAGRAMS);
+                tasks.spawn(send_datagrams(upstream.clone(), rx));
+                tasks.spawn(return_datagrams(upstream, socket.clone(), client, state.clone()));
+                flows.insert(at, Flow { client, tx });
+                at
+            }
+        };
+        let due = Instant::now() + seen.delay;
+        let _ = flows[at].tx.try_send((due, buf[..length].to_vec()));
+    }
+}
+
+async fn connect_udp(target: SocketAddr) -> io::Result<Arc<UdpSocket>> {
+    let upstream = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    upstream.connect(target).await?;
+    Ok(Arc::new(upstream))
+}
+
+async fn send_datagrams(upstream: Arc<UdpSocket>, mut rx: mpsc::Receiver<(Instant, Vec<u8>)>) {
+    while let Some((due, datagram)) = rx.recv().await {
+        tokio::time::sleep_until(due).await;
+        let _ = upstream.send(&datagram).await;
+    }
+}
+
+async fn return_datagrams(
+    upstream: Arc<UdpSocket>,
+    socket: Arc<UdpSocket>,
+    client: SocketAddr,
+    state: watch::Receiver<LinkState>,
+) {
+    let (tx, mut rx) = mpsc::channel::<(Instant, Vec<u8>)>(QUEUED_DATAGRAMS);
+    let deliver = async {
+        while let Some((due, datagram)) = rx.recv().await {
+            tokio::time::sleep_until(due).await;
+            let _ = socket.send_to(&datagram, client).await;
+        }
+    };
+    let receive = async {
+        let mut buf = vec![0; BUFFER_BYTES];
+        loop {
+            // A refused datagram shows up as an error while the target is down.
+            let Ok(length) = upstream.recv(&mut buf).await else {
+                tokio::time::sleep(RECONNECT).await;
+                continue;
+            };
+            let seen = *state.borrow();
+            if !seen.cut {
+                let _ = tx.try_send((Instant::now() + seen.delay, buf[..length].to_vec()));
+            }
+        }
+    };
+    tokio::join!(deliver, receive);
+}
