--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod host_list_http;
 pub mod http_client;
 pub mod id;
+pub mod ini;
 pub mod kv_http;
 pub mod kv_store;
 pub mod result_code;
