--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -1,4 +1,23 @@
 //! Choice of a target for each delivery of a request.
+//!
+//! The control thread owns the table of targets ([`RoutingSystem`]) and
+//! publishes snapshots; traffic threads choose from the newest snapshot without
+//! locks through a [`Router`]. Counters that must be fresher than a snapshot,
+//! such as deliveries in flight, are atomics that both sides share.
+
+mod counters;
+mod policy;
+mod retry_budget;
+mod router;
+mod snapshot;
+mod system;
+
+pub use counters::TargetCounters;
+pub use policy::{BoundedRendezvous, Candidate, RoutePolicy, TwoChoices, Uniform, policy};
+pub use retry_budget::RetryBudget;
+pub use router::Router;
+pub use snapshot::{RouteView, RoutingSnapshot, TargetView};
+pub use system::{RoutingEffect, RoutingEvent, RoutingSystem};
 
 use std::net::SocketAddr;
 
