--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dice;
 pub mod engine;
 pub mod fault_proxy;
+pub mod fleet;
 pub mod host_list;
 pub mod kv;
 pub mod marker;
