sidecar: thin path from an entry to the target

Cause: an entry needs a gate before each target that calls it once and charges once. Change: HTTP target client on fresh connections; kept answers with offsets; usage meter; sidecar process with run, resume, lookup, status and drain. ResumeRequest names the holder, so that only the payer is told a charge.

--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -1,8 +1,81 @@
 //! Role sidecar: the only gate to one target.
+//!
+//! The sidecar serves the entries over QUIC, admits or refuses each request,
+//! calls its target once for each that it admits, and keeps the answers so that
+//! a stream can be taken up again.
 
-use crate::settings::Settings;
+mod books;
+mod context;
+mod job;
+mod peer;
+mod shutdown;
+mod stream;
+
+use std::sync::Arc;
+
+use rosemarymoor_lib::config::ConfigHandle;
+use rosemarymoor_lib::fleet_key::{FleetKey, FleetKeyError};
+use rosemarymoor_lib::target_http::HttpTarget;
+use rosemarymoor_lib::transport::{Transport, TransportError};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use crate::http_server::{self, HttpServer, HttpServerError, Metrics};
+use crate::settings::{Settings, TargetSettings};
+
+use books::OpenBooks;
+use context::Sidecar;
+use peer::SidecarPeer;
+
+/// Why a sidecar does not start.
+#[derive(Debug, Snafu)]
+enum SidecarError {
+    #[snafu(display("the settings name no target"))]
+    NoTarget,
+    #[snafu(display("the fleet key is unusable"))]
+    Key { source: FleetKeyError },
+    #[snafu(display("the transport cannot start"))]
+    Transport { source: TransportError },
+    #[snafu(display("the HTTP server cannot start"))]
+    Http { source: HttpServerError },
+    #[snafu(display("signals cannot be received"))]
+    Signals { source: std::io::Error },
+}
 
 /// Runs a sidecar until it has drained; answers the exit code.
-pub async fn run(_settings: Settings) -> i32 {
-    0
+pub async fn run(settings: Settings) -> i32 {
+    match serve(settings).await {
+        Ok(()) => 0,
+        Err(err) => {
+            log::error!("event=stop error=\"{}\"", snafu::Report::from_error(err));
+            1
+        }
+    }
+}
+
+async fn serve(settings: Settings) -> Result<(), SidecarError> {
+    let target: TargetSettings = settings.target.clone().context(NoTargetSnafu)?;
+    let key = FleetKey::open(&settings.fleet_key).context(KeySnafu)?;
+    let transport = Transport::bind(settings.quic, &key).context(TransportSnafu)?;
+    let metrics = Metrics::start().context(HttpSnafu)?;
+    let client = Arc::new(HttpTarget::open(&target.url));
+    let cx = Sidecar::open(
+        settings.clone(),
+        target,
+        client,
+        Arc::new(OpenBooks),
+        ConfigHandle::default(),
+        &metrics,
+    );
+    let rocket = http_server::build(settings.http, settings.drain_ms, cx.clone(), metrics);
+    let http = HttpServer::spawn(rocket).await.context(HttpSnafu)?;
+    let signals = shutdown::spawn_signals(cx.clone()).context(SignalsSnafu)?;
+    let serving = tokio::spawn(transport.clone().serve(Arc::new(SidecarPeer::new(cx.clone()))));
+    log::info!("event=start role=sidecar name={} target={}", settings.name, cx.target_name());
+    shutdown::drained(&cx).await;
+    signals.abort();
+    transport.close().await;
+    http.stop().await;
+    serving.abort();
+    log::info!("event=stop role=sidecar name={}", settings.name);
+    Ok(())
 }
--- /dev/null
+++ b/daemon/src/sidecar/context.rs
@@ -0,0 +1,186 @@
+//! What the tasks of a sidecar share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use rand::Rng;
+use rosemarymoor_lib::answer_store::{AnswerLimits, AnswerStore};
+use rosemarymoor_lib::budget::SpendWitness;
+use rosemarymoor_lib::config::ConfigHandle;
+use rosemarymoor_lib::host_list::Role;
+use rosemarymoor_lib::result_code::Refusal;
+use rosemarymoor_lib::target_client::TargetClient;
+use rosemarymoor_lib::time::MonotonicClock;
+use rosemarymoor_lib::wire::{SidecarState, StatusReply};
+use tokio::sync::Notify;
+
+use crate::http_server::{Metrics, Probe};
+use crate::settings::{Settings, TargetSettings};
+
+/// Counters of a sidecar.
+pub struct Counters {
+    pub answered: Counter<u64>,
+    pub refused: Counter<u64>,
+    pub crossed: Counter<u64>,
+    pub charged_tokens: Counter<u64>,
+}
+
+/// Shared parts of a sidecar.
+pub struct Sidecar {
+    pub settings: Settings,
+    pub target_settings: TargetSettings,
+    pub target: Arc<dyn TargetClient>,
+    pub witness: Arc<dyn SpendWitness>,
+    pub cfg: ConfigHandle,
+    pub answers: AnswerStore,
+    pub clock: MonotonicClock,
+    pub counters: Counters,
+    incarnation: u64,
+    leaving: AtomicBool,
+    running: AtomicU32,
+    streams: AtomicU32,
+    drain: Notify,
+}
+
+impl Sidecar {
+    /// Opens the shared parts; nothing runs yet.
+    pub fn open(
+        settings: Settings,
+        target_settings: TargetSettings,
+        target: Arc<dyn TargetClient>,
+        witness: Arc<dyn SpendWitness>,
+        cfg: ConfigHandle,
+        metrics: &Metrics,
+    ) -> Arc<Sidecar> {
+        let meter = metrics.meter("sidecar");
+        let counters = Counters {
+            answered: meter.u64_counter("answered_requests").build(),
+            refused: meter.u64_counter("refused_requests").build(),
+            crossed: meter.u64_counter("crossed_answers").build(),
+            charged_tokens: meter.u64_counter("charged_tokens").build(),
+        };
+        Arc::new(Sidecar {
+            settings,
+            target_settings,
+            target,
+            witness,
+            cfg,
+            answers: AnswerStore::open(AnswerLimits::default()),
+            clock: MonotonicClock::start(),
+            counters,
+            incarnation: rand::rng().random(),
+            leaving: AtomicBool::new(false),
+            running: AtomicU32::new(0),
+            streams: AtomicU32::new(0),
+            drain: Notify::new(),
+        })
+    }
+
+    /// Name of the target that this sidecar guards.
+    pub fn target_name(&self) -> &str {
+        &self.target_settings.name
+    }
+
+    /// Random number of this process start.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// State for the next frame.
+    pub fn state(&self) -> SidecarState {
+        SidecarState {
+            incarnation: self.incarnation,
+            leaving: self.is_leaving(),
+            running: self.running.load(Ordering::Relaxed),
+            queued: 0,
+            config_revision: self.cfg.current().revision,
+        }
+    }
+
+    /// State for operators.
+    pub fn status(&self) -> StatusReply {
+        let state = self.state();
+        StatusReply {
+            name: self.settings.name.clone(),
+            role: Role::Sidecar,
+            data_center: self.settings.data_center.clone(),
+            region: self.settings.region.clone(),
+            config_revision: state.config_revision,
+            running: state.running,
+            queued: state.queued,
+            draining: state.leaving,
+            memory_bytes: 0,
+        }
+    }
+
+    /// Whether no new work is taken.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Takes no new work from now on and stops once all accepted work is done.
+    pub fn start_drain(&self) {
+        if !self.leaving.swap(true, Ordering::AcqRel) {
+            log::info!("decision=leave target={} reason=drain", self.target_name());
+        }
+        self.drain.notify_one();
+    }
+
+    /// Waits until the drain has been asked for.
+    pub async fn drain_started(&self) {
+        self.drain.notified().await;
+    }
+
+    /// Whether accepted work is left, or an answer that is being sent.
+    pub fn has_work(&self) -> bool {
+        self.running.load(Ordering::Acquire) + self.streams.load(Ordering::Acquire) > 0
+    }
+
+    /// Counts one open stream until the guard is dropped.
+    pub fn enter_stream(self: &Arc<Sidecar>) -> StreamGuard {
+        self.streams.fetch_add(1, Ordering::AcqRel);
+        StreamGuard { cx: self.clone() }
+    }
+
+    /// Counts one request as running until the guard is dropped.
+    pub fn enter(self: &Arc<Sidecar>) -> RunningGuard {
+        self.running.fetch_add(1, Ordering::AcqRel);
+        RunningGuard { cx: self.clone() }
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, refusal: &Refusal) {
+        let code = KeyValue::new("code", i64::from(refusal.code.number()));
+        self.counters.refused.add(1, &[code]);
+    }
+}
+
+impl Probe for Sidecar {
+    fn is_ready(&self) -> bool {
+        !self.is_leaving()
+    }
+}
+
+/// One running request.
+pub struct RunningGuard {
+    cx: Arc<Sidecar>,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.cx.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// One open stream.
+pub struct StreamGuard {
+    cx: Arc<Sidecar>,
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.cx.streams.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/daemon/src/sidecar/peer.rs
@@ -0,0 +1,165 @@
+//! Requests from the fleet's other processes.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use rosemarymoor_lib::answer_store::{Answer, AnswerReader, Claim, DeliveryKey, Held};
+use rosemarymoor_lib::id::EpochId;
+use rosemarymoor_lib::result_code::{Refusal, ResultCode};
+use rosemarymoor_lib::transport::{FrameSender, FrameStream, PeerHandler};
+use rosemarymoor_lib::wire::{
+    LookupRequest, PeerRequest, RequestRecord, ResumeRequest, RunEnvelope, RunFrame, RunRequest,
+};
+use serde::Serialize;
+
+use super::context::Sidecar;
+use super::job;
+use super::stream::{self, StreamKey};
+
+/// Serves the streams of entries, operators and other sidecars.
+pub struct SidecarPeer {
+    cx: Arc<Sidecar>,
+}
+
+impl SidecarPeer {
+    /// Handler over the shared parts.
+    pub fn new(cx: Arc<Sidecar>) -> SidecarPeer {
+        SidecarPeer { cx }
+    }
+}
+
+#[async_trait]
+impl PeerHandler for SidecarPeer {
+    async fn handle(&self, req: PeerRequest, stream: FrameStream) {
+        match req {
+            PeerRequest::Run(req) => self.run(*req, stream).await,
+            PeerRequest::Resume(req) => self.resume(req, stream).await,
+            PeerRequest::Lookup(req) => reply(stream.tx, &self.lookup(req)).await,
+            PeerRequest::Status => reply(stream.tx, &self.cx.status()).await,
+            PeerRequest::Drain => {
+                self.cx.start_drain();
+                reply(stream.tx, &self.cx.status()).await;
+            }
+        }
+    }
+}
+
+impl SidecarPeer {
+    async fn run(&self, req: RunRequest, stream: FrameStream) {
+        let key = StreamKey { request: req.request, attempt: req.attempt };
+        if let Err(refusal) = self.check_target(&req) {
+            return self.refuse(key, refusal, stream.tx).await;
+        }
+        let delivery = DeliveryKey {
+            request: req.request,
+            attempt: req.attempt,
+            holder: req.funding.holder,
+            fingerprint: req.fingerprint,
+        };
+        match self.cx.answers.claim(delivery) {
+            Claim::New(answer) => {
+                let reader = answer.follow();
+                tokio::spawn(job::run(self.cx.clone(), answer, req));
+                stream::follow(&self.cx, key, reader, 0, true, stream).await;
+            }
+            Claim::Held(held) => self.join(delivery, held, 0, stream).await,
+        }
+    }
+
+    async fn resume(&self, req: ResumeRequest, stream: FrameStream) {
+        let key = StreamKey { request: req.request, attempt: req.attempt };
+        match self.cx.answers.find(req.request) {
+            Some(Held::Answer(answer)) => {
+                let pays = is_payer(&answer, key, req.holder);
+                let reader = answer.follow();
+                stream::follow(&self.cx, key, reader, req.offset, pays, stream).await;
+            }
+            Some(Held::Record { key: paid, charge }) => {
+                let pays = paid.attempt == req.attempt && paid.holder == req.holder;
+                self.refuse_gone(key, if pays { charge } else { 0 }, stream.tx).await;
+            }
+            None => {
+                let refusal = Refusal::new(ResultCode::FateUnknown, "the sidecar knows nothing");
+                self.refuse(key, refusal, stream.tx).await;
+            }
+        }
+    }
+
+    async fn join(&self, delivery: DeliveryKey, held: Held, offset: u64, stream: FrameStream) {
+        let key = StreamKey { request: delivery.request, attempt: delivery.attempt };
+        log::info!("decision=join request={} attempt={}", key.request, key.attempt);
+        let known = match &held {
+            Held::Answer(answer) => answer.key(),
+            Held::Record { key, .. } => *key,
+        };
+        if known.fingerprint != delivery.fingerprint {
+            let refusal = Refusal::new(ResultCode::KeyReused, "the key names another request");
+            return self.refuse(key, refusal, stream.tx).await;
+        }
+        match held {
+            Held::Answer(answer) => {
+                let pays = is_payer(&answer, key, delivery.holder);
+                let reader: AnswerReader = answer.follow();
+                stream::follow(&self.cx, key, reader, offset, pays, stream).await;
+            }
+            Held::Record { key: paid, charge } => {
+                let pays = paid == delivery;
+                self.refuse_gone(key, if pays { charge } else { 0 }, stream.tx).await;
+            }
+        }
+    }
+
+    fn lookup(&self, req: LookupRequest) -> RequestRecord {
+        match self.cx.answers.find(req.request) {
+            None => RequestRecord::Unknown { incarnation: self.cx.incarnation() },
+            Some(Held::Record { key, charge }) => {
+                RequestRecord::Finished { attempt: key.attempt, charge }
+            }
+            Some(Held::Answer(answer)) => {
+                let attempt = answer.key().attempt;
+                match answer.read(|log| log.end.as_ref().map(|end| end.charge())) {
+                    Some(charge) => RequestRecord::Finished { attempt, charge },
+                    None => RequestRecord::Running { attempt },
+                }
+            }
+        }
+    }
+
+    fn check_target(&self, req: &RunRequest) -> Result<(), Refusal> {
+        if req.target == self.cx.target_name() {
+            return Ok(());
+        }
+        let detail = format!("this sidecar guards {}, not {}", self.cx.target_name(), req.target);
+        Err(Refusal::new(ResultCode::NoTarget, detail))
+    }
+
+    async fn refuse(&self, key: StreamKey, refusal: Refusal, tx: FrameSender) {
+        self.cx.count_refusal(&refusal);
+        log::info!("decision=refuse request={} code={}", key.request, refusal.code.number());
+        self.send(key, RunFrame::Refused { refusal, charge: 0 }, tx).await;
+    }
+
+    async fn refuse_gone(&self, key: StreamKey, charge: u64, tx: FrameSender) {
+        let refusal = Refusal::new(ResultCode::AnswerGone, "the answer is no longer kept");
+        self.cx.count_refusal(&refusal);
+        self.send(key, RunFrame::Refused { refusal, charge }, tx).await;
+    }
+
+    async fn send(&self, key: StreamKey, frame: RunFrame, tx: FrameSender) {
+        let state = self.cx.state();
+        let StreamKey { request, attempt } = key;
+        reply(tx, &RunEnvelope { request, attempt, state, frame }).await;
+    }
+}
+
+/// Whether a stream belongs to the delivery that pays for the answer.
+fn is_payer(answer: &Answer, key: StreamKey, holder: EpochId) -> bool {
+    let paid = answer.key();
+    paid.attempt == key.attempt && paid.holder == holder
+}
+
+async fn reply<T: Serialize + Sync>(mut tx: FrameSender, message: &T) {
+    if tx.send(message).await.is_ok() {
+        tx.finish().await;
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,8 @@
 //! Decision code is pure: a [`control::System`] maps its tables, an event and
 //! the current time to effects, which a driver carries out.
 
+pub mod answer_store;
+pub mod answer_usage;
 pub mod budget;
 pub mod config;
 pub mod control;
@@ -20,6 +22,7 @@
 pub mod result_code;
 pub mod routing;
 pub mod target_client;
+pub mod target_http;
 pub mod time;
 pub mod transport;
 pub mod wire;
--- /dev/null
+++ b/lib/src/target_http.rs
@@ -0,0 +1,111 @@
+//! Targets over HTTP.
+//!
+//! Each call opens a connection of its own. A reused connection that the target
+//! has just closed would leave open whether the call arrived, and hyper repeats
+//! a call on another connection if it believes that the first one did not start;
+//! with a fresh connection neither can happen, and a failed connect proves that
+//! the target has seen nothing.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::BoxStream;
+use reqwest::header::{CONTENT_TYPE, HeaderMap};
+use reqwest::{Client, Method, StatusCode};
+
+use crate::http_client::{self, ConnectionReuse};
+use crate::target_client::{
+    AnswerEcho, AnswerHead, TargetAnswer, TargetCall, TargetClient, TargetError, TargetLoad,
+    TargetOrder,
+};
+
+/// Header with the request identity, echoed by the target.
+pub const REQUEST_HEADER: &str = "x-request-id";
+/// Header with the number of the delivery, echoed by the target.
+pub const ATTEMPT_HEADER: &str = "x-attempt";
+/// Header with the scheduling priority; lower runs first.
+pub const PRIORITY_HEADER: &str = "x-priority";
+
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One target behind its base URL.
+pub struct HttpTarget {
+    url: String,
+    calls: Client,
+    control: Client,
+}
+
+impl HttpTarget {
+    /// Opens the clients; no connection is made before the first call.
+    pub fn open(url: &str) -> HttpTarget {
+        HttpTarget {
+            url: url.trim_end_matches('/').to_owned(),
+            calls: http_client::open(ConnectionReuse::Never),
+            control: http_client::open(ConnectionReuse::Pooled),
+        }
+    }
+}
+
+#[async_trait]
+impl TargetClient for HttpTarget {
+    async fn call(&self, call: TargetCall) -> Result<TargetAnswer, TargetError> {
+        let method =
+            Method::from_bytes(call.method.as_bytes()).map_err(|_| TargetError::NotStarted)?;
+        let mut req = self
+            .calls
+            .request(method, format!("{}{}", self.url, call.path))
+            .header(REQUEST_HEADER, call.request)
+            .header(ATTEMPT_HEADER, call.attempt)
+            .header(PRIORITY_HEADER, u32::from(call.priority));
+        if !call.content_type.is_empty() {
+            req = req.header(CONTENT_TYPE, call.content_type);
+        }
+        let req = req.body(call.body).build().map_err(|_| TargetError::NotStarted)?;
+        let response = self.calls.execute(req).await.map_err(classify)?;
+        let head = AnswerHead {
+            status: response.status().as_u16(),
+            content_type: header(response.headers(), CONTENT_TYPE.as_str()).unwrap_or_default(),
+            echo: echo(response.headers()),
+        };
+        let body = response.bytes_stream().map(|part| part.map_err(|_| TargetError::MaybeRan));
+        Ok(TargetAnswer { head, body: body.boxed() as BoxStream<'static, Result<Bytes, _>> })
+    }
+
+    async fn load(&self) -> Option<TargetLoad> {
+        let req = self.control.get(format!("{}/load", self.url)).timeout(CONTROL_TIMEOUT);
+        let response = req.send().await.ok()?.error_for_status().ok()?;
+        response.json().await.ok()
+    }
+
+    async fn order(&self, order: TargetOrder) -> Result<bool, TargetError> {
+        let req = self.calls.post(format!("{}/orders", self.url)).json(&order);
+        let response = req.timeout(ORDER_TIMEOUT).send().await.map_err(classify)?;
+        match response.status() {
+            StatusCode::CONFLICT => Ok(false),
+            status if status.is_success() => Ok(true),
+            _ => Err(TargetError::MaybeRan),
+        }
+    }
+
+    async fn cancel(&self, request: &str) {
+        let req = self.control.post(format!("{}/cancel/{request}", self.url));
+        let _ = req.timeout(CONTROL_TIMEOUT).send().await;
+    }
+}
+
+fn classify(err: reqwest::Error) -> TargetError {
+    if err.is_connect() { TargetError::NotStarted } else { TargetError::MaybeRan }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn echo(headers: &HeaderMap) -> Option<AnswerEcho> {
+    let request = header(headers, REQUEST_HEADER)?;
+    let attempt = header(headers, ATTEMPT_HEADER)?.parse().ok()?;
+    Some(AnswerEcho { request, attempt })
+}
--- a/lib/src/wire/run.rs
+++ b/lib/src/wire/run.rs
@@ -99,6 +99,8 @@
 pub struct ResumeRequest {
     pub request: RequestId,
     pub attempt: Attempt,
+    /// Epoch of the entry that asks; only the one that pays is told a charge.
+    pub holder: EpochId,
     pub offset: u64,
 }
 
@@ -157,6 +159,9 @@
     /// Body bytes at `offset`.
     Data { offset: u64, bytes: Vec<u8> },
     /// The answer is whole; `charge` is what it cost, in tokens.
+    ///
+    /// A stream that joined a request which another delivery pays for is told
+    /// a charge of zero: its own reserve is free again.
     End { charge: u64, length: u64 },
     /// Final refusal; `charge` is what the request cost nevertheless.
     Refused { refusal: Refusal, charge: u64 },
--- /dev/null
+++ b/lib/tests/test_answer_store.rs
@@ -0,0 +1,85 @@
+//! Kept answers: joined, resumed, evicted, never run twice.
+
+use std::sync::Arc;
+
+use rosemarymoor_lib::answer_store::{
+    Answer, AnswerEnd, AnswerLimits, AnswerStore, Claim, DeliveryKey, Held,
+};
+use rosemarymoor_lib::id::{Attempt, EpochId, RequestId};
+use rosemarymoor_lib::time::Millis;
+
+const LIMITS: AnswerLimits = AnswerLimits { finished_bytes: 100, keep_ms: 1_000, records: 2 };
+
+fn key(request: u128) -> DeliveryKey {
+    DeliveryKey {
+        request: RequestId(request),
+        attempt: Attempt(1),
+        holder: EpochId(9),
+        fingerprint: 5,
+    }
+}
+
+fn claim(store: &AnswerStore, request: u128) -> Arc<Answer> {
+    match store.claim(key(request)) {
+        Claim::New(answer) => answer,
+        Claim::Held(_) => panic!("request {request} is held"),
+    }
+}
+
+fn run(store: &AnswerStore, request: u128, bytes: usize, now: Millis) {
+    let answer = claim(store, request);
+    answer.update(|log| log.body = vec![0; bytes]);
+    answer.update(|log| log.end = Some(AnswerEnd::Whole { charge: 3 }));
+    store.finish(RequestId(request), now);
+}
+
+fn is_record(store: &AnswerStore, request: u128) -> bool {
+    matches!(store.find(RequestId(request)), Some(Held::Record { charge: 3, .. }))
+}
+
+#[test]
+fn a_second_delivery_joins() {
+    let store = AnswerStore::open(LIMITS);
+    claim(&store, 1);
+    assert!(matches!(store.claim(key(1)), Claim::Held(Held::Answer(_))));
+    assert_eq!(store.running(), 1);
+}
+
+#[test]
+fn a_request_that_did_not_run_may_be_claimed_again() {
+    let store = AnswerStore::open(LIMITS);
+    claim(&store, 1);
+    store.forget(RequestId(1));
+    claim(&store, 1);
+}
+
+#[test]
+fn short_memory_drops_the_oldest_body_and_keeps_its_charge() {
+    let store = AnswerStore::open(LIMITS);
+    run(&store, 1, 60, Millis(0));
+    run(&store, 2, 60, Millis(1));
+    assert!(is_record(&store, 1));
+    assert!(matches!(store.find(RequestId(2)), Some(Held::Answer(_))));
+    assert!(matches!(store.claim(key(1)), Claim::Held(Held::Record { .. })));
+}
+
+#[test]
+fn old_answers_become_records_and_old_records_go() {
+    let store = AnswerStore::open(LIMITS);
+    (1..=4).for_each(|request| run(&store, request, 1, Millis(0)));
+    store.sweep(Millis(LIMITS.keep_ms));
+    assert!(store.find(RequestId(1)).is_none());
+    assert!(store.find(RequestId(2)).is_none());
+    assert!(is_record(&store, 3) && is_record(&store, 4));
+}
+
+#[tokio::test]
+async fn only_the_last_reader_can_cancel() {
+    let store = AnswerStore::open(LIMITS);
+    let answer = claim(&store, 1);
+    let (first, second) = (answer.follow(), answer.follow());
+    first.cancel();
+    drop(first);
+    second.cancel();
+    answer.cancelled().await;
+}
