sidecar: answer the witness messages

Cause: entries enrol and close their epochs at each sidecar. Change: Receipts answers WitnessRequest; admission still takes all money until entries enrol.

--- a/daemon/src/sidecar/context.rs
+++ b/daemon/src/sidecar/context.rs
@@ -7,7 +7,7 @@
 use opentelemetry::metrics::Counter;
 use rand::Rng;
 use rosemarymoor_lib::answer_store::{AnswerLimits, AnswerStore};
-use rosemarymoor_lib::budget::SpendWitness;
+use rosemarymoor_lib::budget::{Receipts, SpendWitness};
 use rosemarymoor_lib::config::ConfigHandle;
 use rosemarymoor_lib::host_list::Role;
 use rosemarymoor_lib::result_code::Refusal;
@@ -33,6 +33,7 @@
     pub target_settings: TargetSettings,
     pub target: Arc<dyn TargetClient>,
     pub witness: Arc<dyn SpendWitness>,
+    pub receipts: Receipts,
     pub cfg: ConfigHandle,
     pub answers: AnswerStore,
     pub clock: MonotonicClock,
@@ -61,16 +62,18 @@
             crossed: meter.u64_counter("crossed_answers").build(),
             charged_tokens: meter.u64_counter("charged_tokens").build(),
         };
+        let incarnation = rand::rng().random();
         Arc::new(Sidecar {
             settings,
             target_settings,
             target,
             witness,
+            receipts: Receipts::open(incarnation),
             cfg,
             answers: AnswerStore::open(AnswerLimits::default()),
             clock: MonotonicClock::start(),
             counters,
-            incarnation: rand::rng().random(),
+            incarnation,
             leaving: AtomicBool::new(false),
             running: AtomicU32::new(0),
             streams: AtomicU32::new(0),
--- a/daemon/src/sidecar/peer.rs
+++ b/daemon/src/sidecar/peer.rs
@@ -35,6 +35,9 @@
             PeerRequest::Run(req) => self.run(*req, stream).await,
             PeerRequest::Resume(req) => self.resume(req, stream).await,
             PeerRequest::Lookup(req) => reply(stream.tx, &self.lookup(req)).await,
+            PeerRequest::Witness(req) => reply(stream.tx, &self.cx.receipts.answer(req)).await,
+            // Money moves between entries alone; the closed stream tells the sender.
+            PeerRequest::Budget(_) => {}
             PeerRequest::Status => reply(stream.tx, &self.cx.status()).await,
             PeerRequest::Drain => {
                 self.cx.start_drain();
