--- a/lib/src/kv_http.rs
+++ b/lib/src/kv_http.rs
@@ -64,30 +64,33 @@
         url
     }
 
-    async fn read(&self, req: RequestBuilder, timeout: Duration) -> Outcome<Option<Versioned>> {
+    /// Sends a read; answers its status, if there was one, and its outcome.
+    async fn read(
+        &self,
+        req: RequestBuilder,
+        timeout: Duration,
+    ) -> (Option<StatusCode>, Outcome<Option<Versioned>>) {
         // A read has no effect, so that its failure is never unknown.
         let unavailable = Outcome::NotDone(NotDone::Unavailable);
         let Ok(resp) = req.timeout(timeout).send().await else {
-            return unavailable;
+            return (None, unavailable);
         };
         let status = resp.status();
-        if status == StatusCode::NOT_FOUND || status == StatusCode::NOT_MODIFIED {
-            return Outcome::Done(None);
-        }
-        let (StatusCode::OK, Some(revision)) = (status, revision_of(&resp)) else {
-            return unavailable;
+        let outcome = match (status, revision_of(&resp)) {
+            (StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED, _) => Outcome::Done(None),
+            (StatusCode::OK, Some(revision)) => resp.bytes().await.map_or(unavailable, |value| {
+                Outcome::Done(Some(Versioned { revision, value: value.into() }))
+            }),
+            _ => unavailable,
         };
-        match resp.bytes().await {
-            Ok(value) => Outcome::Done(Some(Versioned { revision, value: value.into() })),
-            Err(_) => unavailable,
-        }
+        (Some(status), outcome)
     }
 }
 
 #[async_trait]
 impl KvStore for KvHttp {
     async fn get(&self, key: &str, timeout: Duration) -> Outcome<Option<Versioned>> {
-        self.read(self.client.get(self.key_url(key)), timeout).await
+        self.read(self.client.get(self.key_url(key)), timeout).await.1
     }
 
     async fn compare_and_swap(
@@ -131,7 +134,12 @@
         url.query_pairs_mut()
             .append_pair("after", &seen.to_string())
             .append_pair("wait_ms", &timeout.as_millis().to_string());
-        self.read(self.client.get(url), timeout + WATCH_GRACE).await
+        let (status, read) = self.read(self.client.get(url), timeout + WATCH_GRACE).await;
+        if status == Some(StatusCode::NOT_FOUND) && seen != Revision::ABSENT {
+            let deleted = Versioned { revision: Revision::ABSENT, value: Vec::new() };
+            return Outcome::Done(Some(deleted));
+        }
+        read
     }
 
     async fn open_lease(&self, ttl: Duration, timeout: Duration) -> Outcome<LeaseId> {
--- a/lib/src/kv_store.rs
+++ b/lib/src/kv_store.rs
@@ -101,6 +101,8 @@
     ) -> Outcome<Revision>;
 
     /// Waits until the key's revision differs from `seen`; `None` on timeout.
+    ///
+    /// A key that was deleted is answered at [`Revision::ABSENT`] without a value.
     async fn watch(
         &self,
         key: &str,
