--- a/lib/src/budget/system/closing.rs
+++ b/lib/src/budget/system/closing.rs
@@ -216,6 +216,7 @@
             witnesses: None,
             shards,
             abandoned: false,
+            woken_at: None,
         });
     }
 
