wire: messages of configuration spread, orders and load reports

Cause: nodes could not pass revisions on, and a placer could not reach targets. Change: Config, ConfigParts, Order and Load requests with their replies; the sidecar closes such streams until it serves them. Conclusion: the sidecar and the spread can be written against the border.

--- a/daemon/src/sidecar/peer.rs
+++ b/daemon/src/sidecar/peer.rs
@@ -38,6 +38,11 @@
             PeerRequest::Witness(req) => reply(stream.tx, &self.cx.receipts.answer(req)).await,
             // Money moves between entries alone; the closed stream tells the sender.
             PeerRequest::Budget(_) => {}
+            // Served once the spread of configuration and the placer are wired in.
+            PeerRequest::Config(_)
+            | PeerRequest::ConfigParts(_)
+            | PeerRequest::Order(_)
+            | PeerRequest::Load => {}
             PeerRequest::Status => reply(stream.tx, &self.cx.status()).await,
             PeerRequest::Drain => {
                 self.cx.start_drain();
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -6,10 +6,12 @@
 
 mod admin;
 mod budget;
+mod config;
 mod run;
 
 pub use admin::*;
 pub use budget::*;
+pub use config::*;
 pub use run::*;
 
 use serde::{Deserialize, Serialize};
@@ -33,6 +35,14 @@
     Budget(Box<PeerSync>),
     /// Enrols an epoch at a sidecar or closes it; answered by [`WitnessReply`].
     Witness(WitnessRequest),
+    /// Asks for a newer configuration; answered by [`ConfigReply`].
+    Config(ConfigRequest),
+    /// Asks for parts of a configuration; answered by [`PartReply`]s.
+    ConfigParts(PartsRequest),
+    /// Gives a sidecar's target an order; answered by [`OrderReply`].
+    Order(Box<OrderRequest>),
+    /// Asks a sidecar for its target's load report; answered by [`LoadReply`].
+    Load,
     /// Asks for the state of a process; answered by [`StatusReply`].
     Status,
     /// Asks a process to drain and stop; answered by [`StatusReply`].
