--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -113,11 +113,12 @@
 }
 
 /// First 128 bits of the BLAKE3 digest over length-prefixed parts.
-pub fn digest128(parts: &[&str]) -> u128 {
+pub fn digest128<P: AsRef<[u8]>>(parts: &[P]) -> u128 {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
+        let part = part.as_ref();
         hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part.as_bytes());
+        hasher.update(part);
     }
     let mut first = [0; 16];
     first.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod ini;
 pub mod kv_http;
 pub mod kv_store;
+pub mod request_bound;
+pub mod request_identity;
 pub mod result_code;
 pub mod routing;
 pub mod target_client;
--- /dev/null
+++ b/lib/src/request_bound.rs
@@ -0,0 +1,174 @@
+//! Worst case of a model request and the body that holds the engine to it.
+//!
+//! A prompt token stands for at least one byte of the caller's body: the JSON
+//! syntax around each message outweighs what a chat template adds. Parts whose
+//! price is not tied to their length, such as images, need a bound that the
+//! operator vouches for.
+
+use serde_json::{Map, Value, json};
+use snafu::Snafu;
+
+use crate::config::Route;
+use crate::result_code::{Refusal, ResultCode};
+
+/// Why a chat body cannot be priced.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum BoundError {
+    #[snafu(display("the body is not a JSON object: {detail}"))]
+    NotAnObject { detail: String },
+    #[snafu(display("`{field}` must be {expected}"))]
+    BadField { field: &'static str, expected: &'static str },
+    #[snafu(display("the route needs a vouched prompt bound for content of type `{kind}`"))]
+    UnboundedContent { kind: String },
+    #[snafu(display("{asked} tokens were asked for and the route allows {allowed}"))]
+    TooManyTokens { asked: u64, allowed: u64 },
+}
+
+impl From<BoundError> for Refusal {
+    fn from(err: BoundError) -> Refusal {
+        let code = match err {
+            BoundError::TooManyTokens { .. } => ResultCode::MaxTokensTooLarge,
+            _ => ResultCode::BadRequest,
+        };
+        Refusal::new(code, err.to_string())
+    }
+}
+
+/// Parsed body of a chat-completions request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChatRequest {
+    fields: Map<String, Value>,
+    /// Length of the body as the caller sent it.
+    sent_bytes: u64,
+}
+
+/// Chat call ready for an engine, with the most that it can cost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BoundedChat {
+    pub body: Vec<u8>,
+    pub stream: bool,
+    /// Upper bound on prompt and generated tokens together.
+    pub worst_case: u64,
+}
+
+impl ChatRequest {
+    /// Parses a body; duplicate fields count with their last value.
+    pub fn parse(body: &[u8]) -> Result<ChatRequest, BoundError> {
+        let fields = match serde_json::from_slice(body) {
+            Ok(Value::Object(fields)) => fields,
+            Ok(_) => return NotAnObjectSnafu { detail: "another type stands there" }.fail(),
+            Err(err) => return NotAnObjectSnafu { detail: err.to_string() }.fail(),
+        };
+        Ok(ChatRequest { fields, sent_bytes: body.len() as u64 })
+    }
+
+    /// Route that the caller names.
+    pub fn model(&self) -> Result<&str, BoundError> {
+        self.text("model")?.ok_or(BoundError::BadField { field: "model", expected: "a string" })
+    }
+
+    /// Field `user`, which may name the paying budget.
+    pub fn user(&self) -> Result<Option<&str>, BoundError> {
+        self.text("user")
+    }
+
+    /// Bounds the request for `route` and rewrites what the engine must obey.
+    pub fn bind(mut self, route: &Route) -> Result<BoundedChat, BoundError> {
+        self.check_messages(route.max_prompt_tokens.is_some())?;
+        let stream = self.flag("stream")?;
+        let generated = self.generated_bound(route)?;
+        let prompt =
+            route.max_prompt_tokens.map_or(self.sent_bytes, |max| max.min(self.sent_bytes));
+        self.rewrite(route, generated, stream);
+        let body = Value::Object(self.fields).to_string().into_bytes();
+        let choices = generated.choices;
+        let worst_case = prompt.saturating_add(generated.max_tokens.saturating_mul(choices));
+        Ok(BoundedChat { body, stream, worst_case })
+    }
+
+    fn rewrite(&mut self, route: &Route, generated: GeneratedBound, stream: bool) {
+        if !route.model.is_empty() {
+            self.fields.insert("model".to_owned(), json!(route.model));
+        }
+        self.fields.remove("max_completion_tokens");
+        self.fields.insert("max_tokens".to_owned(), json!(generated.max_tokens));
+        self.fields.remove("stream_options");
+        if stream {
+            let options = json!({ "include_usage": true });
+            self.fields.insert("stream_options".to_owned(), options);
+        }
+    }
+
+    fn check_messages(&self, vouched: bool) -> Result<(), BoundError> {
+        let messages = match self.fields.get("messages") {
+            Some(Value::Array(messages)) if !messages.is_empty() => messages,
+            _ => return BadFieldSnafu { field: "messages", expected: "a non-empty array" }.fail(),
+        };
+        messages.iter().try_for_each(|message| check_message(message, vouched))
+    }
+
+    fn generated_bound(&self, route: &Route) -> Result<GeneratedBound, BoundError> {
+        let asked = match (self.count("max_tokens")?, self.count("max_completion_tokens")?) {
+            (Some(one), Some(other)) => one.min(other),
+            (one, other) => one.or(other).unwrap_or(route.max_tokens),
+        };
+        let choices = self.count("n")?.unwrap_or(1).max(self.count("best_of")?.unwrap_or(1));
+        let total = asked.saturating_mul(choices);
+        if total > route.max_tokens {
+            return TooManyTokensSnafu { asked: total, allowed: route.max_tokens }.fail();
+        }
+        Ok(GeneratedBound { max_tokens: asked, choices })
+    }
+
+    fn text(&self, field: &'static str) -> Result<Option<&str>, BoundError> {
+        match self.fields.get(field) {
+            None | Some(Value::Null) => Ok(None),
+            Some(Value::String(text)) => Ok(Some(text)),
+            Some(_) => BadFieldSnafu { field, expected: "a string" }.fail(),
+        }
+    }
+
+    fn flag(&self, field: &'static str) -> Result<bool, BoundError> {
+        match self.fields.get(field) {
+            None | Some(Value::Null) => Ok(false),
+            Some(Value::Bool(flag)) => Ok(*flag),
+            Some(_) => BadFieldSnafu { field, expected: "true or false" }.fail(),
+        }
+    }
+
+    fn count(&self, field: &'static str) -> Result<Option<u64>, BoundError> {
+        match self.fields.get(field) {
+            None | Some(Value::Null) => Ok(None),
+            Some(value) => match value.as_u64() {
+                Some(count) if count > 0 => Ok(Some(count)),
+                _ => BadFieldSnafu { field, expected: "a positive integer" }.fail(),
+            },
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+struct GeneratedBound {
+    max_tokens: u64,
+    choices: u64,
+}
+
+fn check_message(message: &Value, vouched: bool) -> Result<(), BoundError> {
+    let Value::Object(message) = message else {
+        return BadFieldSnafu { field: "messages", expected: "an array of objects" }.fail();
+    };
+    match message.get("content") {
+        None | Some(Value::Null | Value::String(_)) => Ok(()),
+        Some(Value::Array(parts)) => parts.iter().try_for_each(|part| check_part(part, vouched)),
+        Some(_) => BadFieldSnafu { field: "content", expected: "a string or an array" }.fail(),
+    }
+}
+
+fn check_part(part: &Value, vouched: bool) -> Result<(), BoundError> {
+    match part.get("type").and_then(Value::as_str) {
+        Some("text") => Ok(()),
+        Some(_) if vouched => Ok(()),
+        Some(kind) => UnboundedContentSnafu { kind }.fail(),
+        None => BadFieldSnafu { field: "type", expected: "a string" }.fail(),
+    }
+}
--- a/lib/testutils/src/engine/generate.rs
+++ b/lib/testutils/src/engine/generate.rs
@@ -177,7 +177,7 @@
 fn start_run(shared: &Shared, completion: &Completion) -> usize {
     let prefix = completion.prompt.as_bytes();
     let prefix = String::from_utf8_lossy(&prefix[..prefix.len().min(PREFIX_BYTES)]);
-    let prefix_hit = shared.touch_prefix(digest128(&[&prefix]));
+    let prefix_hit = shared.touch_prefix(digest128(&[prefix.as_bytes()]));
     let mut runs = shared.runs.lock().expect("no holder panics");
     runs.push(EngineRun {
         request: completion.request.clone(),
