--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -1,8 +1,190 @@
 //! Role entry: HTTP for callers, admission, budgets, routing and retries.
+//!
+//! A request is authenticated, bounded and named by [`admission`], paid for
+//! and delivered by [`delivery`], and answered by [`http`]. Control state lives
+//! on one thread ([`control`]); requests run on tokio's threads.
 
+mod admission;
+mod answer;
+mod attempt;
+mod body;
+mod control;
+mod delivery;
+mod drain;
+mod exchange;
+mod http;
+mod job;
+mod key_index;
+mod metrics;
+mod peer;
+mod problem;
+mod process;
+mod sse;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemarymoor_lib::budget::{BudgetGate, BudgetHandle};
+use rosemarymoor_lib::config::ConfigHandle;
+use rosemarymoor_lib::fleet_key::FleetKeyError;
+use rosemarymoor_lib::kv_http::KvHttpError;
+use rosemarymoor_lib::routing::TargetRouter;
+use rosemarymoor_lib::transport::{Transport, TransportError};
+use snafu::{ResultExt, Snafu};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use crate::http_server::{self, HttpServer, HttpServerError, Metrics, Probe};
 use crate::settings::Settings;
 
+use drain::Drain;
+use job::{Job, Reply};
+use key_index::WorkspaceKeys;
+use metrics::EntryMetrics;
+use peer::EntryPeer;
+use process::EntryProcess;
+
+const METER: &str = "entry";
+const EXIT_START_FAILED: i32 = 1;
+
+/// Why an entry does not start.
+#[derive(Debug, Snafu)]
+pub enum EntryError {
+    #[snafu(display("the fleet key is unusable"))]
+    Key { source: FleetKeyError },
+    #[snafu(display("no QUIC endpoint"))]
+    Transport { source: TransportError },
+    #[snafu(display("no HTTP server"))]
+    Http { source: HttpServerError },
+    #[snafu(display("no key-value service"))]
+    Store { source: KvHttpError },
+    #[snafu(display("`{policy}` is no grant policy"))]
+    Policy { policy: String },
+    #[snafu(display("signals cannot be received"))]
+    Signal { source: std::io::Error },
+}
+
+/// Parts of the library that an entry stands on.
+pub struct Parts {
+    pub cfg: ConfigHandle,
+    pub gate: Arc<dyn BudgetGate>,
+    pub router: Arc<dyn TargetRouter>,
+    pub transport: Arc<Transport>,
+    /// Answers peers that ask for money; `None` if no money is lent.
+    pub budgets: Option<BudgetHandle>,
+}
+
+/// State that the requests of an entry share.
+pub struct Entry {
+    settings: Settings,
+    cfg: ConfigHandle,
+    keys: WorkspaceKeys,
+    gate: Arc<dyn BudgetGate>,
+    router: Arc<dyn TargetRouter>,
+    transport: Arc<Transport>,
+    budgets: Option<BudgetHandle>,
+    metrics: Arc<EntryMetrics>,
+    drain: Drain,
+    /// Notified when a peer asks the entry to stop.
+    stop: Notify,
+}
+
+impl Entry {
+    fn new(settings: Settings, parts: Parts, metrics: &Metrics) -> Entry {
+        Entry {
+            settings,
+            cfg: parts.cfg,
+            keys: WorkspaceKeys::default(),
+            gate: parts.gate,
+            router: parts.router,
+            transport: parts.transport,
+            budgets: parts.budgets,
+            metrics: Arc::new(EntryMetrics::open(&metrics.meter(METER))),
+            drain: Drain::open(),
+            stop: Notify::new(),
+        }
+    }
+
+    /// Counts and logs a final reply.
+    fn record(&self, job: &Job, reply: &Reply) {
+        let request = job.identity.request;
+        let route = &job.route.name;
+        let took = job.admitted.elapsed();
+        let ms = took.as_millis();
+        match reply {
+            Reply::Refused(refusal) | Reply::Broken(refusal) => {
+                self.metrics.refused(refusal.code);
+                log::info!(
+                    "decision=refuse request={request} route={route} code={} kind={} ms={ms} detail={:?}",
+                    refusal.code.number(),
+                    refusal.code.kind(),
+                    refusal.detail
+                );
+            }
+            Reply::Whole(_) | Reply::End => {
+                self.metrics.answered(route, took);
+                log::info!("decision=answer request={request} route={route} ms={ms}");
+            }
+            Reply::Start { .. } | Reply::Chunk(_) => {}
+        }
+    }
+}
+
+impl Probe for Entry {
+    fn is_ready(&self) -> bool {
+        !self.drain.is_draining() && self.cfg.current().revision > 0
+    }
+}
+
+/// Running entry over given parts.
+pub struct RunningEntry {
+    entry: Arc<Entry>,
+    http: HttpServer,
+    peers: JoinHandle<()>,
+}
+
+impl RunningEntry {
+    /// Serves callers and peers.
+    pub async fn spawn(settings: Settings, parts: Parts) -> Result<RunningEntry, EntryError> {
+        let metrics = Metrics::start().context(HttpSnafu)?;
+        let (address, drain_ms) = (settings.http, settings.drain_ms);
+        let entry = Arc::new(Entry::new(settings, parts, &metrics));
+        let rocket = http_server::build(address, drain_ms, entry.clone(), metrics);
+        let http = HttpServer::spawn(http::mount(rocket, &entry)).await.context(HttpSnafu)?;
+        let handler = Arc::new(EntryPeer::new(entry.clone()));
+        let peers = tokio::spawn(entry.transport.clone().serve(handler));
+        Ok(RunningEntry { entry, http, peers })
+    }
+
+    /// Waits until a peer asks the entry to stop.
+    pub async fn stop_asked(&self) {
+        self.entry.stop.notified().await;
+    }
+
+    /// Lets every request finish, gives money back and stops.
+    ///
+    /// Answers whether all requests ended within the settings' limit.
+    pub async fn stop(self) -> bool {
+        self.entry.drain.start();
+        log::info!("decision=drain running={}", self.entry.drain.running());
+        let limit = Duration::from_millis(self.entry.settings.drain_ms);
+        let idle = self.entry.drain.wait_idle(limit).await;
+        self.entry.gate.close().await;
+        self.http.stop().await;
+        self.entry.transport.close().await;
+        self.peers.abort();
+        log::info!("decision=stop cut_off={}", self.entry.drain.running());
+        idle
+    }
+}
+
 /// Runs an entry until it has drained; answers the exit code.
-pub async fn run(_settings: Settings) -> i32 {
-    0
+pub async fn run(settings: Settings) -> i32 {
+    match EntryProcess::spawn(settings).await {
+        Ok(process) => process.run().await,
+        Err(err) => {
+            log::error!("decision=exit reason=\"{}\"", snafu::Report::from_error(err));
+            EXIT_START_FAILED
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/entry/attempt.rs
@@ -0,0 +1,273 @@
+//! One delivery of a request to one sidecar, resumed there while that makes sense.
+
+use std::time::Duration;
+
+use rosemarymoor_lib::id::{Attempt, EpochId};
+use rosemarymoor_lib::result_code::Refusal;
+use rosemarymoor_lib::routing::Choice;
+use rosemarymoor_lib::wire::{Funding, PeerRequest, ResumeRequest, RunRequest};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::Entry;
+use super::answer::{AnswerState, Head, Step};
+use super::exchange::{Exchange, Identity, Received};
+use super::job::{Job, Reply, WholeAnswer};
+
+/// Time to set up a connection and hand the request to it.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time in which a sidecar answers the first frame of a repeatable request.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time in which a broken exchange of a repeatable request is resumed, before
+/// the request runs elsewhere.
+const RESUME_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Time that a sidecar has to report the charge of a cancelled run.
+const CANCEL_GRACE: Duration = Duration::from_secs(3);
+
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
+
+/// How one delivery ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The caller has the whole answer, or will with this reply.
+    Answered { charge: u64, last: Vec<Reply> },
+    /// The sidecar ended the request.
+    Refused { refusal: Refusal, charge: u64 },
+    /// The sidecar certainly has not seen the request.
+    Undelivered { detail: String },
+    /// The sidecar may have seen the request and does not answer any more.
+    Lost { detail: String },
+    /// The caller went away; the charge is known if the sidecar reported it.
+    CallerGone { charge: Option<u64> },
+    /// The deadline passed; the charge is known if the sidecar reported it.
+    DeadlinePassed { charge: Option<u64> },
+}
+
+/// Delivery of one request to one sidecar.
+pub struct AttemptRun<'a> {
+    pub entry: &'a Entry,
+    pub job: &'a Job,
+    pub choice: &'a Choice,
+    pub attempt: Attempt,
+    /// Epoch that pays for the delivery.
+    pub holder: EpochId,
+    pub replies: &'a mpsc::Sender<Reply>,
+    /// Whether any byte of an answer was handed to the caller.
+    pub started: &'a mut bool,
+    /// When the sidecar last sent a frame of this request.
+    pub heard: Instant,
+}
+
+enum Heard {
+    Frame(Received),
+    Broken,
+    Silent,
+    CallerGone,
+    Deadline,
+}
+
+impl AttemptRun<'_> {
+    /// Sends the request and follows its answer to the end.
+    pub async fn run(mut self, funding: &Funding) -> AttemptEnd {
+        let mut state = AnswerState::new(self.job.call.stream);
+        let first = PeerRequest::Run(Box::new(self.run_request(funding)));
+        match self.open(&first).await {
+            Ok(exchange) => self.follow(exchange, &mut state).await,
+            Err(err) if err.certainly_undelivered() => {
+                AttemptEnd::Undelivered { detail: err.to_string() }
+            }
+            Err(_) => self.follow_resumed(&mut state).await,
+        }
+    }
+
+    async fn follow_resumed(&mut self, state: &mut AnswerState) -> AttemptEnd {
+        match self.resume(state).await {
+            Ok(exchange) => self.follow(exchange, state).await,
+            Err(end) => end,
+        }
+    }
+
+    async fn follow(&mut self, mut exchange: Exchange, state: &mut AnswerState) -> AttemptEnd {
+        loop {
+            let step = match self.hear(&mut exchange, state).await {
+                Heard::Frame(received) => {
+                    self.heard = Instant::now();
+                    self.entry.router.observe(&self.choice.target, received.state);
+                    state.apply(received.frame)
+                }
+                Heard::Broken => Step::Gap,
+                Heard::Silent => return self.give_up(exchange, "no frame in time").await,
+                Heard::CallerGone => {
+                    let charge = self.cancel(exchange).await;
+                    return AttemptEnd::CallerGone { charge };
+                }
+                Heard::Deadline => {
+                    let charge = self.stop_at_deadline(exchange).await;
+                    return AttemptEnd::DeadlinePassed { charge };
+                }
+            };
+            match step {
+                Step::Wait => {}
+                Step::Forward(events) => self.forward(state, events).await,
+                Step::Complete { charge, rest } => return self.complete(state, charge, rest),
+                Step::Refused { refusal, charge } => {
+                    return AttemptEnd::Refused { refusal, charge };
+                }
+                Step::Gap => match self.resume(state).await {
+                    Ok(resumed) => exchange = resumed,
+                    Err(end) => return end,
+                },
+            }
+        }
+    }
+
+    async fn hear(&self, exchange: &mut Exchange, state: &AnswerState) -> Heard {
+        let may_leave = self.job.route.repeatable && !state.accepted() && !*self.started;
+        let silence = tokio::time::sleep(ACCEPT_TIMEOUT);
+        tokio::select! {
+            received = exchange.next() => received.map_or(Heard::Broken, Heard::Frame),
+            () = self.replies.closed(), if !self.job.outlives_caller() => Heard::CallerGone,
+            () = tokio::time::sleep_until(self.job.deadline()) => Heard::Deadline,
+            () = silence, if may_leave => Heard::Silent,
+        }
+    }
+
+    async fn forward(&mut self, state: &AnswerState, events: Vec<u8>) {
+        self.start(state).await;
+        // A caller that is gone is noticed before the next frame.
+        let _ = self.replies.send(Reply::Chunk(events)).await;
+    }
+
+    async fn start(&mut self, state: &AnswerState) {
+        let Some(head) = state.head().filter(|_| !*self.started) else { return };
+        *self.started = true;
+        let content_type = head.content_type.clone();
+        let _ = self.replies.send(Reply::Start { status: head.status, content_type }).await;
+    }
+
+    fn complete(&self, state: &mut AnswerState, charge: u64, rest: Vec<u8>) -> AttemptEnd {
+        let Some(head) = state.head().cloned() else {
+            return AttemptEnd::Lost { detail: "the answer has no head".to_owned() };
+        };
+        if !state.streams() {
+            let body = state.take_whole();
+            let answer =
+                WholeAnswer { status: head.status, content_type: head.content_type, body, charge };
+            return AttemptEnd::Answered { charge, last: vec![Reply::Whole(answer)] };
+        }
+        let mut last = Vec::new();
+        if !*self.started {
+            let Head { status, content_type } = head;
+            last.push(Reply::Start { status, content_type });
+        }
+        last.push(Reply::Chunk(rest));
+        last.push(Reply::End);
+        AttemptEnd::Answered { charge, last }
+    }
+
+    /// Opens the answer again at the offset received, at the same sidecar.
+    async fn resume(&mut self, state: &AnswerState) -> Result<Exchange, AttemptEnd> {
+        let identity = self.identity();
+        let resume = PeerRequest::Resume(ResumeRequest {
+            request: identity.request,
+            attempt: identity.attempt,
+            holder: self.holder,
+            offset: state.offset(),
+        });
+        let may_leave = self.job.route.repeatable && !*self.started;
+        let patience = self.heard + RESUME_PATIENCE;
+        let until = if may_leave { patience.min(self.job.deadline()) } else { self.job.deadline() };
+        let mut backoff = FIRST_BACKOFF;
+        loop {
+            if self.replies.is_closed() && !self.job.outlives_caller() {
+                return Err(AttemptEnd::CallerGone { charge: None });
+            }
+            tokio::time::sleep(backoff).await;
+            backoff = (backoff * 2).min(LONGEST_BACKOFF);
+            match self.open(&resume).await {
+                Ok(exchange) => {
+                    self.entry.metrics.resumed();
+                    return Ok(exchange);
+                }
+                Err(err) if Instant::now() >= until => {
+                    return Err(AttemptEnd::Lost { detail: err.to_string() });
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    async fn open(
+        &self,
+        first: &PeerRequest,
+    ) -> Result<Exchange, rosemarymoor_lib::transport::TransportError> {
+        let timeout = OPEN_TIMEOUT.min(self.job.remaining().max(FIRST_BACKOFF));
+        Exchange::open(
+            &self.entry.transport,
+            self.choice.sidecar,
+            first,
+            self.identity(),
+            timeout,
+            self.entry.metrics.clone(),
+        )
+        .await
+    }
+
+    /// Leaves a sidecar that stays silent; a run that still starts there is cancelled.
+    async fn give_up(&self, mut exchange: Exchange, detail: &str) -> AttemptEnd {
+        exchange.cancel().await;
+        AttemptEnd::Lost { detail: detail.to_owned() }
+    }
+
+    async fn stop_at_deadline(&self, exchange: Exchange) -> Option<u64> {
+        if self.job.route.repeatable { self.cancel(exchange).await } else { None }
+    }
+
+    /// Cancels the run and waits for its charge.
+    async fn cancel(&self, mut exchange: Exchange) -> Option<u64> {
+        exchange.cancel().await;
+        let charge = async {
+            while let Some(received) = exchange.next().await {
+                if let Some(charge) = final_charge(&received) {
+                    return Some(charge);
+                }
+            }
+            None
+        };
+        tokio::time::timeout(CANCEL_GRACE, charge).await.ok().flatten()
+    }
+
+    fn identity(&self) -> Identity {
+        Identity { request: self.job.identity.request, attempt: self.attempt }
+    }
+
+    fn run_request(&self, funding: &Funding) -> RunRequest {
+        let job = self.job;
+        RunRequest {
+            request: job.identity.request,
+            attempt: self.attempt,
+            workspace: job.budget.workspace.clone(),
+            route: job.route.name.clone(),
+            target: self.choice.target.clone(),
+            class: job.route.class,
+            repeatable: job.route.repeatable,
+            deadline_ms: job.remaining().as_millis() as u64,
+            funding: funding.clone(),
+            price: job.route.price,
+            fingerprint: job.identity.fingerprint,
+            call: job.call.clone(),
+        }
+    }
+}
+
+fn final_charge(received: &Received) -> Option<u64> {
+    use rosemarymoor_lib::wire::RunFrame;
+    match &received.frame {
+        RunFrame::End { charge, .. } | RunFrame::Refused { charge, .. } => Some(*charge),
+        RunFrame::Accepted | RunFrame::Head { .. } | RunFrame::Data { .. } => None,
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/control.rs
@@ -0,0 +1,81 @@
+//! Control state of an entry: one system that embeds those of the parts.
+
+use std::sync::Arc;
+
+use rosemarymoor_lib::budget::{BudgetDriver, BudgetEffect, BudgetEvent, BudgetSystem};
+use rosemarymoor_lib::control::System;
+use rosemarymoor_lib::routing::{Router, RoutingEffect, RoutingEvent, RoutingSystem};
+use rosemarymoor_lib::time::Millis;
+
+/// Event of one of the parts.
+#[derive(derive_more::From)]
+pub enum EntryEvent {
+    Budget(BudgetEvent),
+    Routing(RoutingEvent),
+}
+
+/// Effect of one of the parts.
+pub enum EntryEffect {
+    Budget(BudgetEffect),
+    Routing(RoutingEffect),
+}
+
+/// Tables of an entry.
+pub struct EntrySystem {
+    budgets: BudgetSystem,
+    routing: RoutingSystem,
+    budget_effects: Vec<BudgetEffect>,
+    routing_effects: Vec<RoutingEffect>,
+}
+
+impl EntrySystem {
+    /// One system over both parts.
+    pub fn new(budgets: BudgetSystem, routing: RoutingSystem) -> EntrySystem {
+        EntrySystem { budgets, routing, budget_effects: Vec::new(), routing_effects: Vec::new() }
+    }
+
+    fn collect(&mut self, effects: &mut Vec<EntryEffect>) {
+        effects.extend(self.budget_effects.drain(..).map(EntryEffect::Budget));
+        effects.extend(self.routing_effects.drain(..).map(EntryEffect::Routing));
+    }
+}
+
+impl System for EntrySystem {
+    type Event = EntryEvent;
+    type Effect = EntryEffect;
+
+    fn handle(&mut self, event: EntryEvent, now: Millis, effects: &mut Vec<EntryEffect>) {
+        match event {
+            EntryEvent::Budget(event) => self.budgets.handle(event, now, &mut self.budget_effects),
+            EntryEvent::Routing(event) => {
+                self.routing.handle(event, now, &mut self.routing_effects);
+            }
+        }
+        self.collect(effects);
+    }
+
+    fn tick(&mut self, now: Millis, effects: &mut Vec<EntryEffect>) {
+        self.budgets.tick(now, &mut self.budget_effects);
+        self.routing.tick(now, &mut self.routing_effects);
+        self.collect(effects);
+    }
+}
+
+/// Carries out the effects of an entry's control thread.
+pub struct EntryDriver {
+    pub budgets: BudgetDriver,
+    pub router: Arc<Router>,
+}
+
+impl EntryDriver {
+    /// Starts one effect; never blocks.
+    pub fn run(&self, effect: EntryEffect) {
+        match effect {
+            EntryEffect::Budget(effect) => self.budgets.run(effect),
+            EntryEffect::Routing(RoutingEffect::Publish(snapshot)) => {
+                self.router.publish(snapshot);
+            }
+            EntryEffect::Routing(RoutingEffect::Log(line)) => log::info!("{line}"),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/exchange.rs
@@ -0,0 +1,95 @@
+//! One stream to a sidecar: frames of a single request and attempt.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemarymoor_lib::id::{Attempt, RequestId};
+use rosemarymoor_lib::transport::{FrameReceiver, FrameSender, Transport, TransportError};
+use rosemarymoor_lib::wire::{PeerRequest, RunControl, RunEnvelope, RunFrame, SidecarState};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::metrics::EntryMetrics;
+
+const FRAMES_BUFFERED: usize = 8;
+
+/// Frame that belongs to the exchange, with the sidecar's state.
+#[derive(Debug)]
+pub struct Received {
+    pub state: SidecarState,
+    pub frame: RunFrame,
+}
+
+/// Open stream to a sidecar.
+pub struct Exchange {
+    tx: FrameSender,
+    frames: mpsc::Receiver<Received>,
+    reader: JoinHandle<()>,
+}
+
+/// Identity that every frame of an exchange must carry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Identity {
+    pub request: RequestId,
+    pub attempt: Attempt,
+}
+
+impl Exchange {
+    /// Opens a stream with its first message.
+    pub async fn open(
+        transport: &Transport,
+        sidecar: SocketAddr,
+        first: &PeerRequest,
+        identity: Identity,
+        timeout: Duration,
+        metrics: Arc<EntryMetrics>,
+    ) -> Result<Exchange, TransportError> {
+        let stream = transport.open(sidecar, first, timeout).await?;
+        let (frames_tx, frames) = mpsc::channel(FRAMES_BUFFERED);
+        let reader = tokio::spawn(read(stream.rx, identity, frames_tx, metrics));
+        Ok(Exchange { tx: stream.tx, frames, reader })
+    }
+
+    /// Next frame; `None` once the stream has broken or ended.
+    pub async fn next(&mut self) -> Option<Received> {
+        self.frames.recv().await
+    }
+
+    /// Asks the sidecar to stop the run.
+    pub async fn cancel(&mut self) {
+        let _ = self.tx.send(&RunControl::Cancel).await;
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.reader.abort();
+    }
+}
+
+async fn read(
+    mut rx: FrameReceiver,
+    identity: Identity,
+    frames: mpsc::Sender<Received>,
+    metrics: Arc<EntryMetrics>,
+) {
+    while let Ok(Some(envelope)) = rx.recv::<RunEnvelope>().await {
+        let found = Identity { request: envelope.request, attempt: envelope.attempt };
+        if found != identity {
+            metrics.dropped_frame();
+            log::warn!(
+                "decision=drop-frame request={} attempt={} expected={}/{}",
+                found.request,
+                found.attempt,
+                identity.request,
+                identity.attempt
+            );
+            continue;
+        }
+        let received = Received { state: envelope.state, frame: envelope.frame };
+        if frames.send(received).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/metrics.rs
@@ -0,0 +1,66 @@
+//! Metrics of an entry.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+use rosemarymoor_lib::result_code::ResultCode;
+
+/// Instruments of an entry.
+pub struct EntryMetrics {
+    answered: Counter<u64>,
+    refused: Counter<u64>,
+    charged: Counter<u64>,
+    dropped_frames: Counter<u64>,
+    retries: Counter<u64>,
+    resumed: Counter<u64>,
+    duration: Histogram<f64>,
+}
+
+impl EntryMetrics {
+    /// Opens the instruments on a meter.
+    pub fn open(meter: &Meter) -> EntryMetrics {
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        EntryMetrics {
+            answered: counter("requests_answered"),
+            refused: counter("requests_refused"),
+            charged: counter("tokens_charged"),
+            dropped_frames: counter("frames_dropped"),
+            retries: counter("deliveries_retried"),
+            resumed: counter("streams_resumed"),
+            duration: meter.f64_histogram("request_seconds").build(),
+        }
+    }
+
+    /// Counts a whole answer.
+    pub fn answered(&self, route: &str, took: Duration) {
+        let route = [KeyValue::new("route", route.to_owned())];
+        self.answered.add(1, &route);
+        self.duration.record(took.as_secs_f64(), &route);
+    }
+
+    /// Counts tokens charged.
+    pub fn charged(&self, route: &str, charge: u64) {
+        self.charged.add(charge, &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, code: ResultCode) {
+        self.refused.add(1, &[KeyValue::new("code", i64::from(code.number()))]);
+    }
+
+    /// Counts a frame that belongs to another request or attempt.
+    pub fn dropped_frame(&self) {
+        self.dropped_frames.add(1, &[]);
+    }
+
+    /// Counts a delivery to another target.
+    pub fn retried(&self, route: &str) {
+        self.retries.add(1, &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    /// Counts an answer taken up again after its stream broke.
+    pub fn resumed(&self) {
+        self.resumed.add(1, &[]);
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/process.rs
@@ -0,0 +1,142 @@
+//! The entry as a process: its parts, its control thread and its signals.
+
+use std::sync::{Arc, OnceLock};
+
+use rand::Rng;
+use rosemarymoor_lib::budget::{self, BudgetHandle, BudgetParams, GrantPolicyName};
+use rosemarymoor_lib::config::{ConfigFollower, ConfigHandle};
+use rosemarymoor_lib::control::{self, ControlSender, EventSink};
+use rosemarymoor_lib::fleet_key::FleetKey;
+use rosemarymoor_lib::host_follower::{HostFollower, POLL_INTERVAL};
+use rosemarymoor_lib::host_list_http::HostListHttp;
+use rosemarymoor_lib::id::EpochId;
+use rosemarymoor_lib::kv_http::KvHttp;
+use rosemarymoor_lib::kv_store::KvStore;
+use rosemarymoor_lib::routing::{Router, RoutingEvent, RoutingSystem};
+use rosemarymoor_lib::time::MonotonicClock;
+use rosemarymoor_lib::transport::Transport;
+use snafu::{OptionExt, ResultExt};
+use tokio::runtime::Handle;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::JoinHandle;
+
+use super::control::{EntryDriver, EntryEvent, EntrySystem};
+use super::{
+    EntryError, KeySnafu, Parts, PolicySnafu, RunningEntry, SignalSnafu, StoreSnafu, TransportSnafu,
+};
+use crate::settings::Settings;
+
+const EXIT_DRAINED: i32 = 0;
+const EXIT_CUT_OFF: i32 = 3;
+
+/// Sender to the control thread, which starts after the parts that send to it.
+type LateSender = Arc<OnceLock<ControlSender<EntryEvent>>>;
+
+/// Running entry process.
+pub struct EntryProcess {
+    running: RunningEntry,
+    terminate: Signal,
+    interrupt: Signal,
+    _config: ConfigFollower,
+    _config_events: JoinHandle<()>,
+    _hosts: HostFollower,
+}
+
+impl EntryProcess {
+    /// Starts every part of an entry.
+    pub async fn spawn(settings: Settings) -> Result<EntryProcess, EntryError> {
+        let terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+        let interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
+        let key = FleetKey::open(&settings.fleet_key).context(KeySnafu)?;
+        let transport = Transport::bind(settings.quic, &key).context(TransportSnafu)?;
+        let kv: Arc<dyn KvStore> = Arc::new(KvHttp::open(&settings.kv_url).context(StoreSnafu)?);
+        let cfg = ConfigHandle::default();
+        let late = LateSender::default();
+        let (gate, router) = spawn_control(&settings, &kv, &transport, &late)?;
+        let config = ConfigFollower::spawn(kv, cfg.clone());
+        let config_events = tokio::spawn(follow_config(cfg.clone(), sink(&late)));
+        let hosts = follow_hosts(&settings, gate.clone(), sink(&late));
+        let budgets = Some(gate.clone());
+        let parts = Parts { cfg, gate: Arc::new(gate), router, transport, budgets };
+        let running = RunningEntry::spawn(settings, parts).await?;
+        Ok(EntryProcess {
+            running,
+            terminate,
+            interrupt,
+            _config: config,
+            _config_events: config_events,
+            _hosts: hosts,
+        })
+    }
+
+    /// Serves until it is told to stop, then drains; answers the exit code.
+    pub async fn run(mut self) -> i32 {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+            () = self.running.stop_asked() => {}
+        }
+        if self.running.stop().await { EXIT_DRAINED } else { EXIT_CUT_OFF }
+    }
+}
+
+fn spawn_control(
+    settings: &Settings,
+    kv: &Arc<dyn KvStore>,
+    transport: &Arc<Transport>,
+    late: &LateSender,
+) -> Result<(BudgetHandle, Arc<Router>), EntryError> {
+    let policy = GrantPolicyName::parse(&settings.budgets.policy)
+        .context(PolicySnafu { policy: &settings.budgets.policy })?;
+    let params = BudgetParams {
+        kv: kv.clone(),
+        transport: transport.clone(),
+        runtime: Handle::current(),
+        host: settings.name.clone(),
+        data_center: settings.data_center.clone(),
+        region: settings.region.clone(),
+        epoch: EpochId::random(),
+        shards: settings.budgets.shards,
+        policy,
+    };
+    let budgets = budget::open(params, sink(late));
+    let router = Router::open(sink(late), rand::rng().random());
+    let system = EntrySystem::new(budgets.system, RoutingSystem::open(&settings.name));
+    let driver = EntryDriver { budgets: budgets.driver, router: router.clone() };
+    let run = move |effect| driver.run(effect);
+    let (sender, _thread) = control::spawn(MonotonicClock::start(), system, run);
+    late.get_or_init(|| sender);
+    Ok((budgets.handle, router))
+}
+
+/// Sink of one part's events; it waits for the start of the control thread.
+fn sink<E>(late: &LateSender) -> EventSink<E>
+where
+    EntryEvent: From<E>,
+{
+    let late = late.clone();
+    Arc::new(move |event| late.wait().send(EntryEvent::from(event)))
+}
+
+/// Passes each configuration on to the control thread.
+async fn follow_config(cfg: ConfigHandle, sink: EventSink<RoutingEvent>) {
+    let mut next = 1;
+    loop {
+        let current = cfg.wait_for(next).await;
+        next = current.revision + 1;
+        sink(RoutingEvent::Config(current));
+    }
+}
+
+fn follow_hosts(
+    settings: &Settings,
+    gate: BudgetHandle,
+    routing: EventSink<RoutingEvent>,
+) -> HostFollower {
+    let list = Arc::new(HostListHttp::open(&settings.hosts_url));
+    let pass_on: EventSink<_> = Arc::new(move |hosts: Vec<_>| {
+        gate.hosts(hosts.clone());
+        routing(RoutingEvent::Hosts(hosts));
+    });
+    HostFollower::spawn(list, POLL_INTERVAL, pass_on)
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod entry;
 pub mod http_server;
 pub mod logging;
+pub mod memory;
 pub mod settings;
 pub mod sidecar;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,3 +1,68 @@
 //! `rosemarymoord`, the daemon.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use rosemarymoor_daemon::settings::Settings;
+use rosemarymoor_daemon::{entry, logging, sidecar};
+use rosemarymoor_lib::host_list::Role;
+
+const EXIT_BAD_ARGUMENTS: u8 = 2;
+const EXIT_NO_RUNTIME: u8 = 1;
+
+/// Runs an entry or a sidecar, as its settings say.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(no_short, help = "check the settings file and exit")]
+    check: bool,
+    #[options(no_short, meta = "FILE", help = "settings file in INI form")]
+    config: Option<PathBuf>,
+    #[options(free, help = "settings file, in place of --config")]
+    settings: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    if args.version {
+        println!("rosemarymoord {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = args.config.or(args.settings) else {
+        eprintln!("rosemarymoord: name a settings file: rosemarymoord --config FILE");
+        return ExitCode::from(EXIT_BAD_ARGUMENTS);
+    };
+    match Settings::open(&path) {
+        Ok(_) if args.check => {
+            println!("{}: the settings are valid", path.display());
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => run(settings),
+        Err(err) => {
+            eprintln!("{err}");
+            ExitCode::from(EXIT_BAD_ARGUMENTS)
+        }
+    }
+}
+
+fn run(settings: Settings) -> ExitCode {
+    logging::start(settings.log_level);
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("rosemarymoord: no runtime: {err}");
+            return ExitCode::from(EXIT_NO_RUNTIME);
+        }
+    };
+    let code = runtime.block_on(async move {
+        match settings.role {
+            Role::Entry => entry::run(settings).await,
+            Role::Sidecar => sidecar::run(settings).await,
+        }
+    });
+    ExitCode::from(u8::try_from(code).unwrap_or(EXIT_NO_RUNTIME))
+}
--- /dev/null
+++ b/daemon/tests/entry_env/mod.rs
@@ -0,0 +1,339 @@
+//! An entry over scripted sidecars and a budget gate that keeps its books.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use log::LevelFilter;
+use reqwest::{Client, RequestBuilder, Response};
+use rosemarymoor_daemon::entry::{Parts, RunningEntry};
+use rosemarymoor_daemon::settings::{BudgetsSettings, Settings};
+use rosemarymoor_lib::budget::{BudgetGate, ReserveRequest};
+use rosemarymoor_lib::config::{Config, ConfigHandle, PolicyName, Route, TargetKind, Workspace};
+use rosemarymoor_lib::fleet_key::FleetKey;
+use rosemarymoor_lib::host_list::Role;
+use rosemarymoor_lib::http_client::{self, ConnectionReuse};
+use rosemarymoor_lib::id::{Attempt, EpochId, RequestId};
+use rosemarymoor_lib::result_code::{Refusal, ResultCode};
+use rosemarymoor_lib::routing::{Choice, Delivery, DeliveryEnd, TargetRouter};
+use rosemarymoor_lib::transport::{FrameStream, PeerHandler, Transport};
+use rosemarymoor_lib::wire::{
+    Class, Funding, FundingPart, PeerRequest, Price, RunControl, RunEnvelope, RunFrame,
+    SidecarState,
+};
+
+pub const KEY: &str = "counter-key";
+pub const CHAT: &str = "/v1/chat/completions";
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// What a scripted sidecar does on one stream.
+#[derive(Clone, Debug)]
+pub enum Act {
+    Send(RunFrame),
+    /// Sends a frame that belongs to another request.
+    SendCrossed(RunFrame),
+    /// Waits for a cancel from the entry.
+    AwaitCancel,
+    /// Keeps the stream open without a frame.
+    Hang,
+}
+
+/// Sidecar that plays one script for each stream, in their order.
+pub struct ScriptedSidecar {
+    scripts: Mutex<Vec<Vec<Act>>>,
+    pub seen: Mutex<Vec<PeerRequest>>,
+}
+
+#[async_trait]
+impl PeerHandler for ScriptedSidecar {
+    async fn handle(&self, req: PeerRequest, mut stream: FrameStream) {
+        let (request, attempt) = match &req {
+            PeerRequest::Run(run) => (run.request, run.attempt),
+            PeerRequest::Resume(resume) => (resume.request, resume.attempt),
+            _ => return,
+        };
+        self.seen.lock().unwrap().push(req);
+        let script = {
+            let mut scripts = self.scripts.lock().unwrap();
+            if scripts.is_empty() { Vec::new() } else { scripts.remove(0) }
+        };
+        for act in script {
+            match act {
+                Act::Send(frame) => send(&mut stream, request, attempt, frame).await,
+                Act::SendCrossed(frame) => {
+                    send(&mut stream, RequestId(request.0 ^ 1), attempt, frame).await;
+                }
+                Act::AwaitCancel => {
+                    let control: Option<RunControl> = stream.recv().await.unwrap();
+                    assert_eq!(control, Some(RunControl::Cancel));
+                }
+                Act::Hang => std::future::pending().await,
+            }
+        }
+        stream.tx.finish().await;
+    }
+}
+
+async fn send(stream: &mut FrameStream, request: RequestId, attempt: Attempt, frame: RunFrame) {
+    let envelope = RunEnvelope { request, attempt, state: SidecarState::default(), frame };
+    let _ = stream.send(&envelope).await;
+}
+
+/// Gate that grants everything up to its money and records each settlement.
+pub struct RecordingGate {
+    pub money: u64,
+    pub reserved: Mutex<Vec<ReserveRequest>>,
+    pub settled: Mutex<Vec<Option<u64>>>,
+    pub closed: Mutex<bool>,
+}
+
+#[async_trait]
+impl BudgetGate for RecordingGate {
+    async fn reserve(&self, req: ReserveRequest) -> Result<Funding, Refusal> {
+        self.reserved.lock().unwrap().push(req.clone());
+        if req.tokens > self.money {
+            return Err(Refusal::new(ResultCode::BudgetExhausted, "dry"));
+        }
+        let part = FundingPart { root: EpochId(1), amount: req.tokens };
+        Ok(Funding { holder: EpochId(1), budget: req.budget, parts: vec![part] })
+    }
+
+    fn settle(&self, _funding: &Funding, charge: u64) {
+        self.settled.lock().unwrap().push(Some(charge));
+    }
+
+    fn settle_unknown(&self, _funding: &Funding) {
+        self.settled.lock().unwrap().push(None);
+    }
+
+    async fn close(&self) {
+        *self.closed.lock().unwrap() = true;
+    }
+}
+
+/// Router that takes the first target which is not excluded.
+struct FirstRouter {
+    targets: Vec<Choice>,
+}
+
+impl TargetRouter for FirstRouter {
+    fn choose(&self, delivery: Delivery<'_>) -> Result<Choice, Refusal> {
+        let free = self.targets.iter().find(|choice| !delivery.exclude.contains(&choice.target));
+        free.cloned().ok_or_else(|| Refusal::new(ResultCode::NoTarget, "none left"))
+    }
+
+    fn take_retry(&self, _route: &str) -> bool {
+        true
+    }
+
+    fn observe(&self, _target: &str, _state: SidecarState) {}
+
+    fn finish(&self, _target: &str, _end: DeliveryEnd) {}
+}
+
+/// Running entry with its surroundings.
+pub struct EntryEnvironment {
+    pub entry: RunningEntry,
+    pub gate: Arc<RecordingGate>,
+    pub sidecars: Vec<Arc<ScriptedSidecar>>,
+    pub base: String,
+    pub client: Client,
+}
+
+impl EntryEnvironment {
+    /// Starts an entry before one sidecar for each list of scripts.
+    pub async fn start(scripts: Vec<Vec<Vec<Act>>>) -> EntryEnvironment {
+        EntryEnvironment::start_with(scripts, route("draft"), 1_000_000).await
+    }
+
+    /// Starts an entry with this model route besides the application route `file`.
+    pub async fn start_with(
+        scripts: Vec<Vec<Vec<Act>>>,
+        model: Route,
+        money: u64,
+    ) -> EntryEnvironment {
+        let fleet_key = FleetKey::generate().unwrap();
+        let key = FleetKey::open(&fleet_key).unwrap();
+        let mut targets = Vec::new();
+        let mut sidecars = Vec::new();
+        for (at, scripts) in scripts.into_iter().enumerate() {
+            let sidecar =
+                Arc::new(ScriptedSidecar { scripts: Mutex::new(scripts), seen: Mutex::default() });
+            let transport = Transport::bind(LOOPBACK, &key).unwrap();
+            targets.push(Choice {
+                target: format!("target-{at}"),
+                sidecar: transport.local_address().unwrap(),
+                data_center: "wien-a".to_owned(),
+                reason: "first",
+            });
+            tokio::spawn(transport.serve(sidecar.clone()));
+            sidecars.push(sidecar);
+        }
+        let gate = Arc::new(RecordingGate {
+            money,
+            reserved: Mutex::default(),
+            settled: Mutex::default(),
+            closed: Mutex::default(),
+        });
+        let cfg = ConfigHandle::default();
+        cfg.publish(config(model));
+        let http = free_address();
+        let parts = Parts {
+            cfg,
+            gate: gate.clone(),
+            router: Arc::new(FirstRouter { targets }),
+            transport: Transport::bind(LOOPBACK, &key).unwrap(),
+            budgets: None,
+        };
+        let entry = RunningEntry::spawn(settings(http, fleet_key), parts).await.unwrap();
+        let client = http_client::open(ConnectionReuse::Never);
+        EntryEnvironment { entry, gate, sidecars, base: format!("http://{http}"), client }
+    }
+
+    /// Chat call with the workspace's key.
+    pub fn chat(&self, stream: bool) -> RequestBuilder {
+        self.chat_body(&chat_body(stream))
+    }
+
+    /// Chat call with this body.
+    pub fn chat_body(&self, body: &str) -> RequestBuilder {
+        let req = self.client.post(format!("{}{CHAT}", self.base)).bearer_auth(KEY);
+        req.header("content-type", "application/json").body(body.to_owned())
+    }
+
+    /// Call to the application route `file`.
+    pub fn submit(&self, body: &str) -> RequestBuilder {
+        let url = format!("{}/v1/apps/file/cases/7?round=2", self.base);
+        let req = self.client.put(url).bearer_auth(KEY).header("content-type", "text/x-case");
+        req.body(body.to_owned())
+    }
+
+    /// Waits until as many requests were settled, then tells how.
+    pub async fn settled(&self, count: usize) -> Vec<Option<u64>> {
+        for _ in 0..1_000 {
+            let settled = self.gate.settled.lock().unwrap().clone();
+            if settled.len() >= count {
+                return settled;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("only {:?} were settled", self.gate.settled.lock().unwrap());
+    }
+
+    /// Requests that a sidecar saw.
+    pub fn seen(&self, sidecar: usize) -> Vec<PeerRequest> {
+        self.sidecars[sidecar].seen.lock().unwrap().clone()
+    }
+}
+
+/// Chat body for the route `draft`.
+pub fn chat_body(stream: bool) -> String {
+    serde_json::json!({
+        "model": "draft",
+        "stream": stream,
+        "max_tokens": 50,
+        "messages": [{ "role": "user", "content": "hello" }],
+    })
+    .to_string()
+}
+
+/// Refusal header, code and document of a response.
+pub async fn problem(response: Response) -> (u16, String, serde_json::Value) {
+    let status = response.status().as_u16();
+    let kind = response.headers().get("rosemarymoor-refusal").map(|kind| kind.to_str().unwrap());
+    let kind = kind.unwrap_or_default().to_owned();
+    let content_type = response.headers().get("content-type").unwrap().to_str().unwrap().to_owned();
+    assert_eq!(content_type, "application/problem+json");
+    (status, kind, response.json().await.unwrap())
+}
+
+pub fn head(content_type: &str) -> Act {
+    Act::Send(RunFrame::Head { status: 200, content_type: content_type.to_owned() })
+}
+
+pub fn data(offset: u64, text: &str) -> Act {
+    Act::Send(RunFrame::Data { offset, bytes: text.as_bytes().to_vec() })
+}
+
+pub fn end(charge: u64, length: usize) -> Act {
+    Act::Send(RunFrame::End { charge, length: length as u64 })
+}
+
+pub fn refused(code: ResultCode, charge: u64) -> Act {
+    Act::Send(RunFrame::Refused { refusal: Refusal::new(code, "scripted"), charge })
+}
+
+/// Script of a whole answer.
+pub fn whole(text: &str, charge: u64) -> Vec<Act> {
+    let accepted = Act::Send(RunFrame::Accepted);
+    vec![accepted, head("application/json"), data(0, text), end(charge, text.len())]
+}
+
+pub fn route(name: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        kind: TargetKind::Engine,
+        class: Class::Quick,
+        repeatable: true,
+        targets: Vec::new(),
+        model: "engine-model".to_owned(),
+        price: Price::Usage,
+        max_body_bytes: 4_096,
+        max_prompt_tokens: None,
+        max_tokens: 100,
+        deadline_ms: 20_000,
+        retry_window_ms: 60_000,
+        policy: PolicyName::Uniform,
+        retry_percent: 50,
+    }
+}
+
+fn file_route() -> Route {
+    Route {
+        kind: TargetKind::Application,
+        class: Class::Action,
+        repeatable: false,
+        price: Price::Fixed(5),
+        ..route("file")
+    }
+}
+
+fn config(model: Route) -> Config {
+    let workspace = Workspace {
+        name: "linz".to_owned(),
+        key_digests: vec![blake3::hash(KEY.as_bytes()).to_hex().to_string()],
+        routes: vec![model.name.clone(), "file".to_owned()],
+        default_budget: Some("main".to_owned()),
+        weight: 1,
+    };
+    Config {
+        revision: 1,
+        workspaces: vec![workspace],
+        routes: vec![model, file_route()],
+        ..Config::default()
+    }
+}
+
+fn settings(http: SocketAddr, fleet_key: String) -> Settings {
+    Settings {
+        name: "entry-1".to_owned(),
+        role: Role::Entry,
+        data_center: "wien-a".to_owned(),
+        region: "at-east".to_owned(),
+        quic: LOOPBACK,
+        http,
+        kv_url: "http://127.0.0.1:9".to_owned(),
+        hosts_url: "http://127.0.0.1:9".to_owned(),
+        fleet_key,
+        log_level: LevelFilter::Info,
+        drain_ms: 20_000,
+        budgets: BudgetsSettings { shards: 4, policy: "adaptive".to_owned() },
+        target: None,
+    }
+}
+
+fn free_address() -> SocketAddr {
+    std::net::TcpListener::bind(LOOPBACK).unwrap().local_addr().unwrap()
+}
--- /dev/null
+++ b/daemon/tests/test_entry.rs
@@ -0,0 +1,153 @@
+//! An entry before scripted sidecars: answers, refusals, retries and bills.
+
+mod entry_env;
+
+use entry_env::*;
+use rosemarymoor_lib::result_code::ResultCode;
+use rosemarymoor_lib::wire::{PeerRequest, RunFrame};
+
+const SSE: &str = "text/event-stream";
+const FIRST: &str = "data: {\"n\":1}\n\n";
+const SECOND: &str = "data: {\"n\":2}\n\n";
+const DONE: &str = "data: [DONE]\n\n";
+
+#[tokio::test]
+async fn a_whole_answer_is_billed_and_named() {
+    let env = EntryEnvironment::start(vec![vec![whole("{\"ok\":1}", 42)]]).await;
+    let response = env.chat(false).send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()["rosemarymoor-charge"], "42");
+    assert_eq!(response.headers()["content-type"], "application/json");
+    let PeerRequest::Run(run) = env.seen(0).remove(0) else { panic!("no run") };
+    assert_eq!(response.headers()["rosemarymoor-request"], run.request.to_string());
+    assert_eq!(response.text().await.unwrap(), "{\"ok\":1}");
+    assert_eq!(env.settled(1).await, [Some(42)]);
+    let body: serde_json::Value = serde_json::from_slice(&run.call.body).unwrap();
+    assert_eq!(body["model"], "engine-model");
+    assert_eq!(body["max_tokens"], 50);
+    let reserved = env.gate.reserved.lock().unwrap()[0].tokens;
+    assert_eq!(reserved, chat_body(false).len() as u64 + 50);
+}
+
+#[tokio::test]
+async fn an_application_call_is_carried_through() {
+    let env = EntryEnvironment::start(vec![vec![whole("filed", 5)]]).await;
+    let response = env.submit("case 7").send().await.unwrap();
+    assert_eq!(response.text().await.unwrap(), "filed");
+    let PeerRequest::Run(run) = env.seen(0).remove(0) else { panic!("no run") };
+    assert_eq!(run.call.method, "PUT");
+    assert_eq!(run.call.path, "/cases/7?round=2");
+    assert_eq!(run.call.content_type, "text/x-case");
+    assert_eq!(run.call.body, b"case 7");
+    assert_eq!(env.gate.reserved.lock().unwrap()[0].tokens, 5);
+}
+
+#[tokio::test]
+async fn a_stream_ends_in_done_only_when_it_is_whole() {
+    let length = FIRST.len() + DONE.len();
+    let script = vec![head(SSE), data(0, FIRST), data(FIRST.len() as u64, DONE), end(9, length)];
+    let env = EntryEnvironment::start(vec![vec![script]]).await;
+    let response = env.chat(true).send().await.unwrap();
+    assert_eq!(response.headers()["content-type"], SSE);
+    assert_eq!(response.text().await.unwrap(), format!("{FIRST}{DONE}"));
+    assert_eq!(env.settled(1).await, [Some(9)]);
+}
+
+#[tokio::test]
+async fn a_cut_stream_resumes_at_its_offset() {
+    let cut = vec![head(SSE), data(0, FIRST)];
+    let at = FIRST.len() as u64;
+    let rest = vec![
+        head(SSE),
+        data(at, SECOND),
+        data(at + SECOND.len() as u64, DONE),
+        end(7, FIRST.len() + SECOND.len() + DONE.len()),
+    ];
+    let env = EntryEnvironment::start(vec![vec![cut, rest]]).await;
+    let text = env.chat(true).send().await.unwrap().text().await.unwrap();
+    assert_eq!(text, format!("{FIRST}{SECOND}{DONE}"));
+    let PeerRequest::Resume(resume) = env.seen(0).remove(1) else { panic!("no resume") };
+    assert_eq!(resume.offset, at);
+    assert_eq!(env.settled(1).await, [Some(7)]);
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_ends_in_an_error_event() {
+    let script =
+        vec![head(SSE), data(0, FIRST), data(15, DONE), refused(ResultCode::TargetFailed, 3)];
+    let env = EntryEnvironment::start(vec![vec![script]]).await;
+    let text = env.chat(true).send().await.unwrap().text().await.unwrap();
+    let rest = text.strip_prefix(FIRST).unwrap();
+    let problem = rest.strip_prefix("event: error\ndata: ").unwrap();
+    let problem: serde_json::Value = serde_json::from_str(problem).unwrap();
+    assert_eq!(problem["code"], 5001);
+    assert_eq!(problem["kind"], "partial");
+    assert_eq!(env.settled(1).await, [Some(3)]);
+}
+
+#[tokio::test]
+async fn a_target_that_fails_before_the_first_byte_is_replaced() {
+    let failed = vec![head(SSE), refused(ResultCode::TargetFailed, 0)];
+    let other = vec![head(SSE), data(0, DONE), end(4, DONE.len())];
+    let env = EntryEnvironment::start(vec![vec![failed], vec![other]]).await;
+    let text = env.chat(true).send().await.unwrap().text().await.unwrap();
+    assert_eq!(text, DONE);
+    assert_eq!(env.settled(1).await, [Some(4)]);
+}
+
+#[tokio::test]
+async fn crossed_frames_are_dropped() {
+    let crossed = RunFrame::Data { offset: 0, bytes: b"theirs".to_vec() };
+    let mut script = whole("ours", 1);
+    script.insert(2, Act::SendCrossed(crossed));
+    let env = EntryEnvironment::start(vec![vec![script]]).await;
+    let response = env.chat(false).send().await.unwrap();
+    assert_eq!(response.text().await.unwrap(), "ours");
+    let metrics = env.client.get(format!("{}/metrics", env.base)).send().await.unwrap();
+    assert!(metrics.text().await.unwrap().contains("frames_dropped_total"));
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_a_stream_cancels_and_pays() {
+    let script = vec![
+        head(SSE),
+        data(0, FIRST),
+        Act::AwaitCancel,
+        Act::Send(RunFrame::End { charge: 6, length: FIRST.len() as u64 }),
+    ];
+    let env = EntryEnvironment::start(vec![vec![script]]).await;
+    let mut response = env.chat(true).send().await.unwrap();
+    assert_eq!(response.chunk().await.unwrap().unwrap(), FIRST);
+    drop(response);
+    assert_eq!(env.settled(1).await, [Some(6)]);
+}
+
+#[tokio::test]
+async fn a_refused_budget_costs_nothing_and_says_not_run() {
+    let env = EntryEnvironment::start_with(vec![vec![]], route("draft"), 10).await;
+    let (status, kind, problem) = problem(env.chat(false).send().await.unwrap()).await;
+    assert_eq!((status, kind.as_str()), (402, "not-run"));
+    assert_eq!(problem["code"], 2001);
+    assert!(env.seen(0).is_empty());
+    assert!(env.gate.settled.lock().unwrap().is_empty());
+}
+
+#[tokio::test]
+async fn a_stop_lets_streams_finish_and_closes_the_gate() {
+    let script = vec![head(SSE), data(0, FIRST), Act::Hang];
+    let rest = vec![head(SSE), data(FIRST.len() as u64, DONE), end(2, FIRST.len() + DONE.len())];
+    let env = EntryEnvironment::start(vec![vec![script, rest]]).await;
+    let mut response = env.chat(true).send().await.unwrap();
+    assert_eq!(response.chunk().await.unwrap().unwrap(), FIRST);
+    let EntryEnvironment { entry, gate, client, base, .. } = env;
+    let stopping = tokio::spawn(entry.stop());
+    let ready = format!("{base}/ready");
+    while client.get(&ready).send().await.unwrap().status() != 503 {}
+    let chat = client.post(format!("{base}{CHAT}")).bearer_auth(KEY).body(chat_body(false));
+    let (_, _, refusal) = problem(chat.send().await.unwrap()).await;
+    assert_eq!(refusal["code"], 3005);
+    assert!(!*gate.closed.lock().unwrap());
+    drop(response);
+    assert!(stopping.await.unwrap());
+    assert!(*gate.closed.lock().unwrap());
+}
