bench: driver, judge and the measures demo, budgets, actions and streams

Change: one open load with checked answers and retries through other entries; one judge over engine runs, application runs, callers' records and the ledger; four scenarios over them.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,43 @@
-//! `rosemarymoor-bench`, stand-ins and measures.
+//! `rosemarymoor-bench`: measures of real processes before stand-ins.
+//!
+//! Every measure starts its own fleet, runs a bounded load on loopback, prints a
+//! table for people on standard error and one JSON object as the last line of
+//! standard output.
 
-fn main() {}
+mod binary;
+mod caller;
+mod judge;
+mod load;
+mod measures;
+mod options;
+
+use std::process::ExitCode;
+
+use options::Options;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_BAD_ARGUMENTS: u8 = 2;
+
+fn main() -> ExitCode {
+    let options = match Options::from_args() {
+        Ok(options) => options,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(EXIT_BAD_ARGUMENTS);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .expect("the system can start threads");
+    match runtime.block_on(measures::run(&options)) {
+        Ok(report) => {
+            println!("{report}");
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("rosemarymoor-bench: {err}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/measures.rs
@@ -0,0 +1,56 @@
+//! The measures: short scenarios over the shared fleet, load and judge.
+
+mod actions;
+mod budgets;
+mod demo;
+mod mix;
+mod streams;
+mod timeline;
+
+use std::io;
+
+use rosemarymoor_testutils::fleet::{Fleet, FleetPlan};
+use serde_json::Value;
+
+use crate::binary;
+use crate::options::Options;
+
+/// Runs the measure that the options name; answers its JSON object.
+pub async fn run(options: &Options) -> io::Result<Value> {
+    match options.measure.as_str() {
+        "demo" => demo::run(options).await,
+        "actions" => actions::run(options).await,
+        "streams" => streams::run(options).await,
+        "budgets" => budgets::run(options).await,
+        other => Err(io::Error::other(format!("measure `{other}` is not built yet"))),
+    }
+}
+
+/// Plan with the sizes that the options set.
+fn plan(options: &Options) -> io::Result<FleetPlan> {
+    let mut plan = FleetPlan::new(binary::daemon()?, options.seed);
+    plan.entries = options.entries.unwrap_or(plan.entries);
+    plan.engines = options.sidecars.unwrap_or(plan.engines);
+    if let Some(policy) = &options.policy {
+        plan.policy.clone_from(policy);
+    }
+    Ok(plan)
+}
+
+/// Copies the logs of the processes to the folder that the options name.
+fn keep_logs(options: &Options, fleet: &Fleet) -> io::Result<()> {
+    let Some(folder) = &options.logs else {
+        return Ok(());
+    };
+    std::fs::create_dir_all(folder)?;
+    for node in &fleet.nodes {
+        let path = std::path::Path::new(folder).join(format!("{}.log", node.name));
+        std::fs::write(path, node.daemon.log())?;
+    }
+    Ok(())
+}
+
+/// Prints a line for people.
+fn say(text: impl std::fmt::Display) {
+    eprintln!("{text}");
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -26,6 +26,7 @@
 pub use plan::{BudgetPlan, FleetPlan};
 
 const READY_LIMIT: Duration = Duration::from_secs(60);
+const STOP_LIMIT: Duration = Duration::from_secs(30);
 const FIRST_PORT: u16 = 12_000;
 const LAST_PORT: u16 = 32_000;
 
@@ -180,6 +181,25 @@
         Ok(())
     }
 
+    /// Stops every process gracefully, entries first; kills what does not stop.
+    ///
+    /// Answers whether all of them ended by themselves with exit code 0.
+    pub async fn stop(&mut self) -> bool {
+        let mut clean = true;
+        for range in [self.entries(), self.sidecars()] {
+            for node in &self.nodes[range.clone()] {
+                node.daemon.resume();
+                node.daemon.terminate();
+            }
+            for node in &mut self.nodes[range] {
+                let status = node.daemon.wait_exit(STOP_LIMIT).await;
+                clean &= status.is_some_and(|status| status.success());
+                node.daemon.kill();
+            }
+        }
+        clean
+    }
+
     async fn seed_store(&self) -> io::Result<()> {
         let store = self.store();
         let change = Change::new(OperationId::random(), "bench");
