--- a/daemon/src/entry/delivery.rs
+++ b/daemon/src/entry/delivery.rs
@@ -75,8 +75,9 @@
             Ok(funding) => funding,
             Err(refusal) => return vec![Reply::Refused(refusal)],
         };
-        let verdict = deliveries.run(&funding).await;
-        settle(entry, job, &funding, verdict.bill);
+        let open = OpenFunding::new(entry, job, funding);
+        let verdict = deliveries.run(&open.funding).await;
+        open.settle(verdict.bill);
         if verdict.bill != Bill::EpochRefused {
             return verdict.last;
         }
@@ -103,21 +104,49 @@
     }
 }
 
-fn settle(entry: &Entry, job: &Job, funding: &Funding, bill: Bill) {
-    match bill {
-        Bill::Charge(charge) => {
-            entry.gate.settle(funding, charge);
-            entry.metrics.charged(&job.route.name, charge);
+/// Money reserved for one request; dropped unsettled, it counts as spent.
+struct OpenFunding<'a> {
+    entry: &'a Entry,
+    job: &'a Job,
+    funding: Funding,
+    settled: bool,
+}
+
+impl<'a> OpenFunding<'a> {
+    fn new(entry: &'a Entry, job: &'a Job, funding: Funding) -> OpenFunding<'a> {
+        OpenFunding { entry, job, funding, settled: false }
+    }
+
+    fn settle(mut self, bill: Bill) {
+        self.end(bill);
+    }
+
+    fn end(&mut self, bill: Bill) {
+        self.settled = true;
+        let OpenFunding { entry, job, funding, .. } = self;
+        match bill {
+            Bill::Charge(charge) => {
+                entry.gate.settle(funding, charge);
+                entry.metrics.charged(&job.route.name, charge);
+            }
+            Bill::Unknown => entry.gate.settle_unknown(funding),
+            Bill::EpochRefused => entry.gate.epoch_refused(funding),
+        }
+        log::info!(
+            "decision=settle request={} budget={} reserve={} bill={bill:?}",
+            job.identity.request,
+            job.budget,
+            funding.reserve()
+        );
+    }
+}
+
+impl Drop for OpenFunding<'_> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.end(Bill::Unknown);
         }
-        Bill::Unknown => entry.gate.settle_unknown(funding),
-        Bill::EpochRefused => entry.gate.epoch_refused(funding),
     }
-    log::info!(
-        "decision=settle request={} budget={} reserve={} bill={bill:?}",
-        job.identity.request,
-        job.budget,
-        funding.reserve()
-    );
 }
 
 /// Deliveries of one request, one after another.
--- /dev/null
+++ b/daemon/tests/test_entry_fleet.rs
@@ -0,0 +1,81 @@
+//! The whole path through real processes behind the fault proxy.
+
+use std::path::PathBuf;
+
+use reqwest::Client;
+use rosemarymoor_lib::http_client::{self, ConnectionReuse};
+use rosemarymoor_lib::id::BudgetId;
+use rosemarymoor_testutils::fleet::{BudgetPlan, Fleet, FleetPlan};
+use rosemarymoor_testutils::marker;
+
+const PREPAID: u64 = 100_000;
+
+fn plan(seed: u64) -> FleetPlan {
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_rosemarymoord"));
+    FleetPlan {
+        entries: 2,
+        engines: 2,
+        applications: 1,
+        budgets: vec![BudgetPlan { workspace: 0, name: "main".to_owned(), tokens: PREPAID }],
+        ..FleetPlan::new(binary, seed)
+    }
+}
+
+fn chat(client: &Client, base: &str, marker: &str, stream: bool) -> reqwest::RequestBuilder {
+    let body = serde_json::json!({
+        "model": "quick",
+        "stream": stream,
+        "max_tokens": 64,
+        "messages": [{ "role": "user", "content": marker::prompt(marker, 12) }],
+    });
+    let url = format!("{base}/v1/chat/completions");
+    client.post(url).bearer_auth(FleetPlan::workspace_key(0)).json(&body)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_and_paid_through_the_whole_path() {
+    let mut fleet = Fleet::open(plan(1)).await.unwrap();
+    let client = http_client::open(ConnectionReuse::Never);
+    let bases = fleet.entry_urls();
+    let whole = chat(&client, &bases[0], "one", false).send().await.unwrap();
+    assert_eq!(whole.status(), 200, "{}", fleet.nodes[0].daemon.log());
+    let charged: u64 = whole.headers()["rosemarymoor-charge"].to_str().unwrap().parse().unwrap();
+    let answer: serde_json::Value = whole.json().await.unwrap();
+    assert_eq!(answer["choices"][0]["message"]["content"], marker::answer("one", 12));
+    assert_eq!(answer["usage"]["total_tokens"], charged);
+
+    let stream = chat(&client, &bases[1], "two", true).send().await.unwrap();
+    assert_eq!(stream.status(), 200);
+    let text = stream.text().await.unwrap();
+    assert!(text.trim_end().ends_with("data: [DONE]"), "{text}");
+
+    let url = format!("{}/v1/apps/submission/cases?marker=three", bases[0]);
+    let filed = client.post(url).bearer_auth(FleetPlan::workspace_key(0)).body("case").send();
+    assert_eq!(filed.await.unwrap().status(), 201);
+    assert_eq!(fleet.applications[0].runs().len(), 1);
+
+    for entry in fleet.entries() {
+        fleet.nodes[entry].daemon.terminate();
+    }
+    for entry in fleet.entries() {
+        let status = exit(&mut fleet, entry).await;
+        assert_eq!(status.code(), Some(0), "{}", fleet.nodes[entry].daemon.log());
+    }
+    let budget = BudgetId { workspace: FleetPlan::workspace_name(0), name: "main".to_owned() };
+    let ledger = fleet.ledger();
+    let account = ledger.account(&budget).unwrap();
+    let engines: u64 =
+        fleet.engines.iter().flat_map(|engine| engine.runs()).map(|run| run.tokens()).sum();
+    assert_eq!(account.spent(), engines + 50);
+    assert_eq!(account.free(), PREPAID - account.spent());
+}
+
+async fn exit(fleet: &mut Fleet, node: usize) -> std::process::ExitStatus {
+    for _ in 0..3_000 {
+        if let Some(status) = fleet.nodes[node].daemon.exit_status() {
+            return status;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    panic!("{} does not exit: {}", fleet.nodes[node].name, fleet.nodes[node].daemon.log());
+}
