--- /dev/null
+++ b/cli/src/commands/budget_show.rs
@@ -0,0 +1,74 @@
+//! `budget show`: shows what a budget holds.
+
+use gumdrop::Options;
+use rosemarymoor_lib::budget::{self, Account};
+use rosemarymoor_lib::id::OperationId;
+use serde::Serialize;
+use snafu::{OptionExt, ResultExt};
+
+use crate::context::Context;
+use crate::error::{CliError, LedgerSnafu, UnknownBudgetSnafu};
+use crate::ledger::parse_budget;
+use crate::output::print_json;
+
+/// Shows prepaid, spent, granted and free tokens as the ledger has them.
+#[derive(Debug, Options)]
+pub struct ShowOptions {
+    /// print this help
+    help: bool,
+    /// budget, as WORKSPACE/NAME
+    #[options(free, required)]
+    budget: String,
+    /// print JSON
+    json: bool,
+}
+
+/// A budget for people and scripts.
+#[derive(Serialize)]
+pub struct Report {
+    budget: String,
+    prepaid: u64,
+    /// Tokens known to be spent.
+    spent: u64,
+    /// Tokens that entries hold and have not spent yet, as far as is known.
+    granted: u64,
+    free: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    operation: Option<String>,
+}
+
+impl Report {
+    /// Report of an account, after an operation on it.
+    pub fn new(account: &Account, operation: Option<OperationId>) -> Report {
+        Report {
+            budget: account.budget.to_string(),
+            prepaid: account.prepaid,
+            spent: account.spent(),
+            granted: account.grants.iter().map(|grant| grant.open()).sum(),
+            free: account.free(),
+            operation: operation.map(|operation| operation.to_string()),
+        }
+    }
+}
+
+/// Runs the command.
+pub async fn run(options: &ShowOptions, cx: &Context) -> Result<(), CliError> {
+    let budget = parse_budget(Some(&options.budget))?;
+    let shards = cx.settings()?.shards;
+    let kv = cx.store()?;
+    let account = budget::read(kv.as_ref(), shards, &budget).await.context(LedgerSnafu)?;
+    let account = account.context(UnknownBudgetSnafu { budget: budget.to_string() })?;
+    print(&Report::new(&account, None), options.json);
+    Ok(())
+}
+
+/// Prints a budget.
+pub fn print(report: &Report, json: bool) {
+    if json {
+        return print_json(report);
+    }
+    println!(
+        "{}: {} prepaid, {} spent, {} granted to entries, {} free",
+        report.budget, report.prepaid, report.spent, report.granted, report.free
+    );
+}
--- a/lib/src/ini.rs
+++ b/lib/src/ini.rs
@@ -32,7 +32,7 @@
 }
 
 /// Key with its value.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct IniKey {
     pub name: String,
     pub value: String,
@@ -40,7 +40,7 @@
 }
 
 /// Section with its keys in the order of the file.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct IniSection {
     pub name: String,
     pub at: Position,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod time;
 pub mod transport;
 pub mod wire;
+pub mod workspace_key;
