gate: admission, poison and the state of the target

Cause: a sidecar must keep quick work quick, lose no long work, and survive requests that crash its target.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,12 +7,14 @@
 //! Decision code is pure: a [`control::System`] maps its tables, an event and
 //! the current time to effects, which a driver carries out.
 
+pub mod admission;
 pub mod answer_store;
 pub mod answer_usage;
 pub mod budget;
 pub mod config;
 pub mod control;
 pub mod fleet_key;
+pub mod gate;
 pub mod host_follower;
 pub mod host_list;
 pub mod host_list_http;
@@ -21,6 +23,7 @@
 pub mod ini;
 pub mod kv_http;
 pub mod kv_store;
+pub mod poison;
 pub mod result_code;
 pub mod routing;
 pub mod target_client;
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -88,6 +88,7 @@
     NotConfigured = 3008, 503, NotRun, "The entry has no configuration yet";
     Overloaded = 3009, 503, NotRun, "The entry is overloaded";
     TargetUnreachable = 3010, 503, NotRun, "The target could not be reached";
+    Withdrawn = 3011, 499, NotRun, "The caller went away before the request ran";
     FateUnknown = 4001, 502, MayHaveRun, "The fate of the request is unknown";
     TargetFailed = 4002, 502, MayHaveRun, "The target failed while it ran the request";
     StillRunning = 4003, 409, MayHaveRun, "The request is still running";
