--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -6,15 +6,21 @@
 
 mod books;
 mod context;
+mod gate;
 mod job;
+mod orders;
 mod peer;
+mod poison_spread;
 mod shutdown;
 mod stream;
+mod watch;
 
 use std::sync::Arc;
 
 use rosemarymoor_lib::config::ConfigHandle;
 use rosemarymoor_lib::fleet_key::{FleetKey, FleetKeyError};
+use rosemarymoor_lib::kv_http::{KvHttp, KvHttpError};
+use rosemarymoor_lib::kv_store::KvStore;
 use rosemarymoor_lib::target_http::HttpTarget;
 use rosemarymoor_lib::transport::{Transport, TransportError};
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -23,8 +29,9 @@
 use crate::settings::{Settings, TargetSettings};
 
 use books::OpenBooks;
-use context::Sidecar;
+use context::{Parts, Sidecar};
 use peer::SidecarPeer;
+use poison_spread::PoisonSpread;
 
 /// Why a sidecar does not start.
 #[derive(Debug, Snafu)]
@@ -35,6 +42,8 @@
     Key { source: FleetKeyError },
     #[snafu(display("the transport cannot start"))]
     Transport { source: TransportError },
+    #[snafu(display("the key-value service cannot be used"))]
+    Store { source: KvHttpError },
     #[snafu(display("the HTTP server cannot start"))]
     Http { source: HttpServerError },
     #[snafu(display("signals cannot be received"))]
@@ -56,16 +65,18 @@
     let target: TargetSettings = settings.target.clone().context(NoTargetSnafu)?;
     let key = FleetKey::open(&settings.fleet_key).context(KeySnafu)?;
     let transport = Transport::bind(settings.quic, &key).context(TransportSnafu)?;
+    let kv: Arc<dyn KvStore> = Arc::new(KvHttp::open(&settings.kv_url).context(StoreSnafu)?);
+    let spread = PoisonSpread::open(settings.name.clone(), transport.clone(), kv.clone());
     let metrics = Metrics::start().context(HttpSnafu)?;
-    let client = Arc::new(HttpTarget::open(&target.url));
-    let cx = Sidecar::open(
-        settings.clone(),
-        target,
-        client,
-        Arc::new(OpenBooks),
-        ConfigHandle::default(),
-        &metrics,
-    );
+    let parts = Parts {
+        target: Arc::new(HttpTarget::open(&target.url)),
+        witness: Arc::new(OpenBooks),
+        cfg: ConfigHandle::default(),
+        kv,
+        spread,
+    };
+    let cx = Sidecar::open(settings.clone(), target, parts, &metrics);
+    let watchers = watch::spawn(cx.clone());
     let rocket = http_server::build(settings.http, settings.drain_ms, cx.clone(), metrics);
     let http = HttpServer::spawn(rocket).await.context(HttpSnafu)?;
     let signals = shutdown::spawn_signals(cx.clone()).context(SignalsSnafu)?;
@@ -73,6 +84,8 @@
     log::info!("event=start role=sidecar name={} target={}", settings.name, cx.target_name());
     shutdown::drained(&cx).await;
     signals.abort();
+    cx.spread.flush().await;
+    drop(watchers);
     transport.close().await;
     http.stop().await;
     serving.abort();
--- a/daemon/src/sidecar/context.rs
+++ b/daemon/src/sidecar/context.rs
@@ -9,13 +9,18 @@
 use rosemarymoor_lib::answer_store::{AnswerLimits, AnswerStore};
 use rosemarymoor_lib::budget::{Receipts, SpendWitness};
 use rosemarymoor_lib::config::ConfigHandle;
+use rosemarymoor_lib::gate::GateEvent;
 use rosemarymoor_lib::host_list::Role;
+use rosemarymoor_lib::kv_store::KvStore;
 use rosemarymoor_lib::result_code::Refusal;
 use rosemarymoor_lib::target_client::TargetClient;
 use rosemarymoor_lib::time::MonotonicClock;
 use rosemarymoor_lib::wire::{SidecarState, StatusReply};
 use tokio::sync::Notify;
 
+use super::gate::GateHandle;
+use super::orders::Orders;
+use super::poison_spread::PoisonSpread;
 use crate::http_server::{Metrics, Probe};
 use crate::settings::{Settings, TargetSettings};
 
@@ -27,6 +32,15 @@
     pub charged_tokens: Counter<u64>,
 }
 
+/// What a sidecar is put together from.
+pub struct Parts {
+    pub target: Arc<dyn TargetClient>,
+    pub witness: Arc<dyn SpendWitness>,
+    pub cfg: ConfigHandle,
+    pub kv: Arc<dyn KvStore>,
+    pub spread: Arc<PoisonSpread>,
+}
+
 /// Shared parts of a sidecar.
 pub struct Sidecar {
     pub settings: Settings,
@@ -34,27 +48,29 @@
     pub target: Arc<dyn TargetClient>,
     pub witness: Arc<dyn SpendWitness>,
     pub receipts: Receipts,
+    pub gate: GateHandle,
+    pub orders: Orders,
+    pub spread: Arc<PoisonSpread>,
     pub cfg: ConfigHandle,
     pub answers: AnswerStore,
     pub clock: MonotonicClock,
     pub counters: Counters,
     incarnation: u64,
-    leaving: AtomicBool,
+    draining: AtomicBool,
     running: AtomicU32,
     streams: AtomicU32,
     drain: Notify,
 }
 
 impl Sidecar {
-    /// Opens the shared parts; nothing runs yet.
+    /// Opens the shared parts and spawns the control thread.
     pub fn open(
         settings: Settings,
         target_settings: TargetSettings,
-        target: Arc<dyn TargetClient>,
-        witness: Arc<dyn SpendWitness>,
-        cfg: ConfigHandle,
+        parts: Parts,
         metrics: &Metrics,
     ) -> Arc<Sidecar> {
+        let Parts { target, witness, cfg, kv, spread } = parts;
         let meter = metrics.meter("sidecar");
         let counters = Counters {
             answered: meter.u64_counter("answered_requests").build(),
@@ -63,6 +79,9 @@
             charged_tokens: meter.u64_counter("charged_tokens").build(),
         };
         let incarnation = rand::rng().random();
+        let clock = MonotonicClock::start();
+        let gate = GateHandle::spawn(clock, incarnation, target.clone(), spread.clone());
+        let orders = Orders::open(target_settings.name.clone(), target.clone(), kv);
         Arc::new(Sidecar {
             settings,
             target_settings,
@@ -71,10 +90,13 @@
             receipts: Receipts::open(incarnation),
             cfg,
             answers: AnswerStore::open(AnswerLimits::default()),
-            clock: MonotonicClock::start(),
+            clock,
+            gate,
+            orders,
+            spread,
             counters,
             incarnation,
-            leaving: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
             running: AtomicU32::new(0),
             streams: AtomicU32::new(0),
             drain: Notify::new(),
@@ -93,11 +115,12 @@
 
     /// State for the next frame.
     pub fn state(&self) -> SidecarState {
+        let gate = self.gate.state();
         SidecarState {
             incarnation: self.incarnation,
             leaving: self.is_leaving(),
-            running: self.running.load(Ordering::Relaxed),
-            queued: 0,
+            running: gate.running,
+            queued: gate.queued,
             config_revision: self.cfg.current().revision,
         }
     }
@@ -120,12 +143,13 @@
 
     /// Whether no new work is taken.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.draining.load(Ordering::Acquire) || self.gate.state().leaving
     }
 
     /// Takes no new work from now on and stops once all accepted work is done.
     pub fn start_drain(&self) {
-        if !self.leaving.swap(true, Ordering::AcqRel) {
+        if !self.draining.swap(true, Ordering::AcqRel) {
+            self.gate.send(GateEvent::Leave);
             log::info!("decision=leave target={} reason=drain", self.target_name());
         }
         self.drain.notify_one();
@@ -147,7 +171,7 @@
         StreamGuard { cx: self.clone() }
     }
 
-    /// Counts one request as running until the guard is dropped.
+    /// Counts one request as accepted until the guard is dropped.
     pub fn enter(self: &Arc<Sidecar>) -> RunningGuard {
         self.running.fetch_add(1, Ordering::AcqRel);
         RunningGuard { cx: self.clone() }
@@ -162,11 +186,11 @@
 
 impl Probe for Sidecar {
     fn is_ready(&self) -> bool {
-        !self.is_leaving()
+        !self.is_leaving() && !self.gate.state().target_down
     }
 }
 
-/// One running request.
+/// One accepted request.
 pub struct RunningGuard {
     cx: Arc<Sidecar>,
 }
--- a/daemon/src/sidecar/job.rs
+++ b/daemon/src/sidecar/job.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use rosemarymoor_lib::admission::Arrival;
 use rosemarymoor_lib::answer_store::{Answer, AnswerEnd};
 use rosemarymoor_lib::answer_usage::{Usage, UsageMeter};
 use rosemarymoor_lib::result_code::{Refusal, RefusalKind, ResultCode};
@@ -12,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::context::Sidecar;
+use super::gate::{TicketEvent, TicketHandle};
 
 /// Largest answer that is taken from a target, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -22,7 +24,6 @@
 /// First HTTP status that reports a failure of the server.
 const SERVER_ERROR: u16 = 500;
 const UNREACHABLE_RETRY_MS: u64 = 1_000;
-const LEAVING_RETRY_MS: u64 = 100;
 
 /// Why a call stopped before its answer was whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,11 +50,16 @@
 
 /// Runs a claimed request to its end and writes its answer.
 pub async fn run(cx: Arc<Sidecar>, answer: Arc<Answer>, req: RunRequest) {
-    let _running = cx.enter();
-    let end = match admit(&cx, &req) {
-        Ok(()) => {
-            answer.update(|log| log.accepted = true);
-            let end = call_target(&cx, &answer, &req).await;
+    let _accepted = cx.enter();
+    let limit = Limit::new(&req);
+    let end = match admit(&cx, &answer, &req).await {
+        Ok(ticket) => {
+            let end = call_target(&cx, &answer, &req, limit).await;
+            match end.stop {
+                None => ticket.answered(),
+                Some(Stop::Lost) => ticket.lost().await,
+                Some(_) => drop(ticket),
+            }
             let end = conclude(&req, &end);
             cx.witness.charge(&req.funding, end.charge());
             end
@@ -63,12 +69,37 @@
     finish(&cx, &answer, &req, end);
 }
 
-fn admit(cx: &Sidecar, req: &RunRequest) -> Result<(), Refusal> {
-    if cx.is_leaving() {
-        let refusal = Refusal::new(ResultCode::Leaving, "the target is leaving");
-        return Err(refusal.retry_after(LEAVING_RETRY_MS));
+/// Waits until the request may start, with its money admitted.
+async fn admit(cx: &Sidecar, answer: &Answer, req: &RunRequest) -> Result<TicketHandle, Refusal> {
+    let cfg = cx.cfg.current();
+    let weight = cfg.workspace(&req.workspace).map_or(1, |workspace| workspace.weight);
+    let deadline = cx.clock.now().plus(req.deadline_ms);
+    let mut ticket = cx.gate.enter(req.fingerprint, |ticket| Arrival {
+        ticket,
+        workspace: req.workspace.clone(),
+        weight,
+        class: req.class,
+        deadline,
+        alone: false,
+    });
+    let mut withdrawn = false;
+    loop {
+        tokio::select! {
+            event = ticket.next() => match event {
+                Some(TicketEvent::Queued) => answer.update(|log| log.accepted = true),
+                Some(TicketEvent::Started) => break,
+                Some(TicketEvent::Refused(refusal)) => return Err(refusal),
+                Some(TicketEvent::Judged) => {}
+                None => return Err(Refusal::new(ResultCode::Leaving, "the sidecar stops")),
+            },
+            () = answer.cancelled(), if !withdrawn => {
+                withdrawn = true;
+                ticket.withdraw();
+            }
+        }
     }
-    cx.witness.admit(&req.funding)
+    cx.witness.admit(&req.funding)?;
+    Ok(ticket)
 }
 
 fn finish(cx: &Sidecar, answer: &Answer, req: &RunRequest, end: AnswerEnd) {
@@ -97,7 +128,7 @@
     }
 }
 
-async fn call_target(cx: &Sidecar, answer: &Answer, req: &RunRequest) -> CallEnd {
+async fn call_target(cx: &Sidecar, answer: &Answer, req: &RunRequest, mut limit: Limit) -> CallEnd {
     let call = TargetCall {
         request: req.request.to_string(),
         attempt: req.attempt.0,
@@ -108,7 +139,6 @@
         body: req.call.body.clone(),
     };
     log::info!("decision=run request={} attempt={} class={}", req.request, req.attempt, req.class);
-    let mut limit = Limit::new(req);
     let mut calling = cx.target.call(call);
     let called = loop {
         tokio::select! {
--- a/daemon/src/sidecar/peer.rs
+++ b/daemon/src/sidecar/peer.rs
@@ -4,11 +4,13 @@
 
 use async_trait::async_trait;
 use rosemarymoor_lib::answer_store::{Answer, AnswerReader, Claim, DeliveryKey, Held};
+use rosemarymoor_lib::gate::GateEvent;
 use rosemarymoor_lib::id::EpochId;
 use rosemarymoor_lib::result_code::{Refusal, ResultCode};
 use rosemarymoor_lib::transport::{FrameSender, FrameStream, PeerHandler};
 use rosemarymoor_lib::wire::{
-    LookupRequest, PeerRequest, RequestRecord, ResumeRequest, RunEnvelope, RunFrame, RunRequest,
+    LoadReply, LookupRequest, PeerRequest, PoisonReply, RequestRecord, ResumeRequest, RunEnvelope,
+    RunFrame, RunRequest,
 };
 use serde::Serialize;
 
@@ -36,13 +38,14 @@
             PeerRequest::Resume(req) => self.resume(req, stream).await,
             PeerRequest::Lookup(req) => reply(stream.tx, &self.lookup(req)).await,
             PeerRequest::Witness(req) => reply(stream.tx, &self.cx.receipts.answer(req)).await,
-            // Money moves between entries alone; the closed stream tells the sender.
-            PeerRequest::Budget(_) => {}
-            // Served once the spread of configuration and the placer are wired in.
-            PeerRequest::Config(_)
-            | PeerRequest::ConfigParts(_)
-            | PeerRequest::Order(_)
-            | PeerRequest::Load => {}
+            PeerRequest::Order(req) => reply(stream.tx, &self.cx.orders.give(*req).await).await,
+            PeerRequest::Load => reply(stream.tx, &self.load()).await,
+            PeerRequest::Poison(notice) => {
+                self.cx.gate.send(GateEvent::Poison(notice.rows));
+                reply(stream.tx, &PoisonReply { incarnation: self.cx.incarnation() }).await;
+            }
+            // Not a sidecar's business; the closed stream tells the sender.
+            PeerRequest::Budget(_) | PeerRequest::Config(_) | PeerRequest::ConfigParts(_) => {}
             PeerRequest::Status => reply(stream.tx, &self.cx.status()).await,
             PeerRequest::Drain => {
                 self.cx.start_drain();
@@ -117,6 +120,10 @@
         }
     }
 
+    fn load(&self) -> LoadReply {
+        LoadReply { target: self.cx.target_name().to_owned(), load: self.cx.gate.load() }
+    }
+
     fn lookup(&self, req: LookupRequest) -> RequestRecord {
         match self.cx.answers.find(req.request) {
             None => RequestRecord::Unknown { incarnation: self.cx.incarnation() },
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -36,6 +36,7 @@
     /// The target's load report, or its absence.
     Load {
         load: Option<TargetLoad>,
+        asked: LoadReason,
         wall_ms: u64,
     },
     /// Knowledge from other sidecars or from the store.
@@ -45,6 +46,15 @@
     Limits(AdmissionLimits),
 }
 
+/// Why the target was asked for its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadReason {
+    /// It was time to.
+    Poll,
+    /// The gate wants to know why a connection broke.
+    Probe,
+}
+
 /// What the driver has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GateEffect {
@@ -78,6 +88,8 @@
     ticket: Ticket,
     fingerprint: u128,
     alone: bool,
+    /// Generation of the target when the request started.
+    generation: Option<u64>,
 }
 
 /// Tables of a sidecar.
@@ -125,7 +137,7 @@
         let ticket = arrival.ticket;
         let verdict = self.poison.verdict(fingerprint);
         arrival.alone = verdict == Verdict::Alone;
-        let row = Row { ticket, fingerprint, alone: arrival.alone };
+        let row = Row { ticket, fingerprint, alone: arrival.alone, generation: None };
         let offered = match self.closed(verdict) {
             Some(refusal) => Err(refusal),
             None => self.admission.offer(arrival, now),
@@ -177,7 +189,11 @@
         self.lost.push(row);
     }
 
-    fn load(&mut self, load: Option<TargetLoad>, effects: &mut Vec<GateEffect>) {
+    fn load(&mut self, load: Option<TargetLoad>, asked: LoadReason, effects: &mut Vec<GateEffect>) {
+        // A report that was asked for before the loss says nothing about it.
+        if !self.lost.is_empty() && asked == LoadReason::Poll {
+            return;
+        }
         self.judge_lost(&load, effects);
         let Some(load) = load else { return self.miss(effects) };
         self.misses = 0;
@@ -194,23 +210,23 @@
             return;
         }
         let lost = std::mem::take(&mut self.lost);
-        let tickets = lost.iter().map(|row| row.ticket).collect();
-        let crashed = load.as_ref().map(|load| load.generation) != self.generation;
+        let now = load.as_ref().map(|load| load.generation);
         let mut rows = Vec::new();
-        if crashed {
-            let fingerprints: Vec<u128> = lost.iter().map(|row| row.fingerprint).collect();
-            rows = self.poison.crashed(&fingerprints, self.crash_id(), self.wall_ms);
+        for row in lost.iter().filter(|row| row.generation.is_some() && row.generation != now) {
+            let crash = self.crash_id(row.generation);
+            rows.push(self.poison.crashed(row.fingerprint, crash, self.wall_ms));
             self.misses = MISSES_UNTIL_DOWN;
-            self.recheck(effects);
         }
-        effects.push(GateEffect::Share { rows, lost: tickets });
+        self.recheck(effects);
+        let lost = lost.into_iter().map(|row| row.ticket).collect();
+        effects.push(GateEffect::Share { rows, lost });
     }
 
-    /// Identity of the crash that ends the target's current generation.
-    fn crash_id(&self) -> CrashId {
+    /// Identity of the crash that ends a generation of the target.
+    fn crash_id(&self, generation: Option<u64>) -> CrashId {
         let mut hasher = blake3::Hasher::new();
         hasher.update(&self.incarnation.to_le_bytes());
-        hasher.update(&self.generation.unwrap_or(0).to_le_bytes());
+        hasher.update(&generation.unwrap_or(0).to_le_bytes());
         let mut first = [0; 8];
         first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
         CrashId(u64::from_le_bytes(first))
@@ -258,7 +274,10 @@
     fn carry_out(&mut self, decisions: Vec<Decision>, effects: &mut Vec<GateEffect>) {
         for decision in decisions {
             match decision {
-                Decision::Start(ticket) => effects.push(GateEffect::Start(ticket)),
+                Decision::Start(ticket) => {
+                    self.note_start(ticket);
+                    effects.push(GateEffect::Start(ticket));
+                }
                 Decision::Refuse(ticket, refusal) => {
                     self.take_row(ticket);
                     effects.push(GateEffect::Refuse(ticket, refusal));
@@ -267,6 +286,12 @@
         }
     }
 
+    fn note_start(&mut self, ticket: Ticket) {
+        if let Ok(at) = self.rows.binary_search_by_key(&ticket, |row| row.ticket) {
+            self.rows[at].generation = self.generation;
+        }
+    }
+
     fn withdraw(&mut self, ticket: Ticket, effects: &mut Vec<GateEffect>) {
         if self.admission.withdraw(ticket) {
             let refusal = Refusal::new(ResultCode::Withdrawn, "the caller went away");
@@ -303,9 +328,9 @@
                 self.end(ticket, false, now);
             }
             GateEvent::Lost(ticket) => self.lose(ticket, now, effects),
-            GateEvent::Load { load, wall_ms } => {
+            GateEvent::Load { load, asked, wall_ms } => {
                 self.wall_ms = wall_ms;
-                self.load(load, effects);
+                self.load(load, asked, effects);
             }
             GateEvent::Poison(rows) => {
                 if self.poison.merge(&rows) {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod budget;
 pub mod config;
 pub mod control;
+pub mod fencing;
 pub mod fleet_key;
 pub mod gate;
 pub mod host_follower;
--- a/lib/src/poison.rs
+++ b/lib/src/poison.rs
@@ -71,20 +71,12 @@
         &self.rows
     }
 
-    /// Records that these fingerprints ran when a target crashed; answers their rows.
-    pub fn crashed(
-        &mut self,
-        fingerprints: &[u128],
-        crash: CrashId,
-        now_ms: u64,
-    ) -> Vec<PoisonRow> {
-        let mut changed = Vec::new();
-        for fingerprint in fingerprints {
-            let row = self.row_mut(*fingerprint);
-            insert(&mut row.crashes, crash);
-            row.touched_ms = row.touched_ms.max(now_ms);
-            changed.push(row.clone());
-        }
+    /// Records that a fingerprint ran when a target crashed; answers its row.
+    pub fn crashed(&mut self, fingerprint: u128, crash: CrashId, now_ms: u64) -> PoisonRow {
+        let row = self.row_mut(fingerprint);
+        insert(&mut row.crashes, crash);
+        row.touched_ms = row.touched_ms.max(now_ms);
+        let changed = row.clone();
         self.shrink();
         changed
     }
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -7,11 +7,13 @@
 mod admin;
 mod budget;
 mod config;
+mod poison;
 mod run;
 
 pub use admin::*;
 pub use budget::*;
 pub use config::*;
+pub use poison::*;
 pub use run::*;
 
 use serde::{Deserialize, Serialize};
@@ -43,6 +45,8 @@
     Order(Box<OrderRequest>),
     /// Asks a sidecar for its target's load report; answered by [`LoadReply`].
     Load,
+    /// Tells a sidecar of requests that crash targets; answered by [`PoisonReply`].
+    Poison(PoisonNotice),
     /// Asks for the state of a process; answered by [`StatusReply`].
     Status,
     /// Asks a process to drain and stop; answered by [`StatusReply`].
