--- a/daemon/src/entry/delivery.rs
+++ b/daemon/src/entry/delivery.rs
@@ -340,6 +340,6 @@
         | AnswerCutOff => true,
         BadRequest | BodyTooLarge | Unauthorized | UnknownRoute | UnknownBudget | PromptTooLong
         | MaxTokensTooLarge | KeyReused | BodyTimeout | BudgetExhausted | BudgetUnavailable
-        | EpochClosed | ClaimUnavailable | Poisoned | StillRunning | TimedOut => false,
+        | EpochClosed | ClaimUnavailable | Poisoned | Withdrawn | StillRunning | TimedOut => false,
     }
 }
