sidecar: charge into receipts, follow the configuration, stop within seconds

Change: Receipts is the only witness; the configuration is followed; grace is at most 2 s after the drain.

--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -18,7 +18,10 @@
 use tokio::task::JoinHandle;
 
 const MS_PER_SECOND: u64 = 1_000;
-const MERCY_SECONDS: u32 = 2;
+/// Longest time that rocket waits for open connections once the role has
+/// drained. Rocket waits it out in full beside any idle connection.
+const MAX_GRACE_MS: u64 = 2_000;
+const MERCY_SECONDS: u32 = 1;
 const KEEP_ALIVE_SECONDS: u32 = 30;
 
 /// Why the HTTP server does not run.
@@ -67,7 +70,8 @@
 
 /// Rocket with the common routes, to which a role mounts its own.
 ///
-/// `drain_ms` is the longest time that open responses may take at the end.
+/// The role ends its own responses before it stops the server, for at most
+/// `drain_ms`; rocket then closes what is still open.
 pub fn build(
     address: SocketAddr,
     drain_ms: u64,
@@ -93,7 +97,7 @@
     cfg.shutdown = ShutdownConfig {
         ctrlc: false,
         signals: Default::default(),
-        grace: drain_ms.div_ceil(MS_PER_SECOND) as u32,
+        grace: drain_ms.min(MAX_GRACE_MS).div_ceil(MS_PER_SECOND) as u32,
         mercy: MERCY_SECONDS,
         force: false,
         ..ShutdownConfig::default()
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -4,7 +4,6 @@
 //! calls its target once for each that it admits, and keeps the answers so that
 //! a stream can be taken up again.
 
-mod books;
 mod context;
 mod gate;
 mod job;
@@ -17,7 +16,7 @@
 
 use std::sync::Arc;
 
-use rosemarymoor_lib::config::ConfigHandle;
+use rosemarymoor_lib::config::{ConfigFollower, ConfigHandle};
 use rosemarymoor_lib::fleet_key::{FleetKey, FleetKeyError};
 use rosemarymoor_lib::kv_http::{KvHttp, KvHttpError};
 use rosemarymoor_lib::kv_store::KvStore;
@@ -28,7 +27,6 @@
 use crate::http_server::{self, HttpServer, HttpServerError, Metrics};
 use crate::settings::{Settings, TargetSettings};
 
-use books::OpenBooks;
 use context::{Parts, Sidecar};
 use peer::SidecarPeer;
 use poison_spread::PoisonSpread;
@@ -68,13 +66,10 @@
     let kv: Arc<dyn KvStore> = Arc::new(KvHttp::open(&settings.kv_url).context(StoreSnafu)?);
     let spread = PoisonSpread::open(settings.name.clone(), transport.clone(), kv.clone());
     let metrics = Metrics::start().context(HttpSnafu)?;
-    let parts = Parts {
-        target: Arc::new(HttpTarget::open(&target.url)),
-        witness: Arc::new(OpenBooks),
-        cfg: ConfigHandle::default(),
-        kv,
-        spread,
-    };
+    let cfg = ConfigHandle::default();
+    let config = ConfigFollower::spawn(kv.clone(), cfg.clone());
+    let parts =
+        Parts { target: Arc::new(HttpTarget::open(&target.url)), cfg: cfg.clone(), kv, spread };
     let cx = Sidecar::open(settings.clone(), target, parts, &metrics);
     let watchers = watch::spawn(cx.clone());
     let rocket = http_server::build(settings.http, settings.drain_ms, cx.clone(), metrics);
@@ -85,7 +80,7 @@
     shutdown::drained(&cx).await;
     signals.abort();
     cx.spread.flush().await;
-    drop(watchers);
+    drop((watchers, config));
     transport.close().await;
     http.stop().await;
     serving.abort();
--- a/daemon/src/sidecar/context.rs
+++ b/daemon/src/sidecar/context.rs
@@ -7,7 +7,7 @@
 use opentelemetry::metrics::Counter;
 use rand::Rng;
 use rosemarymoor_lib::answer_store::{AnswerLimits, AnswerStore};
-use rosemarymoor_lib::budget::{Receipts, SpendWitness};
+use rosemarymoor_lib::budget::Receipts;
 use rosemarymoor_lib::config::ConfigHandle;
 use rosemarymoor_lib::gate::GateEvent;
 use rosemarymoor_lib::host_list::Role;
@@ -35,7 +35,6 @@
 /// What a sidecar is put together from.
 pub struct Parts {
     pub target: Arc<dyn TargetClient>,
-    pub witness: Arc<dyn SpendWitness>,
     pub cfg: ConfigHandle,
     pub kv: Arc<dyn KvStore>,
     pub spread: Arc<PoisonSpread>,
@@ -46,7 +45,6 @@
     pub settings: Settings,
     pub target_settings: TargetSettings,
     pub target: Arc<dyn TargetClient>,
-    pub witness: Arc<dyn SpendWitness>,
     pub receipts: Receipts,
     pub gate: GateHandle,
     pub orders: Orders,
@@ -70,7 +68,7 @@
         parts: Parts,
         metrics: &Metrics,
     ) -> Arc<Sidecar> {
-        let Parts { target, witness, cfg, kv, spread } = parts;
+        let Parts { target, cfg, kv, spread } = parts;
         let meter = metrics.meter("sidecar");
         let counters = Counters {
             answered: meter.u64_counter("answered_requests").build(),
@@ -86,7 +84,6 @@
             settings,
             target_settings,
             target,
-            witness,
             receipts: Receipts::open(incarnation),
             cfg,
             answers: AnswerStore::open(AnswerLimits::default()),
--- a/daemon/src/sidecar/job.rs
+++ b/daemon/src/sidecar/job.rs
@@ -7,6 +7,7 @@
 use rosemarymoor_lib::admission::Arrival;
 use rosemarymoor_lib::answer_store::{Answer, AnswerEnd};
 use rosemarymoor_lib::answer_usage::{Usage, UsageMeter};
+use rosemarymoor_lib::budget::SpendWitness;
 use rosemarymoor_lib::result_code::{Refusal, RefusalKind, ResultCode};
 use rosemarymoor_lib::target_client::{AnswerHead, TargetAnswer, TargetCall, TargetError};
 use rosemarymoor_lib::wire::{Class, Price, RunRequest};
@@ -61,7 +62,7 @@
                 Some(_) => drop(ticket),
             }
             let end = conclude(&req, &end);
-            cx.witness.charge(&req.funding, end.charge());
+            cx.receipts.charge(&req.funding, end.charge());
             end
         }
         Err(refusal) => AnswerEnd::Refused { refusal, charge: 0 },
@@ -98,7 +99,7 @@
             }
         }
     }
-    cx.witness.admit(&req.funding)?;
+    cx.receipts.admit(&req.funding)?;
     Ok(ticket)
 }
 
