testutils: hold a fleet's ports until its processes start

Change: both sockets of a port stay bound until the process is spawned. Conclusion: places of one fleet cannot pick the same port any more.

--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -29,6 +29,7 @@
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 const FIRST_PORT: u16 = 12_000;
 const LAST_PORT: u16 = 32_000;
+const PORT_TRIES: u32 = 1_000;
 
 /// One host with its process.
 pub struct Node {
@@ -64,6 +65,8 @@
     data_center: String,
     quic: SocketAddr,
     http: SocketAddr,
+    /// Sockets that hold both ports until the process is started.
+    reserved: [ReservedPort; 2],
     /// Name and URL of the target beside it.
     target: Option<(String, String)>,
 }
@@ -235,13 +238,14 @@
         let settings = self.folder.path().join(format!("{}.ini", place.name));
         std::fs::write(&settings, self.settings(&place, kv, hosts))?;
         let log = self.folder.path().join(format!("{}.log", place.name));
-        let daemon = Daemon::spawn(&self.plan.binary, &settings, &log, place.http)?;
-        let Place { name, role, data_center, quic, .. } = place;
+        let Place { name, role, data_center, quic, http, reserved, .. } = place;
+        drop(reserved);
+        let daemon = Daemon::spawn(&self.plan.binary, &settings, &log, http)?;
         Ok(Node { name, role, data_center, quic, daemon })
     }
 
     fn settings(&self, place: &Place, kv: SocketAddr, hosts: SocketAddr) -> String {
-        let Place { name, role, data_center, quic, http, target } = place;
+        let Place { name, role, data_center, quic, http, target, .. } = place;
         let plan = &self.plan;
         let mut text = format!(
             "[process]\nname = {name}\nrole = {role}\ndata_center = {data_center}\n\
@@ -288,7 +292,9 @@
         target: Option<(String, String)>,
     ) -> io::Result<Place> {
         let data_center = self.plan.data_center(number).to_owned();
-        Ok(Place { name, role, data_center, quic: free_port()?, http: free_port()?, target })
+        let reserved = [ReservedPort::bind()?, ReservedPort::bind()?];
+        let (quic, http) = (reserved[0].address, reserved[1].address);
+        Ok(Place { name, role, data_center, quic, http, reserved, target })
     }
 
     fn listed_host(&self, place: &Place) -> Host {
@@ -303,16 +309,24 @@
     }
 }
 
-/// Port that is free for TCP and UDP and that no outgoing connection takes.
-fn free_port() -> io::Result<SocketAddr> {
-    for _ in 0..1_000 {
-        let port = rand::random_range(FIRST_PORT..LAST_PORT);
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return Ok(address);
+/// Port that no other process can take, outside the range of outgoing connections.
+struct ReservedPort {
+    address: SocketAddr,
+    _tcp: TcpListener,
+    _udp: UdpSocket,
+}
+
+impl ReservedPort {
+    fn bind() -> io::Result<ReservedPort> {
+        for _ in 0..PORT_TRIES {
+            let port = rand::random_range(FIRST_PORT..LAST_PORT);
+            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+            if let (Ok(tcp), Ok(udp)) = (TcpListener::bind(address), UdpSocket::bind(address)) {
+                return Ok(ReservedPort { address, _tcp: tcp, _udp: udp });
+            }
         }
+        Err(io::Error::other("no free port"))
     }
-    Err(io::Error::other("no free port"))
 }
 
 fn tail(log: &str) -> String {
