bench: measure slopes; testutils: bytes by link and calls by key area

Change: slopes over fleets, budgets and rates with least-squares lines; links count bytes and the key-value stand-in counts calls by area.

--- a/bench/src/judge.rs
+++ b/bench/src/judge.rs
@@ -177,10 +177,11 @@
             End::Truncated => verdict.truncated += 1,
             End::Crossed => verdict.crossed += 1,
         }
-        let refused = last.end.is_budget_refusal();
-        if refused && self.left(call.budget, last.finished) >= worst_case {
-            verdict.false_refusals += 1;
-        }
+        // A refusal is false if the money covers the request when it is refused,
+        // after whatever wait.
+        let refused =
+            last.end.is_budget_refusal() && self.left(call.budget, last.finished) >= worst_case;
+        verdict.false_refusals += u64::from(refused);
         let start = record.started();
         let left = self.left(call.budget, start);
         if left >= worst_case && left * 10 >= self.prepaid(call.budget, start) {
--- a/bench/src/measures.rs
+++ b/bench/src/measures.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod demo;
 mod mix;
+mod slopes;
 mod streams;
 mod timeline;
 
@@ -20,6 +21,7 @@
     match options.measure.as_str() {
         "demo" => demo::run(options).await,
         "actions" => actions::run(options).await,
+        "slopes" => slopes::run(options).await,
         "streams" => streams::run(options).await,
         "budgets" => budgets::run(options).await,
         other => Err(io::Error::other(format!("measure `{other}` is not built yet"))),
--- a/bench/src/measures/budgets.rs
+++ b/bench/src/measures/budgets.rs
@@ -19,13 +19,13 @@
 use crate::options::Options;
 
 const SECONDS: u64 = 25;
-const RATE: u64 = 200;
+const RATE: u64 = 300;
 const BUDGETS: usize = 64;
 /// Time for settlements and reclaims after the load.
 const SETTLE: Duration = Duration::from_secs(6);
 const TOP_UP_TRIES: u32 = 20;
 const LARGE_TOKENS: u64 = 2_000_000;
-const SMALL_TOKENS: u64 = 6_000;
+const SMALL_TOKENS: u64 = 4_000;
 const TOP_UP_TOKENS: u64 = 4_000;
 
 /// Share of a run at which the faults begin and end.
@@ -89,6 +89,7 @@
         "unsettled_tokens": verdict.unsettled_tokens,
         "store_writes": after.writes - before.writes,
         "store_reads": after.reads + after.watches - before.reads - before.watches,
+        "store_calls_by_area": fleet.kv.area_counts(),
         "refused_by_code": verdict.codes,
     }))
 }
--- a/lib/testutils/src/fault_proxy.rs
+++ b/lib/testutils/src/fault_proxy.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -28,10 +29,28 @@
     pub delay: Duration,
 }
 
+/// What a link's tasks share.
+#[derive(Clone)]
+struct Wire {
+    state: watch::Receiver<LinkState>,
+    forwarded: Arc<AtomicU64>,
+}
+
+impl Wire {
+    fn count(&self, bytes: usize) {
+        self.forwarded.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    async fn until_healed(&mut self) -> bool {
+        self.state.wait_for(|state| !state.cut).await.is_ok()
+    }
+}
+
 /// One forwarded address; it stops when it is dropped.
 pub struct Link {
     address: SocketAddr,
     state: watch::Sender<LinkState>,
+    forwarded: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -40,18 +59,30 @@
     pub async fn bind_tcp(target: SocketAddr) -> io::Result<Link> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
-        let (state, seen) = watch::channel(LinkState::default());
-        let task = tokio::spawn(forward_tcp(listener, target, seen));
-        Ok(Link { address, state, task })
+        Ok(Link::spawn(address, |wire| forward_tcp(listener, target, wire)))
     }
 
     /// Forwards datagrams to `target` and its replies back.
     pub async fn bind_udp(target: SocketAddr) -> io::Result<Link> {
         let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = socket.local_addr()?;
+        Ok(Link::spawn(address, |wire| forward_udp(Arc::new(socket), target, wire)))
+    }
+
+    fn spawn<F>(address: SocketAddr, forward: impl FnOnce(Wire) -> F) -> Link
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
         let (state, seen) = watch::channel(LinkState::default());
-        let task = tokio::spawn(forward_udp(Arc::new(socket), target, seen));
-        Ok(Link { address, state, task })
+        let forwarded = Arc::new(AtomicU64::new(0));
+        let wire = Wire { state: seen, forwarded: forwarded.clone() };
+        let task = tokio::spawn(forward(wire));
+        Link { address, state, forwarded, task }
+    }
+
+    /// Bytes forwarded so far, both ways.
+    pub fn forwarded_bytes(&self) -> u64 {
+        self.forwarded.load(Ordering::Relaxed)
     }
 
     /// Address to connect to in place of the target's.
@@ -76,22 +107,18 @@
     }
 }
 
-async fn forward_tcp(listener: TcpListener, target: SocketAddr, state: watch::Receiver<LinkState>) {
+async fn forward_tcp(listener: TcpListener, target: SocketAddr, wire: Wire) {
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
         if let Ok((socket, _)) = listener.accept().await {
-            connections.spawn(forward_connection(socket, target, state.clone()));
+            connections.spawn(forward_connection(socket, target, wire.clone()));
         }
     }
 }
 
-async fn forward_connection(
-    socket: TcpStream,
-    target: SocketAddr,
-    mut state: watch::Receiver<LinkState>,
-) {
-    if state.wait_for(|state| !state.cut).await.is_err() {
+async fn forward_connection(socket: TcpStream, target: SocketAddr, mut wire: Wire) {
+    if !wire.until_healed().await {
         return;
     }
     let Ok(upstream) = TcpStream::connect(target).await else {
@@ -103,29 +130,26 @@
     let (up_rx, up_tx) = upstream.into_split();
     // A connection that ends on one side ends on both.
     tokio::select! {
-        () = pump(down_rx, up_tx, state.clone()) => {}
-        () = pump(up_rx, down_tx, state) => {}
+        () = pump(down_rx, up_tx, wire.clone()) => {}
+        () = pump(up_rx, down_tx, wire) => {}
     }
 }
 
-async fn pump(
-    mut rx: OwnedReadHalf,
-    mut tx: OwnedWriteHalf,
-    mut state: watch::Receiver<LinkState>,
-) {
+async fn pump(mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, mut wire: Wire) {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let length = match rx.read(&mut buf).await {
             Ok(length) if length > 0 => length,
             _ => return,
         };
-        let delay = state.borrow().delay;
+        let delay = wire.state.borrow().delay;
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
-        if state.wait_for(|state| !state.cut).await.is_err() {
+        if !wire.until_healed().await {
             return;
         }
+        wire.count(length);
         if tx.write_all(&buf[..length]).await.is_err() {
             return;
         }
@@ -138,11 +162,7 @@
     tx: mpsc::Sender<(Instant, Vec<u8>)>,
 }
 
-async fn forward_udp(
-    socket: Arc<UdpSocket>,
-    target: SocketAddr,
-    state: watch::Receiver<LinkState>,
-) {
+async fn forward_udp(socket: Arc<UdpSocket>, target: SocketAddr, wire: Wire) {
     let mut flows: Vec<Flow> = Vec::new();
     let mut tasks = JoinSet::new();
     let mut buf = vec![0; BUFFER_BYTES];
@@ -150,10 +170,11 @@
         let Ok((length, client)) = socket.recv_from(&mut buf).await else {
             continue;
         };
-        let seen = *state.borrow();
+        let seen = *wire.state.borrow();
         if seen.cut {
             continue;
         }
+        wire.count(length);
         let at = match flows.binary_search_by_key(&client, |flow| flow.client) {
             Ok(at) => at,
             Err(at) => {
@@ -162,7 +183,7 @@
                 };
                 let (tx, rx) = mpsc::channel(QUEUED_DATAGRAMS);
                 tasks.spawn(send_datagrams(upstream.clone(), rx));
-                tasks.spawn(return_datagrams(upstream, socket.clone(), client, state.clone()));
+                tasks.spawn(return_datagrams(upstream, socket.clone(), client, wire.clone()));
                 flows.insert(at, Flow { client, tx });
                 at
             }
@@ -189,7 +210,7 @@
     upstream: Arc<UdpSocket>,
     socket: Arc<UdpSocket>,
     client: SocketAddr,
-    state: watch::Receiver<LinkState>,
+    wire: Wire,
 ) {
     let (tx, mut rx) = mpsc::channel::<(Instant, Vec<u8>)>(QUEUED_DATAGRAMS);
     let deliver = async {
@@ -206,8 +227,9 @@
                 tokio::time::sleep(RECONNECT).await;
                 continue;
             };
-            let seen = *state.borrow();
+            let seen = *wire.state.borrow();
             if !seen.cut {
+                wire.count(length);
                 let _ = tx.try_send((Instant::now() + seen.delay, buf[..length].to_vec()));
             }
         }
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -131,6 +131,16 @@
         self.plan.entries..self.nodes.len()
     }
 
+    /// Bytes that a process has exchanged with its peers, both ways.
+    pub fn peer_bytes(&self, node: usize) -> u64 {
+        self.links.peer_bytes(&self.nodes[node].name)
+    }
+
+    /// Bytes that a process has exchanged with the platform, both ways.
+    pub fn platform_bytes(&self, node: usize) -> u64 {
+        self.links.platform_bytes(&self.nodes[node].name)
+    }
+
     /// Cuts or heals the links between two processes, in both directions.
     pub fn set_cut(&self, a: usize, b: usize, cut: bool) {
         let (a, b) = (&self.nodes[a].name, &self.nodes[b].name);
--- a/lib/testutils/src/fleet/links.rs
+++ b/lib/testutils/src/fleet/links.rs
@@ -47,6 +47,18 @@
         Ok(address)
     }
 
+    /// Bytes that a process has exchanged with its peers, both ways.
+    pub(super) fn peer_bytes(&self, name: &str) -> u64 {
+        let own = self.peers.iter().filter(|held| held.viewer == name || held.host == name);
+        own.map(|held| held.link.forwarded_bytes()).sum()
+    }
+
+    /// Bytes that a process has exchanged with the platform, both ways.
+    pub(super) fn platform_bytes(&self, name: &str) -> u64 {
+        let own = self.platform.iter().filter(|held| held.viewer == name);
+        own.map(|held| held.link.forwarded_bytes()).sum()
+    }
+
     pub(super) fn set_cut(&self, viewer: &str, host: &str, cut: bool) {
         let matching = self.peers.iter().filter(|held| held.viewer == viewer && held.host == host);
         matching.for_each(|held| held.link.set_cut(cut));
--- a/lib/testutils/src/kv.rs
+++ b/lib/testutils/src/kv.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use rosemarymoor_lib::kv_store::MAX_VALUE_BYTES;
+use serde::Serialize;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -64,6 +65,15 @@
     pub bytes_out: u64,
 }
 
+/// Calls for the keys under one area, which is a key's first segment.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct AreaCounts {
+    pub area: String,
+    pub reads: u64,
+    pub writes: u64,
+    pub watches: u64,
+}
+
 /// Running key-value service.
 pub struct KvStandIn {
     server: Server,
@@ -76,6 +86,8 @@
     changed: watch::Sender<u64>,
     faults: Mutex<KvFaults>,
     counts: Mutex<KvCounts>,
+    /// Sorted by area.
+    areas: Mutex<Vec<AreaCounts>>,
     window: Mutex<(Instant, u32)>,
     dice: Dice,
 }
@@ -88,6 +100,7 @@
             changed: watch::Sender::new(0),
             faults: Mutex::default(),
             counts: Mutex::default(),
+            areas: Mutex::default(),
             window: Mutex::new((Instant::now(), 0)),
             dice: Dice::new(seed),
         });
@@ -111,6 +124,11 @@
         *self.shared.counts.lock().expect("no holder panics")
     }
 
+    /// Calls seen so far, by the area of their key.
+    pub fn area_counts(&self) -> Vec<AreaCounts> {
+        self.shared.areas.lock().expect("no holder panics").clone()
+    }
+
     /// Value of a key as the service holds it, past all faults.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         self.shared.store().get(key).map(|held| held.value.clone())
@@ -175,6 +193,17 @@
         change(&mut self.counts.lock().expect("no holder panics"));
     }
 
+    fn count_area(&self, key: &str, change: impl FnOnce(&mut AreaCounts)) {
+        let area = key.split('/').next().unwrap_or_default();
+        let mut areas = self.areas.lock().expect("no holder panics");
+        let at = areas.binary_search_by(|held| held.area.as_str().cmp(area)).unwrap_or_else(|at| {
+            let counts = AreaCounts { area: area.to_owned(), ..AreaCounts::default() };
+            areas.insert(at, counts);
+            at
+        });
+        change(&mut areas[at]);
+    }
+
     async fn check_outage(&self, faults: &KvFaults) -> Result<(), DropConnection> {
         match faults.outage {
             Some(Outage::Drop) => Err(DropConnection),
@@ -212,9 +241,11 @@
         let after: Option<u64> = query(req, "after").and_then(|text| text.parse().ok());
         let Some(after) = after else {
             self.count(|counts| counts.reads += 1);
+            self.count_area(key, |counts| counts.reads += 1);
             return Ok(self.read(key));
         };
         self.count(|counts| counts.watches += 1);
+        self.count_area(key, |counts| counts.watches += 1);
         let wait_ms = query(req, "wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
         let mut changed = self.changed.subscribe();
         let differs = async {
@@ -248,6 +279,7 @@
         faults: &KvFaults,
     ) -> Reply {
         self.count(|counts| counts.writes += 1);
+        self.count_area(key, |counts| counts.writes += 1);
         let expected = query(&req, "expect").and_then(|text| text.parse().ok());
         let lease = query(&req, "lease").and_then(|text| text.parse().ok());
         let Some(expected) = expected else {
