--- a/bench/src/judge.rs
+++ b/bench/src/judge.rs
@@ -71,6 +71,8 @@
     pub settled_tokens: u64,
     /// Tokens that ran and that the ledger does not count as spent.
     pub unsettled_tokens: u64,
+    /// Tokens of all but the longest run of each call.
+    pub rerun_tokens: u64,
     pub billed_twice: u64,
     pub billed_unanswered_tokens: u64,
     pub stranded_tokens: u64,
@@ -207,6 +209,7 @@
         let open =
             account.map_or(0, |account| account.grants.iter().map(|grant| grant.open()).sum());
         verdict.ran_tokens += ran;
+        verdict.rerun_tokens += self.rerun_tokens(budget);
         verdict.settled_tokens += settled;
         verdict.overspend_tokens += ran.saturating_sub(prepaid);
         verdict.unsettled_tokens += ran.saturating_sub(settled);
@@ -221,6 +224,13 @@
         verdict.billed_twice += self.billed_twice(budget, settled, &answered);
     }
 
+    fn rerun_tokens(&self, budget: usize) -> u64 {
+        let mut runs: Vec<&Run> = self.runs[budget].iter().collect();
+        runs.sort_unstable_by(|a, b| (&a.marker, b.tokens).cmp(&(&b.marker, a.tokens)));
+        let groups = runs.chunk_by(|a, b| a.marker == b.marker);
+        groups.flat_map(|group| &group[1..]).map(|run| run.tokens).sum()
+    }
+
     /// Fewest retried calls whose second bill explains what the ledger counts
     /// beyond all that ran.
     fn billed_twice(&self, budget: usize, settled: u64, answered: &[&CallRecord]) -> u64 {
--- a/bench/src/measures/budgets.rs
+++ b/bench/src/measures/budgets.rs
@@ -85,6 +85,7 @@
         "billed_unanswered_tokens": verdict.billed_unanswered_tokens,
         "stranded_tokens": verdict.stranded_tokens,
         "ran_tokens": verdict.ran_tokens,
+        "rerun_tokens": verdict.rerun_tokens,
         "settled_tokens": verdict.settled_tokens,
         "unsettled_tokens": verdict.unsettled_tokens,
         "store_writes": after.writes - before.writes,
--- a/bench/src/measures/streams.rs
+++ b/bench/src/measures/streams.rs
@@ -81,6 +81,7 @@
         "innocents_quarantined": poison_refused,
         "false_not_run": records.iter().filter(|record| judge.has_false_not_run(record)).count(),
         "ran_tokens": verdict.ran_tokens,
+        "rerun_tokens": verdict.rerun_tokens,
         "settled_tokens": verdict.settled_tokens,
         "refused_by_code": verdict.codes,
     }))
