--- a/bench/src/judge.rs
+++ b/bench/src/judge.rs
@@ -71,6 +71,8 @@
     pub settled_tokens: u64,
     /// Tokens that ran and that the ledger does not count as spent.
     pub unsettled_tokens: u64,
+    /// Tokens of all but the longest run of each call.
+    pub rerun_tokens: u64,
     pub billed_twice: u64,
     pub billed_unanswered_tokens: u64,
     pub stranded_tokens: u64,
@@ -177,10 +179,11 @@
             End::Truncated => verdict.truncated += 1,
             End::Crossed => verdict.crossed += 1,
         }
-        let refused = last.end.is_budget_refusal();
-        if refused && self.left(call.budget, last.finished) >= worst_case {
-            verdict.false_refusals += 1;
-        }
+        // A refusal is false if the money covers the request when it is refused,
+        // after whatever wait.
+        let refused =
+            last.end.is_budget_refusal() && self.left(call.budget, last.finished) >= worst_case;
+        verdict.false_refusals += u64::from(refused);
         let start = record.started();
         let left = self.left(call.budget, start);
         if left >= worst_case && left * 10 >= self.prepaid(call.budget, start) {
@@ -206,6 +209,7 @@
         let open =
             account.map_or(0, |account| account.grants.iter().map(|grant| grant.open()).sum());
         verdict.ran_tokens += ran;
+        verdict.rerun_tokens += self.rerun_tokens(budget);
         verdict.settled_tokens += settled;
         verdict.overspend_tokens += ran.saturating_sub(prepaid);
         verdict.unsettled_tokens += ran.saturating_sub(settled);
@@ -220,6 +224,13 @@
         verdict.billed_twice += self.billed_twice(budget, settled, &answered);
     }
 
+    fn rerun_tokens(&self, budget: usize) -> u64 {
+        let mut runs: Vec<&Run> = self.runs[budget].iter().collect();
+        runs.sort_unstable_by(|a, b| (&a.marker, b.tokens).cmp(&(&b.marker, a.tokens)));
+        let groups = runs.chunk_by(|a, b| a.marker == b.marker);
+        groups.flat_map(|group| &group[1..]).map(|run| run.tokens).sum()
+    }
+
     /// Fewest retried calls whose second bill explains what the ledger counts
     /// beyond all that ran.
     fn billed_twice(&self, budget: usize, settled: u64, answered: &[&CallRecord]) -> u64 {
