--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod answer_store;
 pub mod answer_usage;
 pub mod budget;
+pub mod claim;
 pub mod config;
 pub mod control;
 pub mod fencing;
