http_server: short grace after the drain

Change: the grace is 3 s, since both roles drain before they stop the server; a test stops an entry with an idle connection and a drain limit of an hour. Conclusion: only bytes of finished responses depend on the grace.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -147,9 +147,9 @@
     /// Serves callers and peers.
     pub async fn spawn(settings: Settings, parts: Parts) -> Result<RunningEntry, EntryError> {
         let metrics = Metrics::start().context(HttpSnafu)?;
-        let (address, drain_ms) = (settings.http, settings.drain_ms);
+        let address = settings.http;
         let entry = Arc::new(Entry::new(settings, parts, &metrics));
-        let rocket = http_server::build(address, drain_ms, entry.clone(), metrics);
+        let rocket = http_server::build(address, entry.clone(), metrics);
         let http = HttpServer::spawn(http::mount(rocket, &entry)).await.context(HttpSnafu)?;
         let handler = Arc::new(EntryPeer::new(entry.clone()));
         let peers = tokio::spawn(entry.transport.clone().serve(handler));
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -17,7 +17,11 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
-const MS_PER_SECOND: u64 = 1_000;
+/// Time in which the last bytes of finished responses reach their callers.
+///
+/// Rocket waits it out whenever an idle connection is open, so that it must not
+/// be the drain's limit; the drain comes before it.
+const GRACE_SECONDS: u32 = 3;
 const MERCY_SECONDS: u32 = 2;
 const KEEP_ALIVE_SECONDS: u32 = 30;
 
@@ -66,21 +70,14 @@
 }
 
 /// Rocket with the common routes, to which a role mounts its own.
-///
-/// `drain_ms` is the longest time that open responses may take at the end.
-pub fn build(
-    address: SocketAddr,
-    drain_ms: u64,
-    probe: Arc<dyn Probe>,
-    metrics: Metrics,
-) -> Rocket<Build> {
-    rocket::custom(config(address, drain_ms))
+pub fn build(address: SocketAddr, probe: Arc<dyn Probe>, metrics: Metrics) -> Rocket<Build> {
+    rocket::custom(config(address))
         .manage(probe)
         .manage(metrics)
         .mount("/", routes![health, ready, scrape])
 }
 
-fn config(address: SocketAddr, drain_ms: u64) -> Config {
+fn config(address: SocketAddr) -> Config {
     let mut cfg = Config {
         address: address.ip(),
         port: address.port(),
@@ -93,7 +90,7 @@
     cfg.shutdown = ShutdownConfig {
         ctrlc: false,
         signals: Default::default(),
-        grace: drain_ms.div_ceil(MS_PER_SECOND) as u32,
+        grace: GRACE_SECONDS,
         mercy: MERCY_SECONDS,
         force: false,
         ..ShutdownConfig::default()
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -77,7 +77,7 @@
     };
     let cx = Sidecar::open(settings.clone(), target, parts, &metrics);
     let watchers = watch::spawn(cx.clone());
-    let rocket = http_server::build(settings.http, settings.drain_ms, cx.clone(), metrics);
+    let rocket = http_server::build(settings.http, cx.clone(), metrics);
     let http = HttpServer::spawn(rocket).await.context(HttpSnafu)?;
     let signals = shutdown::spawn_signals(cx.clone()).context(SignalsSnafu)?;
     let serving = tokio::spawn(transport.clone().serve(Arc::new(SidecarPeer::new(cx.clone()))));
--- a/daemon/tests/entry_env/mod.rs
+++ b/daemon/tests/entry_env/mod.rs
@@ -328,7 +328,7 @@
         hosts_url: "http://127.0.0.1:9".to_owned(),
         fleet_key,
         log_level: LevelFilter::Info,
-        drain_ms: 20_000,
+        drain_ms: 3_600_000,
         budgets: BudgetsSettings { shards: 4, policy: "adaptive".to_owned() },
         target: None,
     }
--- a/daemon/tests/test_entry.rs
+++ b/daemon/tests/test_entry.rs
@@ -2,10 +2,15 @@
 
 mod entry_env;
 
+use std::time::Duration;
+
 use entry_env::*;
+use rosemarymoor_lib::http_client::{self, ConnectionReuse};
 use rosemarymoor_lib::result_code::ResultCode;
 use rosemarymoor_lib::wire::{PeerRequest, RunFrame};
 
+/// Far below the drain's limit of an hour in the environment.
+const STOP_LIMIT: Duration = Duration::from_secs(120);
 const SSE: &str = "text/event-stream";
 const FIRST: &str = "data: {\"n\":1}\n\n";
 const SECOND: &str = "data: {\"n\":2}\n\n";
@@ -151,3 +156,14 @@
     assert!(stopping.await.unwrap());
     assert!(*gate.closed.lock().unwrap());
 }
+
+#[tokio::test]
+async fn an_idle_connection_does_not_hold_a_stop_back() {
+    let env = EntryEnvironment::start(vec![vec![]]).await;
+    let EntryEnvironment { entry, base, .. } = env;
+    let pooled = http_client::open(ConnectionReuse::Pooled);
+    let ready = pooled.get(format!("{base}/ready")).send().await.unwrap();
+    assert_eq!(ready.text().await.unwrap(), "ready\n");
+    let stopped = tokio::time::timeout(STOP_LIMIT, entry.stop()).await;
+    assert_eq!(stopped, Ok(true));
+}
--- a/daemon/tests/test_http_server.rs
+++ b/daemon/tests/test_http_server.rs
@@ -7,8 +7,6 @@
 use rosemarymoor_daemon::http_server::{self, HttpServer, Metrics, Probe};
 use rosemarymoor_lib::http_client::{self, ConnectionReuse};
 
-const DRAIN_MS: u64 = 1_000;
-
 struct Switch(AtomicBool);
 
 impl Probe for Switch {
@@ -33,7 +31,7 @@
     let probe = Arc::new(Switch(AtomicBool::new(true)));
     let metrics = Metrics::start().unwrap();
     metrics.meter("test").u64_counter("decisions").build().add(3, &[]);
-    let rocket = http_server::build(address, DRAIN_MS, probe.clone(), metrics);
+    let rocket = http_server::build(address, probe.clone(), metrics);
     let server = HttpServer::spawn(rocket).await.unwrap();
     assert_eq!(get(address, "/health").await, (200, "ok\n".to_owned()));
     assert_eq!(get(address, "/ready").await.0, 200);
@@ -52,6 +50,6 @@
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = taken.local_addr().unwrap();
     let probe = Arc::new(Switch(AtomicBool::new(true)));
-    let rocket = http_server::build(address, DRAIN_MS, probe, Metrics::start().unwrap());
+    let rocket = http_server::build(address, probe, Metrics::start().unwrap());
     assert!(HttpServer::spawn(rocket).await.is_err());
 }
