placement: one placer at a time orders the configured models

Cause: nothing compared the models that targets should have with what they report. Change: a placer runs inside three candidate entries, one in office by lease; it raises the fencing number by compare-and-swap before each tenure, and gives missing and surplus models as orders to sidecars, loads before unloads; a refused number ends its tenure. The engine stand-in unloads one version by its full name. Conclusion: orders are safe without the lease; it only saves work.

--- a/daemon/src/entry/process.rs
+++ b/daemon/src/entry/process.rs
@@ -12,6 +12,7 @@
 use rosemarymoor_lib::id::EpochId;
 use rosemarymoor_lib::kv_http::KvHttp;
 use rosemarymoor_lib::kv_store::KvStore;
+use rosemarymoor_lib::placement::{Placer, PlacerParams};
 use rosemarymoor_lib::routing::{Router, RoutingEvent, RoutingSystem};
 use rosemarymoor_lib::time::MonotonicClock;
 use rosemarymoor_lib::transport::Transport;
@@ -38,6 +39,7 @@
     terminate: Signal,
     interrupt: Signal,
     _config: ConfigSpread,
+    _placer: Placer,
     _config_events: JoinHandle<()>,
     _hosts: HostFollower,
 }
@@ -57,12 +59,18 @@
             host: settings.name.clone(),
             data_center: settings.data_center.clone(),
             parents: settings.config_parents,
-            kv,
+            kv: kv.clone(),
             transport: transport.clone(),
             handle: cfg.clone(),
         });
+        let placer = Placer::spawn(PlacerParams {
+            host: settings.name.clone(),
+            kv,
+            transport: transport.clone(),
+            cfg: cfg.clone(),
+        });
         let config_events = tokio::spawn(follow_config(cfg.clone(), sink(&late)));
-        let hosts = follow_hosts(&settings, gate.clone(), config.node(), sink(&late));
+        let hosts = follow_hosts(&settings, gate.clone(), (config.node(), &placer), sink(&late));
         let budgets = Some(gate.clone());
         let node = Some(config.node());
         let parts = Parts { cfg, gate: Arc::new(gate), router, transport, budgets, config: node };
@@ -72,6 +80,7 @@
             terminate,
             interrupt,
             _config: config,
+            _placer: placer,
             _config_events: config_events,
             _hosts: hosts,
         })
@@ -139,13 +148,15 @@
 fn follow_hosts(
     settings: &Settings,
     gate: BudgetHandle,
-    config: ConfigNode,
+    (config, placer): (ConfigNode, &Placer),
     routing: EventSink<RoutingEvent>,
 ) -> HostFollower {
     let list = Arc::new(HostListHttp::open(&settings.hosts_url));
+    let place = placer.hosts();
     let pass_on: EventSink<_> = Arc::new(move |hosts: Vec<_>| {
         gate.hosts(hosts.clone());
         config.hosts(hosts.clone());
+        place(hosts.clone());
         routing(RoutingEvent::Hosts(hosts));
     });
     HostFollower::spawn(list, POLL_INTERVAL, pass_on)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ini;
 pub mod kv_http;
 pub mod kv_store;
+pub mod placement;
 pub mod poison;
 pub mod request_bound;
 pub mod request_identity;
--- a/lib/src/target_client.rs
+++ b/lib/src/target_client.rs
@@ -81,10 +81,21 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderAction {
-    LoadModel { model: String, version: String },
-    UnloadModel { model: String },
-    LoadAdapter { model: String, adapter: String },
-    SetRole { role: String },
+    LoadModel {
+        model: String,
+        version: String,
+    },
+    /// Unloads one version, as `model@version`, or every version of a model.
+    UnloadModel {
+        model: String,
+    },
+    LoadAdapter {
+        model: String,
+        adapter: String,
+    },
+    SetRole {
+        role: String,
+    },
 }
 
 /// One target, as its sidecar reaches it.
--- a/lib/tests/config_support/mod.rs
+++ b/lib/tests/config_support/mod.rs
@@ -53,6 +53,12 @@
         state.entries.retain(|entry| entry.lease != Some(lease));
     }
 
+    /// Ends every lease.
+    pub fn expire_all(&self) {
+        let leases = self.state.lock().unwrap().leases.clone();
+        leases.into_iter().for_each(|lease| self.expire(lease));
+    }
+
     /// Sizes of all values, in bytes.
     pub fn value_sizes(&self) -> Vec<usize> {
         let state = self.state.lock().unwrap();
--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -265,7 +265,7 @@
             }
             OrderAction::LoadModel { model, version } => models.push(format!("{model}@{version}")),
             OrderAction::UnloadModel { model } => {
-                models.retain(|held| held.split('@').next() != Some(model));
+                models.retain(|held| held != model && held.split('@').next() != Some(model));
             }
             OrderAction::LoadAdapter { .. } | OrderAction::SetRole { .. } => {}
         }
