budget: state machine tests, and the money that they found stranded

Cause: arbitrary interleavings left money open after all faults had ended: a borrower's unknown charge was never told to its lender, a loan whose answer was lost stayed unheard of, and grants in a shard that nobody touched were never looked at. A lender that stopped did not wait for its borrowers.

--- a/lib/src/budget/book.rs
+++ b/lib/src/budget/book.rs
@@ -8,7 +8,7 @@
 use crate::id::{BudgetId, EpochId};
 use crate::result_code::Refusal;
 use crate::time::Millis;
-use crate::wire::{Funding, FundingPart};
+use crate::wire::{BudgetSync, Funding, FundingPart};
 
 /// Where the answer to a reservation goes.
 pub type ReserveReply = oneshot::Sender<Result<Funding, Refusal>>;
@@ -22,8 +22,12 @@
     /// Process that borrowed: the epoch it started with.
     pub instance: EpochId,
     pub given: u64,
+    /// Share of `given` that the borrower is known to have heard of.
+    pub received: u64,
     pub returned: u64,
     pub spent: u64,
+    /// Tokens whose charge only witnesses know.
+    pub unknown: u64,
 }
 
 impl Loan {
@@ -79,6 +83,12 @@
         self.loans.iter().map(|loan| loan.given - loan.returned).sum()
     }
 
+    /// Tokens lent to a process that it may still spend.
+    pub fn lent_to(&self, instance: Option<EpochId>) -> u64 {
+        let loans = self.loans.iter().filter(|loan| Some(loan.instance) == instance);
+        loans.map(|loan| loan.given - loan.returned - loan.spent).sum()
+    }
+
     /// Tokens spent, reserved or lent.
     pub fn committed(&self) -> u64 {
         self.charged + self.reserved + self.lent()
@@ -100,7 +110,8 @@
         let at = match self.loans.binary_search_by_key(&instance, |loan| loan.instance) {
             Ok(at) => at,
             Err(at) => {
-                let loan = Loan { instance, given: 0, returned: 0, spent: 0 };
+                let loan =
+                    Loan { instance, given: 0, received: 0, returned: 0, spent: 0, unknown: 0 };
                 self.loans.insert(at, loan);
                 at
             }
@@ -109,13 +120,20 @@
     }
 
     /// Takes over a borrower's totals; stale ones change nothing.
-    pub fn hear_borrower(&mut self, instance: EpochId, spent: u64, returned: u64) {
+    pub fn hear_borrower(&mut self, instance: EpochId, heard: &BudgetSync) {
         let loan = self.loan(instance);
-        if spent.saturating_add(returned) > loan.given {
+        if heard.spent.saturating_add(heard.returned) > loan.given {
             return;
         }
-        loan.spent = loan.spent.max(spent);
-        loan.returned = loan.returned.max(returned);
+        loan.received = loan.received.max(heard.received.min(loan.given));
+        loan.spent = loan.spent.max(heard.spent);
+        loan.returned = loan.returned.max(heard.returned);
+        loan.unknown = loan.unknown.max(heard.unknown);
+    }
+
+    /// Whether the charge of some spending is known to witnesses only.
+    pub fn has_unknown(&self) -> bool {
+        self.unknown > 0 || self.loans.iter().any(|loan| loan.unknown > 0)
     }
 }
 
@@ -129,6 +147,8 @@
     pub returned: u64,
     pub charged: u64,
     pub reserved: u64,
+    /// Share of `reserved` whose charge only witnesses know.
+    pub unknown: u64,
     /// Whether the lender does not know the newest totals.
     pub dirty: bool,
 }
@@ -293,6 +313,9 @@
         for part in &funding.parts {
             if let Some(grant) = self.grant_mut(part.root) {
                 grant.unknown += part.amount;
+            } else if let Some(holding) = self.holding_mut(part.root) {
+                holding.unknown += part.amount;
+                holding.dirty = true;
             }
         }
     }
@@ -327,6 +350,7 @@
                     returned: 0,
                     charged: 0,
                     reserved: 0,
+                    unknown: 0,
                     dirty: false,
                 };
                 self.holdings.insert(at, holding);
--- a/lib/src/budget/system.rs
+++ b/lib/src/budget/system.rs
@@ -32,6 +32,9 @@
 /// Time without draws after which settled books are dropped, in milliseconds.
 const FORGET_MS: u64 = 60_000;
 
+/// Time between two reads of a shard by the fleet, to find grants without a holder.
+const SWEEP_INTERVAL_MS: u64 = 1_000;
+
 /// Longest time that a graceful stop waits for its writes, in milliseconds.
 const CLOSE_TIMEOUT_MS: u64 = 5_000;
 
@@ -76,6 +79,8 @@
     given_up: Vec<EpochId>,
     /// Root epochs whose money must not be borrowed any more, sorted.
     closed_roots: Vec<EpochId>,
+    sweep_at: Millis,
+    sweep_shard: u32,
     stopping: Option<Stopping>,
 }
 
@@ -105,6 +110,8 @@
             closings: Vec::new(),
             given_up: Vec::new(),
             closed_roots: Vec::new(),
+            sweep_at: Millis(SWEEP_INTERVAL_MS),
+            sweep_shard: 0,
             stopping: None,
             params,
         }
@@ -173,7 +180,10 @@
     }
 
     fn finish_stop(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
-        let Some(stopping) = &self.stopping else { return };
+        let Some(stopping) = self.stopping.as_ref().filter(|stopping| !stopping.replies.is_empty())
+        else {
+            return;
+        };
         let handed_back = self.books.iter().all(is_handed_back);
         if !handed_back && now.since(stopping.since) < CLOSE_TIMEOUT_MS {
             return;
@@ -195,7 +205,7 @@
 fn is_handed_back(book: &Book) -> bool {
     book.holdings.iter().all(|holding| !holding.dirty)
         && book.own.pending.is_none()
-        && book.own.record.granted == book.own.committed()
+        && book.own.record.granted == book.own.settled()
         && book.own.record.settled == book.own.settled()
 }
 
--- a/lib/src/budget/system/closing.rs
+++ b/lib/src/budget/system/closing.rs
@@ -165,6 +165,16 @@
         row.host = EpochRecord::decode(&held.value).map(|record| record.host);
     }
 
+    /// Looks at the shards in turn; the fleet shares the reads.
+    fn sweep(&mut self, now: Millis) {
+        if now < self.sweep_at || self.stopping.is_some() {
+            return;
+        }
+        self.sweep_at = now.plus(SWEEP_INTERVAL_MS * self.entries());
+        self.sweep_shard = (self.sweep_shard + 1) % self.params.shards.max(1);
+        self.slots[self.sweep_shard as usize].wake();
+    }
+
     /// Closes epochs whose holders seem to be gone; the guess may be wrong.
     fn tick_foreign(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
         let mut lost = Vec::new();
@@ -226,6 +236,7 @@
 
     pub(super) fn tick_closings(&mut self, now: Millis, effects: &mut Vec<BudgetEffect>) {
         self.tick_foreign(now, effects);
+        self.sweep(now);
         let mut due = Vec::new();
         let given_up = &mut self.given_up;
         self.closings.retain_mut(|closing| {
--- a/lib/src/budget/system/epochs.rs
+++ b/lib/src/budget/system/epochs.rs
@@ -352,7 +352,7 @@
     }
 
     fn roll_for_unknown(&mut self, now: Millis) {
-        let unknown = self.books.iter().any(|book| book.own.unknown > 0);
+        let unknown = self.books.iter().any(|book| book.own.has_unknown());
         let orphaned = self.has_orphaned_loan(now);
         if (unknown || orphaned) && now.since(self.rolled_at) >= ROLL_INTERVAL_MS {
             self.roll(if unknown { "unknown-charge" } else { "borrower-lost" }, now);
--- a/lib/src/budget/system/peers.rs
+++ b/lib/src/budget/system/peers.rs
@@ -89,7 +89,10 @@
     }
 
     fn hand_back_idle(&mut self, now: Millis) {
+        let closed = &self.closed_roots;
         for book in &mut self.books {
+            book.holdings
+                .retain(|held| held.reserved > 0 || closed.binary_search(&held.root).is_err());
             if now.since(book.last_used) > BORROWED_IDLE_MS && book.waiters.is_empty() {
                 book.holdings.iter_mut().for_each(|holding| holding.hand_back(u64::MAX));
             }
@@ -164,17 +167,24 @@
 
     /// Totals and wants that a peer should hear.
     fn news_for(&mut self, at: usize) -> Vec<BudgetSync> {
+        let stopping = self.stopping.is_some();
         let peer = &self.peers[at];
         let mut news = Vec::new();
         for book in &mut self.books {
             let wanted = peer.wanted.contains(&book.budget);
             let dirty = book.holdings.iter().any(|held| held.dirty && is_from(held, peer));
-            if !wanted && !dirty {
+            let unheard = book
+                .own
+                .loans
+                .iter()
+                .any(|loan| peer.instance == Some(loan.instance) && loan.given > loan.received);
+            let recall = if stopping { book.own.lent_to(peer.instance) } else { 0 };
+            if !wanted && !dirty && !unheard && recall == 0 {
                 continue;
             }
             let need = if wanted { book.lacking() } else { 0 };
             let want = if need > 0 { book.request * EXTRA_REQUESTS } else { 0 };
-            news.push(totals(book, peer, need, want));
+            news.push(BudgetSync { need, want, recall, ..totals(book, peer) });
             for held in book.holdings.iter_mut().filter(|held| is_from(held, peer)) {
                 held.dirty = false;
             }
@@ -197,13 +207,14 @@
         let mut budgets = Vec::new();
         if let Ok(at) = self.peers.binary_search_by(|row| row.name.cmp(&sync.from)) {
             for asked in &sync.budgets {
+                self.hand_back_recalled(sync.instance, asked);
                 if asked.need > 0 {
                     self.lend(sync.instance, asked);
                 }
                 let peer = &self.peers[at];
                 if let Ok(book) = self.books.binary_search_by(|book| book.budget.cmp(&asked.budget))
                 {
-                    budgets.push(totals(&self.books[book], peer, 0, 0));
+                    budgets.push(totals(&self.books[book], peer));
                 }
             }
         }
@@ -269,8 +280,8 @@
 
     fn hear_borrower(&mut self, instance: EpochId, heard: &BudgetSync) {
         let Some(book) = self.book_mut(&heard.budget) else { return };
-        if heard.spent + heard.returned > 0 {
-            book.own.hear_borrower(instance, heard.spent, heard.returned);
+        if heard.received > 0 {
+            book.own.hear_borrower(instance, heard);
         }
     }
 
@@ -289,9 +300,15 @@
         former.into_iter().for_each(|root| self.add_closed_root(root));
     }
 
+    fn hand_back_recalled(&mut self, lender: EpochId, asked: &BudgetSync) {
+        let Some(book) = self.book_mut(&asked.budget).filter(|_| asked.recall > 0) else { return };
+        let holdings = book.holdings.iter_mut().filter(|held| held.instance == lender);
+        holdings.for_each(|held| held.hand_back(asked.recall));
+    }
+
     /// Lends what a peer needs, and part of what it wants, out of the own grant.
     fn lend(&mut self, instance: EpochId, asked: &BudgetSync) {
-        if !self.registered || !self.policy.lends() {
+        if !self.registered || !self.policy.lends() || self.stopping.is_some() {
             return;
         }
         let Some(book) = self.book_mut(&asked.budget) else { return };
@@ -357,18 +374,21 @@
     seen || slots[book.shard as usize].silent || now.since(oldest.since) >= 2 * ASK_INTERVAL_MS
 }
 
-fn totals(book: &Book, peer: &PeerRow, need: u64, want: u64) -> BudgetSync {
+fn totals(book: &Book, peer: &PeerRow) -> BudgetSync {
     let given = peer.instance.and_then(|instance| {
         book.own.loans.iter().find(|loan| loan.instance == instance).map(|loan| loan.given)
     });
     let held = book.holdings.iter().find(|held| is_from(held, peer));
     BudgetSync {
         budget: book.budget.clone(),
-        need,
-        want,
+        need: 0,
+        want: 0,
+        recall: 0,
         given: given.unwrap_or(0),
         root: held.map_or(peer.epoch.unwrap_or(EpochId(0)), |held| held.root),
+        received: held.map_or(0, |held| held.received),
         spent: held.map_or(0, |held| held.charged),
+        unknown: held.map_or(0, |held| held.unknown),
         returned: held.map_or(0, |held| held.returned),
     }
 }
--- a/lib/src/wire/budget.rs
+++ b/lib/src/wire/budget.rs
@@ -15,12 +15,18 @@
     pub need: u64,
     /// Tokens that the sender would take beyond its need.
     pub want: u64,
+    /// Tokens that the sender asks back of what it gave.
+    pub recall: u64,
     /// Total that the sender has given to the receiver under the sender's epoch.
     pub given: u64,
     /// Epoch of the receiver that the totals below belong to.
     pub root: EpochId,
+    /// Total that the sender knows to have been given.
+    pub received: u64,
     /// Total that the sender has spent of what the receiver gave.
     pub spent: u64,
+    /// Tokens of what the receiver gave whose charge only witnesses know.
+    pub unknown: u64,
     /// Total that the sender has handed back of what the receiver gave.
     pub returned: u64,
 }
--- /dev/null
+++ b/lib/tests/test_budget_state_machine.rs
@@ -0,0 +1,131 @@
+//! Arbitrary interleavings of budget systems, with the invariant checked at each step.
+
+mod budget_world;
+
+use budget_world::{Chaos, World};
+use proptest::prelude::*;
+use proptest::test_runner::FileFailurePersistence;
+use rosemarymoor_lib::budget::GrantPolicyName;
+
+const NODES: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    TopUp { budget: usize, tokens: u64 },
+    Reserve { node: usize, budget: usize, tokens: u64 },
+    Dispatch { node: usize, sidecar: usize, percent: u64 },
+    Advance { ms: u64 },
+    Pause { node: usize },
+    Resume { node: usize },
+    Kill { node: usize },
+    Start { node: usize },
+    CutStore { node: usize, cut: bool },
+    RestartSidecar { sidecar: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => (0..2usize, 50..400u64).prop_map(|(budget, tokens)| Step::TopUp { budget, tokens }),
+        30 => (0..NODES, 0..2usize, 1..60u64)
+            .prop_map(|(node, budget, tokens)| Step::Reserve { node, budget, tokens }),
+        30 => (0..NODES, 0..2usize, 0..=100u64)
+            .prop_map(|(node, sidecar, percent)| Step::Dispatch { node, sidecar, percent }),
+        20 => (20..400u64).prop_map(|ms| Step::Advance { ms }),
+        4 => (1_000..12_000u64).prop_map(|ms| Step::Advance { ms }),
+        2 => (0..NODES).prop_map(|node| Step::Pause { node }),
+        3 => (0..NODES).prop_map(|node| Step::Resume { node }),
+        1 => (0..NODES).prop_map(|node| Step::Kill { node }),
+        2 => (0..NODES).prop_map(|node| Step::Start { node }),
+        2 => (0..NODES, any::<bool>()).prop_map(|(node, cut)| Step::CutStore { node, cut }),
+        1 => (0..2usize).prop_map(|sidecar| Step::RestartSidecar { sidecar }),
+    ]
+}
+
+fn apply(world: &mut World, step: &Step) {
+    match *step {
+        Step::TopUp { budget, tokens } => world.top_up(budget, tokens),
+        Step::Reserve { node, budget, tokens } => world.reserve(node, budget, tokens, 1_500),
+        Step::Dispatch { node, sidecar, percent } => world.dispatch(node, sidecar, percent),
+        Step::Advance { ms } => world.advance(ms),
+        Step::Pause { node } => world.pause(node),
+        Step::Resume { node } => world.resume(node),
+        Step::Kill { node } => world.kill(node),
+        Step::Start { node } => world.start(node),
+        Step::CutStore { node, cut } => world.cut_store(node, cut),
+        Step::RestartSidecar { sidecar } => world.restart_sidecar(sidecar),
+    }
+    world.check();
+}
+
+fn run(seed: u64, chaos: Chaos, policy: GrantPolicyName, steps: &[Step]) -> World {
+    let mut world = World::open(seed, NODES, policy);
+    world.chaos = chaos;
+    world.top_up(0, 1_000);
+    world.top_up(1, 100);
+    world.advance(1_500);
+    for step in steps {
+        apply(&mut world, step);
+    }
+    world
+}
+
+/// After every fault has ended, all money is either settled at its true charge or free.
+fn assert_conserved(mut world: World) {
+    world.heal(150_000);
+    for budget in 0..world.truths.len() {
+        let account = world.account(budget).unwrap();
+        let truth = &world.truths[budget];
+        assert_eq!(truth.running, 0);
+        assert_eq!(account.spent(), truth.charged, "{account:?}");
+        let open: u64 = account.grants.iter().map(|grant| grant.open()).sum();
+        assert_eq!(open, 0, "{account:?}");
+    }
+}
+
+fn chaos() -> impl Strategy<Value = Chaos> {
+    (0..25u32, 0..40u32).prop_map(|(lost, delayed)| Chaos { lost, delayed })
+}
+
+fn policy() -> impl Strategy<Value = GrantPolicyName> {
+    prop_oneof![
+        4 => Just(GrantPolicyName::Adaptive),
+        1 => Just(GrantPolicyName::StaticSplit),
+        1 => Just(GrantPolicyName::PerRequest),
+    ]
+}
+
+/// Failing seeds are kept beside this file.
+fn config() -> ProptestConfig {
+    let persistence = FileFailurePersistence::WithSource("regressions");
+    ProptestConfig {
+        cases: 48,
+        max_shrink_iters: 200,
+        failure_persistence: Some(Box::new(persistence)),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn nothing_is_overspent(
+        seed: u64,
+        chaos in chaos(),
+        policy in policy(),
+        steps in prop::collection::vec(step(), 10..150),
+    ) {
+        run(seed, chaos, policy, &steps);
+    }
+
+    #[test]
+    fn money_comes_back_when_the_faults_end(
+        seed: u64,
+        chaos in chaos(),
+        steps in prop::collection::vec(step(), 10..120),
+    ) {
+        let keeps_receipts = |step: &Step| !matches!(step, Step::RestartSidecar { .. });
+        let steps: Vec<Step> = steps.into_iter().filter(keeps_receipts).collect();
+        assert_conserved(run(seed, chaos, GrantPolicyName::Adaptive, &steps));
+    }
+}
