entry: actions run under a durable claim, retries join it

Cause: a submission may run once, and its retry must get the same outcome. Change: actions are claimed before delivery, moved only while certainly undelivered, joined by retries through the sidecar or the stored answer; not run is said only under an own claim or after store or sidecars ruled an earlier delivery out; a draining entry still joins.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -4,6 +4,7 @@
 //! and delivered by [`delivery`], and answered by [`http`]. Control state lives
 //! on one thread ([`control`]); requests run on tokio's threads.
 
+mod action;
 mod admission;
 mod answer;
 mod attempt;
@@ -14,17 +15,20 @@
 mod exchange;
 mod http;
 mod job;
+mod join;
 mod key_index;
 mod metrics;
 mod peer;
 mod problem;
 mod process;
+mod repeatable;
 mod sse;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use rosemarymoor_lib::budget::{BudgetGate, BudgetHandle};
+use rosemarymoor_lib::claim::Claims;
 use rosemarymoor_lib::config::ConfigHandle;
 use rosemarymoor_lib::fleet_key::FleetKeyError;
 use rosemarymoor_lib::kv_http::KvHttpError;
@@ -70,6 +74,7 @@
     pub gate: Arc<dyn BudgetGate>,
     pub router: Arc<dyn TargetRouter>,
     pub transport: Arc<Transport>,
+    pub claims: Claims,
     /// Answers peers that ask for money; `None` if no money is lent.
     pub budgets: Option<BudgetHandle>,
 }
@@ -82,6 +87,7 @@
     gate: Arc<dyn BudgetGate>,
     router: Arc<dyn TargetRouter>,
     transport: Arc<Transport>,
+    claims: Claims,
     budgets: Option<BudgetHandle>,
     metrics: Arc<EntryMetrics>,
     drain: Drain,
@@ -98,6 +104,7 @@
             gate: parts.gate,
             router: parts.router,
             transport: parts.transport,
+            claims: parts.claims,
             budgets: parts.budgets,
             metrics: Arc::new(EntryMetrics::open(&metrics.meter(METER))),
             drain: Drain::open(),
--- a/daemon/src/entry/admission.rs
+++ b/daemon/src/entry/admission.rs
@@ -141,7 +141,15 @@
             Price::Usage => worst_case,
             Price::Fixed(tokens) => tokens,
         };
-        Job { identity, route: route.clone(), budget, worst_case, call, admitted: Instant::now() }
+        Job {
+            identity,
+            route: route.clone(),
+            budget,
+            worst_case,
+            call,
+            admitted: Instant::now(),
+            retry_only: false,
+        }
     }
 
     fn budget(&self, user: Option<&str>) -> Result<BudgetId, Refusal> {
--- a/daemon/src/entry/attempt.rs
+++ b/daemon/src/entry/attempt.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Takes up the answer of a delivery that an earlier request made.
+    pub async fn join(mut self) -> AttemptEnd {
+        let mut state = AnswerState::new(self.job.call.stream);
+        self.follow_resumed(&mut state).await
+    }
+
     async fn follow_resumed(&mut self, state: &mut AnswerState) -> AttemptEnd {
         match self.resume(state).await {
             Ok(exchange) => self.follow(exchange, state).await,
--- a/daemon/src/entry/drain.rs
+++ b/daemon/src/entry/drain.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::watch;
 
-/// Tracks requests in flight and refuses new ones once draining.
+/// Tracks requests in flight and whether new ones may run.
 #[derive(Clone, Debug)]
 pub struct Drain {
     shared: Arc<Shared>,
@@ -31,13 +31,12 @@
         Drain { shared: Arc::new(Shared { draining: AtomicBool::new(false), running }) }
     }
 
-    /// Counts a request as running, or `None` if the process drains.
+    /// Counts a request as running; a drain that starts later waits for it.
     ///
-    /// The count comes first, so that a drain that starts in between waits.
-    pub fn enter(&self) -> Option<RunningGuard> {
+    /// Read [`Drain::is_draining`] afterwards to decide whether it may run.
+    pub fn enter(&self) -> RunningGuard {
         self.shared.running.send_modify(|running| *running += 1);
-        let guard = RunningGuard { shared: self.shared.clone() };
-        if self.is_draining() { None } else { Some(guard) }
+        RunningGuard { shared: self.shared.clone() }
     }
 
     /// Ends admission.
--- a/daemon/src/entry/http.rs
+++ b/daemon/src/entry/http.rs
@@ -68,14 +68,14 @@
 #[rocket::async_trait]
 impl Handler for CallHandler {
     async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        let Some(guard) = self.entry.drain.enter() else {
-            let refusal = Refusal::new(ResultCode::ShuttingDown, "ask another entry");
-            return Outcome::Success(self.refuse(&refusal.retry_after(SHUTDOWN_RETRY_MS)));
-        };
+        let guard = self.entry.drain.enter();
+        let draining = self.entry.drain.is_draining();
         let admitted = match self.kind {
+            TargetKind::Engine if draining => Err(shutting_down()),
             TargetKind::Engine => self.admit_chat(req, data).await,
             TargetKind::Application => self.admit_app(req, data).await,
         };
+        let admitted = admitted.and_then(|job| while_draining(job, draining));
         Outcome::Success(match admitted {
             Ok(job) => self.serve(job, guard).await,
             Err(refusal) => self.refuse(&refusal),
@@ -83,6 +83,21 @@
     }
 }
 
+/// Lets a draining entry answer retries of calls that must not repeat.
+///
+/// "Not run" would be false for one whose first delivery ran.
+fn while_draining(job: Job, draining: bool) -> Result<Job, Refusal> {
+    match draining {
+        false => Ok(job),
+        true if job.route.repeatable => Err(shutting_down()),
+        true => Ok(Job { retry_only: true, ..job }),
+    }
+}
+
+fn shutting_down() -> Refusal {
+    Refusal::new(ResultCode::ShuttingDown, "ask another entry").retry_after(SHUTDOWN_RETRY_MS)
+}
+
 impl CallHandler {
     async fn admit_chat(&self, req: &Request<'_>, data: Data<'_>) -> Result<Job, Refusal> {
         let cfg = self.entry.cfg.current();
--- a/daemon/src/entry/job.rs
+++ b/daemon/src/entry/job.rs
@@ -18,6 +18,8 @@
     pub worst_case: u64,
     pub call: CallSpec,
     pub admitted: Instant,
+    /// Whether the request may only join an earlier delivery, not run itself.
+    pub retry_only: bool,
 }
 
 impl Job {
--- /dev/null
+++ b/daemon/src/entry/join.rs
@@ -0,0 +1,203 @@
+//! Joins a delivery that another request with the same identity has made.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rosemarymoor_lib::claim::{Claim, ClaimState, StoredAnswer};
+use rosemarymoor_lib::id::{Attempt, EpochId};
+use rosemarymoor_lib::result_code::{Refusal, ResultCode};
+use rosemarymoor_lib::routing::{Choice, TargetPlace};
+use rosemarymoor_lib::wire::{LookupRequest, PeerRequest, Price, RequestRecord};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::Entry;
+use super::action::stored_answer;
+use super::attempt::{AttemptEnd, AttemptRun};
+use super::delivery::RETRY_AFTER_MS;
+use super::job::{Job, Reply, WholeAnswer};
+
+/// Time in which the store has to say whether a claim exists.
+const FIND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time in which a sidecar has to say what it knows of a request.
+const LOOKUP_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after which a joined claim is read again.
+const REREAD_DELAY: Duration = Duration::from_millis(200);
+
+/// End of a join.
+pub enum Joined {
+    /// Replies that the caller still has to get.
+    Replied(Vec<Reply>),
+    /// The claim is gone, because its delivery did not run.
+    Released,
+}
+
+/// Follows the delivery that a claim names to its outcome.
+pub async fn join(
+    entry: &Entry,
+    job: &Job,
+    replies: &mpsc::Sender<Reply>,
+    mut held: Claim,
+) -> Joined {
+    let request = job.identity.request;
+    log::info!("decision=join request={request} target={} attempt={}", held.target, held.attempt);
+    entry.metrics.joined();
+    if held.fingerprint != job.identity.fingerprint {
+        let refusal = Refusal::new(ResultCode::KeyReused, "the key names another request");
+        return refused(refusal);
+    }
+    loop {
+        if let ClaimState::Answered(stored) = &held.state
+            && let Some(answer) = whole(stored)
+        {
+            return Joined::Replied(vec![Reply::Whole(answer)]);
+        }
+        let refusal = match resume(entry, job, replies, &held).await {
+            Ok(last) => {
+                keep_answer(entry, &held, &last);
+                return Joined::Replied(last);
+            }
+            Err(refusal) => refusal,
+        };
+        tokio::time::sleep(REREAD_DELAY).await;
+        match entry.claims.find(request, find_until(job)).await {
+            Some(Some(newer)) if newer != held => held = newer,
+            Some(None) => return Joined::Released,
+            Some(Some(_)) | None => return refused(refusal),
+        }
+    }
+}
+
+/// Refuses as not run, unless an earlier delivery is found or cannot be ruled out.
+pub async fn refuse_or_join(
+    entry: &Entry,
+    job: &Job,
+    replies: &mpsc::Sender<Reply>,
+    refusal: Refusal,
+) -> Joined {
+    match entry.claims.find(job.identity.request, find_until(job)).await {
+        Some(Some(held)) => join(entry, job, replies, held).await,
+        Some(None) => refused(refusal),
+        None => ask_sidecars(entry, job, replies, refusal).await,
+    }
+}
+
+/// Asks every sidecar of the route, while the store cannot be asked.
+async fn ask_sidecars(
+    entry: &Entry,
+    job: &Job,
+    replies: &mpsc::Sender<Reply>,
+    refusal: Refusal,
+) -> Joined {
+    let places = entry.router.places(&job.route.name);
+    let answers = join_all(places.iter().map(|place| lookup(entry, job, place))).await;
+    let found = places.iter().zip(&answers).find_map(|(place, answer)| match answer {
+        Some(RequestRecord::Running { attempt } | RequestRecord::Finished { attempt, .. }) => {
+            Some((place, *attempt))
+        }
+        Some(RequestRecord::Unknown { .. }) | None => None,
+    });
+    if let Some((place, attempt)) = found
+        && let Some(sidecar) = place.sidecar
+    {
+        let choice = choice(place.target.clone(), sidecar);
+        let followed = follow(entry, job, replies, &choice, attempt, EpochId(0)).await;
+        return Joined::Replied(followed.unwrap_or_else(|refusal| vec![Reply::Refused(refusal)]));
+    }
+    let ruled_out = |(place, answer): (&TargetPlace, &Option<RequestRecord>)| match answer {
+        // A sidecar that started anew has forgotten what it ran before.
+        Some(RequestRecord::Unknown { incarnation }) => {
+            place.incarnation == 0 || place.incarnation == *incarnation
+        }
+        Some(RequestRecord::Running { .. } | RequestRecord::Finished { .. }) | None => false,
+    };
+    if places.iter().zip(&answers).all(ruled_out) {
+        return refused(refusal);
+    }
+    let detail = format!("{}; whether an earlier delivery ran cannot be asked now", refusal.detail);
+    refused(Refusal::new(ResultCode::FateUnknown, detail).retry_after(RETRY_AFTER_MS))
+}
+
+async fn lookup(entry: &Entry, job: &Job, place: &TargetPlace) -> Option<RequestRecord> {
+    let req = PeerRequest::Lookup(LookupRequest { request: job.identity.request });
+    entry.transport.call(place.sidecar?, &req, LOOKUP_TIMEOUT).await.ok()
+}
+
+async fn resume(
+    entry: &Entry,
+    job: &Job,
+    replies: &mpsc::Sender<Reply>,
+    held: &Claim,
+) -> Result<Vec<Reply>, Refusal> {
+    let choice = choice(held.target.clone(), held.sidecar);
+    follow(entry, job, replies, &choice, held.attempt, held.holder).await
+}
+
+async fn follow(
+    entry: &Entry,
+    job: &Job,
+    replies: &mpsc::Sender<Reply>,
+    choice: &Choice,
+    attempt: Attempt,
+    holder: EpochId,
+) -> Result<Vec<Reply>, Refusal> {
+    let mut started = false;
+    let started = &mut started;
+    let heard = Instant::now();
+    let attempt = AttemptRun { entry, job, choice, attempt, holder, replies, started, heard };
+    let refusal = match attempt.join().await {
+        AttemptEnd::Answered { last, .. } => return Ok(priced(job, last)),
+        AttemptEnd::Refused { refusal, .. } => match refusal.code {
+            ResultCode::AnswerGone | ResultCode::TargetFailed | ResultCode::KeyReused => refusal,
+            _ => Refusal::new(ResultCode::FateUnknown, refusal.detail),
+        },
+        AttemptEnd::Undelivered { detail } | AttemptEnd::Lost { detail } => {
+            Refusal::new(ResultCode::FateUnknown, detail)
+        }
+        AttemptEnd::CallerGone { .. } | AttemptEnd::DeadlinePassed { .. } => {
+            Refusal::new(ResultCode::StillRunning, "the first delivery has not ended yet")
+        }
+    };
+    Err(refusal.retry_after(RETRY_AFTER_MS))
+}
+
+/// Puts the route's price on answers that another delivery pays for.
+fn priced(job: &Job, mut last: Vec<Reply>) -> Vec<Reply> {
+    if let Price::Fixed(tokens) = job.route.price {
+        for reply in &mut last {
+            if let Reply::Whole(answer) = reply {
+                answer.charge = tokens;
+            }
+        }
+    }
+    last
+}
+
+fn keep_answer(entry: &Entry, held: &Claim, last: &[Reply]) {
+    if let Some(answer) = last.iter().find_map(stored_answer) {
+        entry.claims.answer(held.request, held.token, answer);
+    }
+}
+
+fn whole(stored: &StoredAnswer) -> Option<WholeAnswer> {
+    Some(WholeAnswer {
+        status: stored.status,
+        content_type: stored.content_type.clone(),
+        body: stored.body.clone()?,
+        charge: stored.charge,
+    })
+}
+
+fn choice(target: String, sidecar: std::net::SocketAddr) -> Choice {
+    Choice { target, sidecar, data_center: String::new(), reason: "claimed" }
+}
+
+fn refused(refusal: Refusal) -> Joined {
+    Joined::Replied(vec![Reply::Refused(refusal)])
+}
+
+fn find_until(job: &Job) -> Instant {
+    Instant::now() + FIND_TIMEOUT.min(job.remaining().max(REREAD_DELAY))
+}
--- a/daemon/src/entry/metrics.rs
+++ b/daemon/src/entry/metrics.rs
@@ -14,6 +14,7 @@
     dropped_frames: Counter<u64>,
     retries: Counter<u64>,
     resumed: Counter<u64>,
+    joined: Counter<u64>,
     duration: Histogram<f64>,
 }
 
@@ -28,6 +29,7 @@
             dropped_frames: counter("frames_dropped"),
             retries: counter("deliveries_retried"),
             resumed: counter("streams_resumed"),
+            joined: counter("retries_joined"),
             duration: meter.f64_histogram("request_seconds").build(),
         }
     }
@@ -63,4 +65,9 @@
     pub fn resumed(&self) {
         self.resumed.add(1, &[]);
     }
+
+    /// Counts a request that joined an earlier delivery of the same identity.
+    pub fn joined(&self) {
+        self.joined.add(1, &[]);
+    }
 }
--- a/daemon/src/entry/process.rs
+++ b/daemon/src/entry/process.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 use rosemarymoor_lib::budget::{self, BudgetHandle, BudgetParams, GrantPolicyName};
+use rosemarymoor_lib::claim::Claims;
 use rosemarymoor_lib::config::{ConfigFollower, ConfigHandle};
 use rosemarymoor_lib::control::{self, ControlSender, EventSink};
 use rosemarymoor_lib::fleet_key::FleetKey;
@@ -53,11 +54,12 @@
         let cfg = ConfigHandle::default();
         let late = LateSender::default();
         let (gate, router) = spawn_control(&settings, &kv, &transport, &late)?;
+        let claims = Claims::open(kv.clone(), MonotonicClock::start());
         let config = ConfigFollower::spawn(kv, cfg.clone());
         let config_events = tokio::spawn(follow_config(cfg.clone(), sink(&late)));
         let hosts = follow_hosts(&settings, gate.clone(), sink(&late));
         let budgets = Some(gate.clone());
-        let parts = Parts { cfg, gate: Arc::new(gate), router, transport, budgets };
+        let parts = Parts { cfg, gate: Arc::new(gate), router, transport, claims, budgets };
         let running = RunningEntry::spawn(settings, parts).await?;
         Ok(EntryProcess {
             running,
--- a/daemon/tests/entry_env/mod.rs
+++ b/daemon/tests/entry_env/mod.rs
@@ -10,18 +10,22 @@
 use rosemarymoor_daemon::entry::{Parts, RunningEntry};
 use rosemarymoor_daemon::settings::{BudgetsSettings, Settings};
 use rosemarymoor_lib::budget::{BudgetGate, ReserveRequest};
+use rosemarymoor_lib::claim::Claims;
 use rosemarymoor_lib::config::{Config, ConfigHandle, PolicyName, Route, TargetKind, Workspace};
 use rosemarymoor_lib::fleet_key::FleetKey;
 use rosemarymoor_lib::host_list::Role;
 use rosemarymoor_lib::http_client::{self, ConnectionReuse};
 use rosemarymoor_lib::id::{Attempt, EpochId, RequestId};
+use rosemarymoor_lib::kv_http::KvHttp;
 use rosemarymoor_lib::result_code::{Refusal, ResultCode};
-use rosemarymoor_lib::routing::{Choice, Delivery, DeliveryEnd, TargetRouter};
+use rosemarymoor_lib::routing::{Choice, Delivery, DeliveryEnd, TargetPlace, TargetRouter};
+use rosemarymoor_lib::time::MonotonicClock;
 use rosemarymoor_lib::transport::{FrameStream, PeerHandler, Transport};
 use rosemarymoor_lib::wire::{
-    Class, Funding, FundingPart, PeerRequest, Price, RunControl, RunEnvelope, RunFrame,
-    SidecarState,
+    Class, Funding, FundingPart, PeerRequest, Price, RequestRecord, RunControl, RunEnvelope,
+    RunFrame, SidecarState,
 };
+use rosemarymoor_testutils::kv::KvStandIn;
 
 pub const KEY: &str = "counter-key";
 pub const CHAT: &str = "/v1/chat/completions";
@@ -52,6 +56,11 @@
         let (request, attempt) = match &req {
             PeerRequest::Run(run) => (run.request, run.attempt),
             PeerRequest::Resume(resume) => (resume.request, resume.attempt),
+            PeerRequest::Lookup(_) => {
+                let unknown = RequestRecord::Unknown { incarnation: 1 };
+                let _ = stream.send(&unknown).await;
+                return stream.tx.finish().await;
+            }
             _ => return,
         };
         self.seen.lock().unwrap().push(req);
@@ -124,6 +133,15 @@
         free.cloned().ok_or_else(|| Refusal::new(ResultCode::NoTarget, "none left"))
     }
 
+    fn places(&self, _route: &str) -> Vec<TargetPlace> {
+        let place = |choice: &Choice| TargetPlace {
+            target: choice.target.clone(),
+            sidecar: Some(choice.sidecar),
+            incarnation: 0,
+        };
+        self.targets.iter().map(place).collect()
+    }
+
     fn take_retry(&self, _route: &str) -> bool {
         true
     }
@@ -137,6 +155,7 @@
 pub struct EntryEnvironment {
     pub entry: RunningEntry,
     pub gate: Arc<RecordingGate>,
+    pub kv: KvStandIn,
     pub sidecars: Vec<Arc<ScriptedSidecar>>,
     pub base: String,
     pub client: Client,
@@ -177,6 +196,8 @@
             settled: Mutex::default(),
             closed: Mutex::default(),
         });
+        let kv = KvStandIn::bind(1).await.unwrap();
+        let store = Arc::new(KvHttp::open(&kv.server().url()).unwrap());
         let cfg = ConfigHandle::default();
         cfg.publish(config(model));
         let http = free_address();
@@ -185,11 +206,12 @@
             gate: gate.clone(),
             router: Arc::new(FirstRouter { targets }),
             transport: Transport::bind(LOOPBACK, &key).unwrap(),
+            claims: Claims::open(store, MonotonicClock::start()),
             budgets: None,
         };
         let entry = RunningEntry::spawn(settings(http, fleet_key), parts).await.unwrap();
         let client = http_client::open(ConnectionReuse::Never);
-        EntryEnvironment { entry, gate, sidecars, base: format!("http://{http}"), client }
+        EntryEnvironment { entry, gate, kv, sidecars, base: format!("http://{http}"), client }
     }
 
     /// Chat call with the workspace's key.
--- a/daemon/tests/test_entry.rs
+++ b/daemon/tests/test_entry.rs
@@ -8,6 +8,7 @@
 use rosemarymoor_lib::http_client::{self, ConnectionReuse};
 use rosemarymoor_lib::result_code::ResultCode;
 use rosemarymoor_lib::wire::{PeerRequest, RunFrame};
+use rosemarymoor_testutils::kv::Outage;
 
 /// Far below the drain's limit of an hour in the environment.
 const STOP_LIMIT: Duration = Duration::from_secs(120);
@@ -167,3 +168,90 @@
     let stopped = tokio::time::timeout(STOP_LIMIT, entry.stop()).await;
     assert_eq!(stopped, Ok(true));
 }
+
+#[tokio::test]
+async fn a_repeated_action_gets_the_first_answer() {
+    let env = EntryEnvironment::start(vec![vec![whole("filed", 5)]]).await;
+    for _ in 0..2 {
+        let response = env.submit("case 7").send().await.unwrap();
+        assert_eq!(response.headers()["rosemarymoor-charge"], "5");
+        assert_eq!(response.text().await.unwrap(), "filed");
+    }
+    assert_eq!(env.seen(0).iter().filter(|req| matches!(req, PeerRequest::Run(_))).count(), 1);
+    assert_eq!(env.settled(2).await, [Some(5), Some(0)]);
+}
+
+#[tokio::test]
+async fn an_action_with_a_lost_answer_is_joined_by_its_retry() {
+    let unknown = vec![refused(ResultCode::FateUnknown, 0)];
+    let env = EntryEnvironment::start(vec![vec![vec![], unknown, whole("filed", 0)]]).await;
+    let submit = || env.submit("case 7").header("idempotency-key", "k7").send();
+    let (status, kind, refusal) = problem(submit().await.unwrap()).await;
+    assert_eq!((status, kind.as_str()), (502, "may-have-run"));
+    assert_eq!(refusal["code"], 4001);
+    let retried = submit().await.unwrap();
+    assert_eq!(retried.headers()["rosemarymoor-charge"], "5");
+    assert_eq!(retried.text().await.unwrap(), "filed");
+    assert_eq!(env.seen(0).iter().filter(|req| matches!(req, PeerRequest::Run(_))).count(), 1);
+    assert_eq!(env.settled(2).await, [None, Some(0)]);
+}
+
+#[tokio::test]
+async fn an_action_that_a_sidecar_refused_runs_at_another() {
+    let full = vec![refused(ResultCode::QueueFull, 0)];
+    let env = EntryEnvironment::start(vec![vec![full], vec![whole("filed", 5)]]).await;
+    let response = env.submit("case 7").send().await.unwrap();
+    assert_eq!(response.text().await.unwrap(), "filed");
+    assert_eq!(env.settled(1).await, [Some(5)]);
+}
+
+#[tokio::test]
+async fn a_refused_action_may_be_sent_again() {
+    let full = vec![refused(ResultCode::QueueFull, 0)];
+    let env = EntryEnvironment::start(vec![vec![full, whole("filed", 5)]]).await;
+    let (_, kind, refusal) = problem(env.submit("case 7").send().await.unwrap()).await;
+    assert_eq!((kind.as_str(), &refusal["code"]), ("not-run", &3002.into()));
+    let again = env.submit("case 7").send().await.unwrap();
+    assert_eq!(again.text().await.unwrap(), "filed");
+}
+
+#[tokio::test]
+async fn without_the_store_an_action_does_not_run() {
+    let env = EntryEnvironment::start(vec![vec![whole("filed", 5)]]).await;
+    env.kv.set_faults(|faults| faults.outage = Some(Outage::Refuse));
+    let (status, kind, refusal) = problem(env.submit("case 7").send().await.unwrap()).await;
+    assert_eq!((status, kind.as_str()), (503, "not-run"));
+    assert_eq!(refusal["code"], 3006);
+    assert!(env.seen(0).is_empty());
+    env.kv.set_faults(|faults| faults.outage = None);
+    let again = env.submit("case 7").send().await.unwrap();
+    assert_eq!(again.text().await.unwrap(), "filed");
+}
+
+#[tokio::test]
+async fn a_key_names_one_request() {
+    let env = EntryEnvironment::start(vec![vec![whole("filed", 5)]]).await;
+    let submit = |body: &str| env.submit(body).header("idempotency-key", "k7").send();
+    assert_eq!(submit("case 7").await.unwrap().status(), 200);
+    let (_, _, refusal) = problem(submit("case 8").await.unwrap()).await;
+    assert_eq!(refusal["code"], 1008);
+}
+
+#[tokio::test]
+async fn a_draining_entry_still_answers_retries_of_actions() {
+    let hang = vec![head(SSE), data(0, FIRST), Act::Hang];
+    let env = EntryEnvironment::start(vec![vec![whole("filed", 5), hang]]).await;
+    assert_eq!(env.submit("case 7").send().await.unwrap().status(), 200);
+    let mut stream = env.chat(true).send().await.unwrap();
+    assert_eq!(stream.chunk().await.unwrap().unwrap(), FIRST);
+    let (retry, fresh) = (env.submit("case 7"), env.submit("case 8"));
+    let EntryEnvironment { entry, client, base, kv, .. } = env;
+    let stopping = tokio::spawn(entry.stop());
+    let ready = format!("{base}/ready");
+    while client.get(&ready).send().await.unwrap().status() != 503 {}
+    assert_eq!(retry.send().await.unwrap().text().await.unwrap(), "filed");
+    let (_, _, refusal) = problem(fresh.send().await.unwrap()).await;
+    assert_eq!(refusal["code"], 3005);
+    drop((stream, kv));
+    assert!(stopping.await.unwrap());
+}
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -46,6 +46,16 @@
     pub reason: &'static str,
 }
 
+/// Target of a route and the sidecar before it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetPlace {
+    pub target: String,
+    /// `None` while the host list does not give its address.
+    pub sidecar: Option<SocketAddr>,
+    /// Process start that the last frame came from; zero before the first.
+    pub incarnation: u64,
+}
+
 /// How a delivery ended, as far as routing cares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeliveryEnd {
@@ -70,4 +80,7 @@
 
     /// Ends a delivery that [`TargetRouter::choose`] counted.
     fn finish(&self, target: &str, end: DeliveryEnd);
+
+    /// Every target of a route, whether it takes work or not.
+    fn places(&self, route: &str) -> Vec<TargetPlace>;
 }
--- a/lib/src/routing/router.rs
+++ b/lib/src/routing/router.rs
@@ -8,7 +8,7 @@
 use super::policy::mix;
 use super::snapshot::{RouteView, RoutingSnapshot, TargetView};
 use super::system::RoutingEvent;
-use super::{Choice, Delivery, DeliveryEnd, TargetRouter};
+use super::{Choice, Delivery, DeliveryEnd, TargetPlace, TargetRouter};
 use crate::control::EventSink;
 use crate::result_code::{Refusal, ResultCode};
 use crate::wire::SidecarState;
@@ -74,6 +74,20 @@
         })
     }
 
+    fn places(&self, route: &str) -> Vec<TargetPlace> {
+        let snapshot = self.snapshot.load();
+        let Some(route) = snapshot.route(route) else { return Vec::new() };
+        let place = |at: &u32| {
+            let target = &snapshot.targets[*at as usize];
+            TargetPlace {
+                target: target.name.clone(),
+                sidecar: target.sidecar,
+                incarnation: target.counters.incarnation(),
+            }
+        };
+        route.targets.iter().map(place).collect()
+    }
+
     fn take_retry(&self, route: &str) -> bool {
         self.snapshot.load().route(route).is_some_and(|route| route.retries.take())
     }
