--- a/daemon/tests/entry_env/mod.rs
+++ b/daemon/tests/entry_env/mod.rs
@@ -208,6 +208,7 @@
             transport: Transport::bind(LOOPBACK, &key).unwrap(),
             claims: Claims::open(store, MonotonicClock::start()),
             budgets: None,
+            config: None,
         };
         let entry = RunningEntry::spawn(settings(http, fleet_key), parts).await.unwrap();
         let client = http_client::open(ConnectionReuse::Never);
@@ -352,6 +353,7 @@
         log_level: LevelFilter::Info,
         drain_ms: 3_600_000,
         budgets: BudgetsSettings { shards: 4, policy: "adaptive".to_owned() },
+        config_parents: 2,
         target: None,
     }
 }
