bench: measures config and routing

Change: config watches every node's revision over QUIC while operators change a limit; routing runs the same load under the policy and under uniform choice. one_parent_p99_ms is null until the spread can be run with one parent.

--- a/bench/src/caller.rs
+++ b/bench/src/caller.rs
@@ -173,6 +173,11 @@
     pub fn started(&self) -> Instant {
         self.tries[0].started
     }
+
+    /// Time from the first try to the end of the last.
+    pub fn latency(&self) -> Duration {
+        self.last().finished - self.started()
+    }
 }
 
 /// Callers of a fleet; clones share connections.
--- a/bench/src/measures.rs
+++ b/bench/src/measures.rs
@@ -2,8 +2,10 @@
 
 mod actions;
 mod budgets;
+mod config;
 mod demo;
 mod mix;
+mod routing;
 mod slopes;
 mod streams;
 mod timeline;
@@ -21,10 +23,12 @@
     match options.measure.as_str() {
         "demo" => demo::run(options).await,
         "actions" => actions::run(options).await,
+        "routing" => routing::run(options).await,
+        "config" => config::run(options).await,
         "slopes" => slopes::run(options).await,
         "streams" => streams::run(options).await,
         "budgets" => budgets::run(options).await,
-        other => Err(io::Error::other(format!("measure `{other}` is not built yet"))),
+        other => Err(io::Error::other(format!("no measure `{other}`"))),
     }
 }
 
