--- a/daemon/src/entry/process.rs
+++ b/daemon/src/entry/process.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 use rosemarymoor_lib::budget::{self, BudgetHandle, BudgetParams, GrantPolicyName};
+use rosemarymoor_lib::claim::Claims;
 use rosemarymoor_lib::config::{ConfigHandle, ConfigNode, ConfigSpread, SpreadParams};
 use rosemarymoor_lib::control::{self, ControlSender, EventSink};
 use rosemarymoor_lib::fleet_key::FleetKey;
@@ -55,6 +56,7 @@
         let cfg = ConfigHandle::default();
         let late = LateSender::default();
         let (gate, router) = spawn_control(&settings, &kv, &transport, &late)?;
+        let claims = Claims::open(kv.clone(), MonotonicClock::start());
         let config = ConfigSpread::spawn(SpreadParams {
             host: settings.name.clone(),
             data_center: settings.data_center.clone(),
@@ -72,8 +74,15 @@
         let config_events = tokio::spawn(follow_config(cfg.clone(), sink(&late)));
         let hosts = follow_hosts(&settings, gate.clone(), (config.node(), &placer), sink(&late));
         let budgets = Some(gate.clone());
-        let node = Some(config.node());
-        let parts = Parts { cfg, gate: Arc::new(gate), router, transport, budgets, config: node };
+        let parts = Parts {
+            cfg,
+            gate: Arc::new(gate),
+            router,
+            transport,
+            claims,
+            budgets,
+            config: Some(config.node()),
+        };
         let running = RunningEntry::spawn(settings, parts).await?;
         Ok(EntryProcess {
             running,
