--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -4,6 +4,7 @@
 //! and delivered by [`delivery`], and answered by [`http`]. Control state lives
 //! on one thread ([`control`]); requests run on tokio's threads.
 
+mod action;
 mod admission;
 mod answer;
 mod attempt;
@@ -14,22 +15,25 @@
 mod exchange;
 mod http;
 mod job;
+mod join;
 mod key_index;
 mod metrics;
 mod peer;
 mod problem;
 mod process;
+mod repeatable;
 mod sse;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use rosemarymoor_lib::budget::{BudgetGate, BudgetHandle};
-use rosemarymoor_lib::config::ConfigHandle;
+use rosemarymoor_lib::claim::Claims;
+use rosemarymoor_lib::config::{ConfigHandle, ConfigNode, ConfigPeerHandler};
 use rosemarymoor_lib::fleet_key::FleetKeyError;
 use rosemarymoor_lib::kv_http::KvHttpError;
 use rosemarymoor_lib::routing::TargetRouter;
-use rosemarymoor_lib::transport::{Transport, TransportError};
+use rosemarymoor_lib::transport::{PeerHandler, Transport, TransportError};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -70,8 +74,11 @@
     pub gate: Arc<dyn BudgetGate>,
     pub router: Arc<dyn TargetRouter>,
     pub transport: Arc<Transport>,
+    pub claims: Claims,
     /// Answers peers that ask for money; `None` if no money is lent.
     pub budgets: Option<BudgetHandle>,
+    /// Answers peers that ask for configurations, if this process takes part.
+    pub config: Option<ConfigNode>,
 }
 
 /// State that the requests of an entry share.
@@ -82,6 +89,7 @@
     gate: Arc<dyn BudgetGate>,
     router: Arc<dyn TargetRouter>,
     transport: Arc<Transport>,
+    claims: Claims,
     budgets: Option<BudgetHandle>,
     metrics: Arc<EntryMetrics>,
     drain: Drain,
@@ -98,6 +106,7 @@
             gate: parts.gate,
             router: parts.router,
             transport: parts.transport,
+            claims: parts.claims,
             budgets: parts.budgets,
             metrics: Arc::new(EntryMetrics::open(&metrics.meter(METER))),
             drain: Drain::open(),
@@ -147,11 +156,16 @@
     /// Serves callers and peers.
     pub async fn spawn(settings: Settings, parts: Parts) -> Result<RunningEntry, EntryError> {
         let metrics = Metrics::start().context(HttpSnafu)?;
-        let (address, drain_ms) = (settings.http, settings.drain_ms);
+        let address = settings.http;
+        let config = parts.config.clone();
         let entry = Arc::new(Entry::new(settings, parts, &metrics));
-        let rocket = http_server::build(address, drain_ms, entry.clone(), metrics);
+        let rocket = http_server::build(address, entry.clone(), metrics);
         let http = HttpServer::spawn(http::mount(rocket, &entry)).await.context(HttpSnafu)?;
-        let handler = Arc::new(EntryPeer::new(entry.clone()));
+        let peer: Arc<dyn PeerHandler> = Arc::new(EntryPeer::new(entry.clone()));
+        let handler = match config {
+            Some(node) => Arc::new(ConfigPeerHandler::new(node, peer)),
+            None => peer,
+        };
         let peers = tokio::spawn(entry.transport.clone().serve(handler));
         Ok(RunningEntry { entry, http, peers })
     }
--- a/daemon/src/entry/process.rs
+++ b/daemon/src/entry/process.rs
@@ -4,7 +4,8 @@
 
 use rand::Rng;
 use rosemarymoor_lib::budget::{self, BudgetHandle, BudgetParams, GrantPolicyName};
-use rosemarymoor_lib::config::{ConfigFollower, ConfigHandle};
+use rosemarymoor_lib::claim::Claims;
+use rosemarymoor_lib::config::{ConfigHandle, ConfigNode, ConfigSpread, SpreadParams};
 use rosemarymoor_lib::control::{self, ControlSender, EventSink};
 use rosemarymoor_lib::fleet_key::FleetKey;
 use rosemarymoor_lib::host_follower::{HostFollower, POLL_INTERVAL};
@@ -12,6 +13,7 @@
 use rosemarymoor_lib::id::EpochId;
 use rosemarymoor_lib::kv_http::KvHttp;
 use rosemarymoor_lib::kv_store::KvStore;
+use rosemarymoor_lib::placement::{Placer, PlacerParams};
 use rosemarymoor_lib::routing::{Router, RoutingEvent, RoutingSystem};
 use rosemarymoor_lib::time::MonotonicClock;
 use rosemarymoor_lib::transport::Transport;
@@ -37,7 +39,8 @@
     running: RunningEntry,
     terminate: Signal,
     interrupt: Signal,
-    _config: ConfigFollower,
+    _config: ConfigSpread,
+    _placer: Placer,
     _config_events: JoinHandle<()>,
     _hosts: HostFollower,
 }
@@ -53,17 +56,40 @@
         let cfg = ConfigHandle::default();
         let late = LateSender::default();
         let (gate, router) = spawn_control(&settings, &kv, &transport, &late)?;
-        let config = ConfigFollower::spawn(kv, cfg.clone());
+        let claims = Claims::open(kv.clone(), MonotonicClock::start());
+        let config = ConfigSpread::spawn(SpreadParams {
+            host: settings.name.clone(),
+            data_center: settings.data_center.clone(),
+            parents: settings.config_parents,
+            kv: kv.clone(),
+            transport: transport.clone(),
+            handle: cfg.clone(),
+        });
+        let placer = Placer::spawn(PlacerParams {
+            host: settings.name.clone(),
+            kv,
+            transport: transport.clone(),
+            cfg: cfg.clone(),
+        });
         let config_events = tokio::spawn(follow_config(cfg.clone(), sink(&late)));
-        let hosts = follow_hosts(&settings, gate.clone(), sink(&late));
+        let hosts = follow_hosts(&settings, gate.clone(), (config.node(), &placer), sink(&late));
         let budgets = Some(gate.clone());
-        let parts = Parts { cfg, gate: Arc::new(gate), router, transport, budgets };
+        let parts = Parts {
+            cfg,
+            gate: Arc::new(gate),
+            router,
+            transport,
+            claims,
+            budgets,
+            config: Some(config.node()),
+        };
         let running = RunningEntry::spawn(settings, parts).await?;
         Ok(EntryProcess {
             running,
             terminate,
             interrupt,
             _config: config,
+            _placer: placer,
             _config_events: config_events,
             _hosts: hosts,
         })
@@ -131,11 +157,15 @@
 fn follow_hosts(
     settings: &Settings,
     gate: BudgetHandle,
+    (config, placer): (ConfigNode, &Placer),
     routing: EventSink<RoutingEvent>,
 ) -> HostFollower {
     let list = Arc::new(HostListHttp::open(&settings.hosts_url));
+    let place = placer.hosts();
     let pass_on: EventSink<_> = Arc::new(move |hosts: Vec<_>| {
         gate.hosts(hosts.clone());
+        config.hosts(hosts.clone());
+        place(hosts.clone());
         routing(RoutingEvent::Hosts(hosts));
     });
     HostFollower::spawn(list, POLL_INTERVAL, pass_on)
