--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -262,13 +262,15 @@
              region = {region}\nquic = {quic}\nhttp = {http}\nfleet_key = {key}\n\
              log_level = {level}\ndrain_ms = {drain_ms}\n\n\
              [platform]\nkv = http://{kv}\nhosts = http://{hosts}/viewers/{name}/hosts\n\n\
-             [budgets]\nshards = {shards}\npolicy = {policy}\n",
+             [budgets]\nshards = {shards}\npolicy = {policy}\n\n\
+             [config]\nparents = {parents}\n",
             region = plan.region,
             key = self.fleet_key,
             level = plan.log_level,
             drain_ms = plan.drain_ms,
             shards = plan.shards,
             policy = plan.policy,
+            parents = plan.config_parents,
         );
         if let Some((target, url)) = target {
             text.push_str(&format!("\n[target]\nname = {target}\nurl = {url}\n"));
--- a/lib/testutils/src/fleet/plan.rs
+++ b/lib/testutils/src/fleet/plan.rs
@@ -48,6 +48,8 @@
     pub application_work: Duration,
     pub host_list_lag: Duration,
     pub drain_ms: u64,
+    /// Hosts that each process takes the configuration from.
+    pub config_parents: u32,
     pub log_level: String,
     /// Whether the processes reach each other and the platform through links.
     pub proxied: bool,
@@ -73,6 +75,7 @@
             application_work: Duration::from_millis(10),
             host_list_lag: Duration::from_secs(2),
             drain_ms: 30_000,
+            config_parents: 2,
             log_level: "info".to_owned(),
             proxied: true,
         }
