--- a/daemon/src/entry/process.rs
+++ b/daemon/src/entry/process.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 use rosemarymoor_lib::budget::{self, BudgetHandle, BudgetParams, GrantPolicyName};
+use rosemarymoor_lib::claim::Claims;
 use rosemarymoor_lib::config::{ConfigHandle, ConfigNode, ConfigSpread, SpreadParams};
 use rosemarymoor_lib::control::{self, ControlSender, EventSink};
 use rosemarymoor_lib::fleet_key::FleetKey;
@@ -12,6 +13,7 @@
 use rosemarymoor_lib::id::EpochId;
 use rosemarymoor_lib::kv_http::KvHttp;
 use rosemarymoor_lib::kv_store::KvStore;
+use rosemarymoor_lib::placement::{Placer, PlacerParams};
 use rosemarymoor_lib::routing::{Router, RoutingEvent, RoutingSystem};
 use rosemarymoor_lib::time::MonotonicClock;
 use rosemarymoor_lib::transport::Transport;
@@ -38,6 +40,7 @@
     terminate: Signal,
     interrupt: Signal,
     _config: ConfigSpread,
+    _placer: Placer,
     _config_events: JoinHandle<()>,
     _hosts: HostFollower,
 }
@@ -53,25 +56,40 @@
         let cfg = ConfigHandle::default();
         let late = LateSender::default();
         let (gate, router) = spawn_control(&settings, &kv, &transport, &late)?;
+        let claims = Claims::open(kv.clone(), MonotonicClock::start());
         let config = ConfigSpread::spawn(SpreadParams {
             host: settings.name.clone(),
             data_center: settings.data_center.clone(),
             parents: settings.config_parents,
-            kv,
+            kv: kv.clone(),
             transport: transport.clone(),
             handle: cfg.clone(),
         });
+        let placer = Placer::spawn(PlacerParams {
+            host: settings.name.clone(),
+            kv,
+            transport: transport.clone(),
+            cfg: cfg.clone(),
+        });
         let config_events = tokio::spawn(follow_config(cfg.clone(), sink(&late)));
-        let hosts = follow_hosts(&settings, gate.clone(), config.node(), sink(&late));
+        let hosts = follow_hosts(&settings, gate.clone(), (config.node(), &placer), sink(&late));
         let budgets = Some(gate.clone());
-        let node = Some(config.node());
-        let parts = Parts { cfg, gate: Arc::new(gate), router, transport, budgets, config: node };
+        let parts = Parts {
+            cfg,
+            gate: Arc::new(gate),
+            router,
+            transport,
+            claims,
+            budgets,
+            config: Some(config.node()),
+        };
         let running = RunningEntry::spawn(settings, parts).await?;
         Ok(EntryProcess {
             running,
             terminate,
             interrupt,
             _config: config,
+            _placer: placer,
             _config_events: config_events,
             _hosts: hosts,
         })
@@ -139,13 +157,15 @@
 fn follow_hosts(
     settings: &Settings,
     gate: BudgetHandle,
-    config: ConfigNode,
+    (config, placer): (ConfigNode, &Placer),
     routing: EventSink<RoutingEvent>,
 ) -> HostFollower {
     let list = Arc::new(HostListHttp::open(&settings.hosts_url));
+    let place = placer.hosts();
     let pass_on: EventSink<_> = Arc::new(move |hosts: Vec<_>| {
         gate.hosts(hosts.clone());
         config.hosts(hosts.clone());
+        place(hosts.clone());
         routing(RoutingEvent::Hosts(hosts));
     });
     HostFollower::spawn(list, POLL_INTERVAL, pass_on)
