budget: read shards only when a write can follow

Cause: a stopping entry read its shards on each tick until its borrowers had reported; a book opened while its shard was being written was refused as unknown. Change: a stop wakes a shard only for totals that can move; an account counts as missing only once the store was read without it.

--- a/lib/src/budget/book.rs
+++ b/lib/src/budget/book.rs
@@ -196,6 +196,8 @@
     pub holdings: Vec<Holding>,
     pub waiters: VecDeque<Waiter>,
     pub seen: Option<Seen>,
+    /// Whether the store was read and has no account for the budget.
+    pub missing: bool,
     pub last_used: Millis,
     /// Worst case of the latest request.
     pub request: u64,
@@ -218,6 +220,7 @@
             holdings: Vec::new(),
             waiters: VecDeque::new(),
             seen: None,
+            missing: false,
             last_used: now,
             request: 0,
             retry_at: now,
--- a/lib/src/budget/system/shards.rs
+++ b/lib/src/budget/system/shards.rs
@@ -110,8 +110,8 @@
             let unsettled = book.own.settled() > book.own.record.settled;
             let returns = book.retired.iter().any(has_news);
             let moves = now >= book.retry_at && wants_move(book, &*self.policy, entries, now);
-            let hands_back = stopping && !is_handed_back(book);
-            slot.due = (reports && unsettled) || returns || moves || hands_back;
+            let hands_back = stopping && has_return(book);
+            slot.due = (reports && unsettled) || returns || (moves && !stopping) || hands_back;
         }
     }
 
@@ -209,6 +209,7 @@
                 let recorded = account.is_some_and(|held| held.grant(grant.epoch).is_some());
                 recorded || !(vanished || resolved)
             });
+            book.missing = account.is_none();
             book.seen = account.map(|account| Seen {
                 at: now,
                 prepaid: account.prepaid,
@@ -253,7 +254,7 @@
             if slot.phase != Phase::Idle || slot.silent {
                 continue;
             }
-            if self.books[at].seen.is_none() {
+            if self.books[at].missing {
                 self.refuse_unknown(at, effects);
                 continue;
             }
@@ -337,6 +338,12 @@
     next != held && account.set_grant(next)
 }
 
+/// Whether a stopping entry can lower or settle its grant.
+fn has_return(book: &Book) -> bool {
+    let own = &book.own;
+    own.record.granted > own.committed() || own.record.settled < own.settled()
+}
+
 /// Whether a former epoch's grant can be written lower or higher settled.
 fn has_news(grant: &OwnGrant) -> bool {
     is_closed(grant)
