routing: affinity by the prompt's text, not by the request body

Cause: the body begins with max_tokens, which differs between requests, so that equal prompts had different prefixes; seen as a hit ratio near the baseline's. Change: the entry hands the messages' first 512 bytes to the policy.

--- a/daemon/src/entry/admission.rs
+++ b/daemon/src/entry/admission.rs
@@ -8,6 +8,7 @@
 use rosemarymoor_lib::request_bound::ChatRequest;
 use rosemarymoor_lib::request_identity::{RequestContent, identify};
 use rosemarymoor_lib::result_code::{Refusal, ResultCode};
+use rosemarymoor_lib::routing::PREFIX_BYTES;
 use rosemarymoor_lib::wire::{CallSpec, Price};
 
 use super::job::Job;
@@ -106,7 +107,7 @@
             stream: bounded.stream,
             body: bounded.body,
         };
-        Ok(self.job(route, budget, bounded.worst_case, call))
+        Ok(self.job(route, budget, bounded.worst_case, bounded.prefix, call))
     }
 
     /// Admits a call to an application route.
@@ -124,10 +125,18 @@
             stream: false,
             body,
         };
-        Ok(self.job(route, budget, app_worst_case(route), call))
+        let prefix = call.body[..call.body.len().min(PREFIX_BYTES)].to_vec();
+        Ok(self.job(route, budget, app_worst_case(route), prefix, call))
     }
 
-    fn job(&self, route: &Route, budget: BudgetId, worst_case: u64, call: CallSpec) -> Job {
+    fn job(
+        &self,
+        route: &Route,
+        budget: BudgetId,
+        worst_case: u64,
+        prefix: Vec<u8>,
+        call: CallSpec,
+    ) -> Job {
         let content = RequestContent {
             workspace: &self.workspace.name,
             route: &route.name,
@@ -147,6 +156,7 @@
             budget,
             worst_case,
             call,
+            prefix,
             admitted: Instant::now(),
             retry_only: false,
         }
--- a/daemon/src/entry/delivery.rs
+++ b/daemon/src/entry/delivery.rs
@@ -136,7 +136,7 @@
     exclude: &[String],
     last: Attempt,
 ) -> Result<Choice, Refusal> {
-    let delivery = Delivery { route: &job.route.name, prompt: &job.call.body, exclude };
+    let delivery = Delivery { route: &job.route.name, prompt: &job.prefix, exclude };
     let chosen = entry.router.choose(delivery);
     match &chosen {
         Ok(choice) => log::info!(
--- a/daemon/src/entry/job.rs
+++ b/daemon/src/entry/job.rs
@@ -17,6 +17,8 @@
     /// Most that the request can cost, in tokens.
     pub worst_case: u64,
     pub call: CallSpec,
+    /// Beginning of the prompt or body, for prefix affinity.
+    pub prefix: Vec<u8>,
     pub admitted: Instant,
     /// Whether the request may only join an earlier delivery, not run itself.
     pub retry_only: bool,
--- a/lib/src/request_bound.rs
+++ b/lib/src/request_bound.rs
@@ -10,6 +10,7 @@
 
 use crate::config::Route;
 use crate::result_code::{Refusal, ResultCode};
+use crate::routing::PREFIX_BYTES;
 
 /// Why a chat body cannot be priced.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -47,6 +48,8 @@
 pub struct BoundedChat {
     pub body: Vec<u8>,
     pub stream: bool,
+    /// Beginning of the prompt's text, for prefix affinity.
+    pub prefix: Vec<u8>,
     /// Upper bound on prompt and generated tokens together.
     pub worst_case: u64,
 }
@@ -79,11 +82,12 @@
         let generated = self.generated_bound(route)?;
         let prompt =
             route.max_prompt_tokens.map_or(self.sent_bytes, |max| max.min(self.sent_bytes));
+        let prefix = self.prompt_prefix();
         self.rewrite(route, generated, stream);
         let body = Value::Object(self.fields).to_string().into_bytes();
         let choices = generated.choices;
         let worst_case = prompt.saturating_add(generated.max_tokens.saturating_mul(choices));
-        Ok(BoundedChat { body, stream, worst_case })
+        Ok(BoundedChat { body, stream, prefix, worst_case })
     }
 
     fn rewrite(&mut self, route: &Route, generated: GeneratedBound, stream: bool) {
@@ -99,6 +103,24 @@
         }
     }
 
+    /// Text of the messages, up to what decides on prefix affinity.
+    ///
+    /// Parameters such as `max_tokens` stay out of it, since an engine's prefix
+    /// cache does not depend on them.
+    fn prompt_prefix(&self) -> Vec<u8> {
+        let messages = self.fields.get("messages").and_then(Value::as_array);
+        let mut prefix = Vec::new();
+        for message in messages.into_iter().flatten() {
+            append_text(&message["role"], &mut prefix);
+            append_text(&message["content"], &mut prefix);
+            if prefix.len() >= PREFIX_BYTES {
+                break;
+            }
+        }
+        prefix.truncate(PREFIX_BYTES);
+        prefix
+    }
+
     fn check_messages(&self, vouched: bool) -> Result<(), BoundError> {
         let messages = match self.fields.get("messages") {
             Some(Value::Array(messages)) if !messages.is_empty() => messages,
@@ -153,6 +175,14 @@
     choices: u64,
 }
 
+fn append_text(value: &Value, text: &mut Vec<u8>) {
+    match value {
+        Value::String(part) => text.extend_from_slice(part.as_bytes()),
+        Value::Array(parts) => parts.iter().for_each(|part| append_text(&part["text"], text)),
+        _ => {}
+    }
+}
+
 fn check_message(message: &Value, vouched: bool) -> Result<(), BoundError> {
     let Value::Object(message) = message else {
         return BadFieldSnafu { field: "messages", expected: "an array of objects" }.fail();
--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -15,7 +15,7 @@
 pub use counters::TargetCounters;
 pub use policy::{BoundedRendezvous, Candidate, RoutePolicy, TwoChoices, Uniform, policy};
 pub use retry_budget::RetryBudget;
-pub use router::Router;
+pub use router::{PREFIX_BYTES, Router};
 pub use snapshot::{RouteView, RoutingSnapshot, TargetView};
 pub use system::{RoutingEffect, RoutingEvent, RoutingSystem};
 
@@ -29,7 +29,7 @@
 pub struct Delivery<'a> {
     /// Name of the route.
     pub route: &'a str,
-    /// Prompt or body whose beginning decides on prefix affinity.
+    /// Beginning of the prompt or body, which decides on prefix affinity.
     pub prompt: &'a [u8],
     /// Targets that must not be chosen, because they failed this request.
     pub exclude: &'a [String],
--- a/lib/src/routing/router.rs
+++ b/lib/src/routing/router.rs
@@ -14,7 +14,7 @@
 use crate::wire::SidecarState;
 
 /// Bytes of a prompt that decide on its affinity.
-const PREFIX_BYTES: usize = 512;
+pub const PREFIX_BYTES: usize = 512;
 
 /// When to ask again while no target is available, in milliseconds.
 const NO_TARGET_RETRY_MS: u64 = 1_000;
