entry: probe a sidecar before an action, ask a silent one before leaving it

Change: an action goes only to a connection that has just answered a look-up; a silent sidecar of a repeatable request is asked whether it holds it, so that a queue does not look like a death; a call that times out drops the cached connection; a refusal after a failed run says may-have-run.

--- a/daemon/src/entry/attempt.rs
+++ b/daemon/src/entry/attempt.rs
@@ -5,7 +5,10 @@
 use rosemarymoor_lib::id::{Attempt, EpochId};
 use rosemarymoor_lib::result_code::Refusal;
 use rosemarymoor_lib::routing::Choice;
-use rosemarymoor_lib::wire::{Funding, PeerRequest, ResumeRequest, RunRequest};
+use rosemarymoor_lib::transport::TransportError;
+use rosemarymoor_lib::wire::{
+    Funding, LookupRequest, PeerRequest, RequestRecord, ResumeRequest, RunRequest,
+};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -17,8 +20,11 @@
 /// Time to set up a connection and hand the request to it.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time in which a sidecar answers the first frame of a repeatable request.
-const ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Silence after which a sidecar is asked whether it holds the request.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time in which a sidecar says what it knows of a request.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time in which a broken exchange of a repeatable request is resumed, before
 /// the request runs elsewhere.
@@ -74,6 +80,15 @@
     /// Sends the request and follows its answer to the end.
     pub async fn run(mut self, funding: &Funding) -> AttemptEnd {
         let mut state = AnswerState::new(self.job.call.stream);
+        if !self.job.route.repeatable {
+            match self.probe().await {
+                Ok(RequestRecord::Unknown { .. }) => {}
+                Ok(RequestRecord::Running { .. } | RequestRecord::Finished { .. }) => {
+                    return self.follow_resumed(&mut state).await;
+                }
+                Err(err) => return AttemptEnd::Undelivered { detail: err.to_string() },
+            }
+        }
         let first = PeerRequest::Run(Box::new(self.run_request(funding)));
         match self.open(&first).await {
             Ok(exchange) => self.follow(exchange, &mut state).await,
@@ -106,6 +121,7 @@
                     state.apply(received.frame)
                 }
                 Heard::Broken => Step::Gap,
+                Heard::Silent if self.is_held().await => Step::Wait,
                 Heard::Silent => return self.give_up(exchange, "no frame in time").await,
                 Heard::CallerGone => {
                     let charge = self.cancel(exchange).await;
@@ -207,10 +223,7 @@
         }
     }
 
-    async fn open(
-        &self,
-        first: &PeerRequest,
-    ) -> Result<Exchange, rosemarymoor_lib::transport::TransportError> {
+    async fn open(&self, first: &PeerRequest) -> Result<Exchange, TransportError> {
         let timeout = OPEN_TIMEOUT.min(self.job.remaining().max(FIRST_BACKOFF));
         Exchange::open(
             &self.entry.transport,
@@ -223,6 +236,23 @@
         .await
     }
 
+    /// Asks the sidecar whether it holds the request.
+    ///
+    /// A request that must not repeat is only handed to a connection that has
+    /// just proved alive, since its fate is unknown from then on.
+    async fn probe(&self) -> Result<RequestRecord, TransportError> {
+        let req = PeerRequest::Lookup(LookupRequest { request: self.job.identity.request });
+        self.entry.transport.call(self.choice.sidecar, &req, PROBE_TIMEOUT).await
+    }
+
+    /// Whether a silent sidecar holds the request, in its queue or running.
+    async fn is_held(&self) -> bool {
+        matches!(
+            self.probe().await,
+            Ok(RequestRecord::Running { .. } | RequestRecord::Finished { .. })
+        )
+    }
+
     /// Leaves a sidecar that stays silent; a run that still starts there is cancelled.
     async fn give_up(&self, mut exchange: Exchange, detail: &str) -> AttemptEnd {
         exchange.cancel().await;
--- a/daemon/src/entry/repeatable.rs
+++ b/daemon/src/entry/repeatable.rs
@@ -165,6 +165,7 @@
         if refusal.code == ResultCode::FateUnknown && !self.started {
             return self.judge_unknown(refusal);
         }
+        self.may_have_run |= refusal.code.kind() != RefusalKind::NotRun;
         if self.started || !runs_elsewhere(refusal.code) {
             return self.end(refusal, Bill::Charge(charge));
         }
--- a/daemon/tests/test_entry.rs
+++ b/daemon/tests/test_entry.rs
@@ -255,3 +255,12 @@
     drop((stream, kv));
     assert!(stopping.await.unwrap());
 }
+
+#[tokio::test]
+async fn a_later_refusal_does_not_hide_that_a_target_failed() {
+    let failed = vec![refused(ResultCode::TargetFailed, 0)];
+    let unreachable = vec![refused(ResultCode::TargetUnreachable, 0)];
+    let env = EntryEnvironment::start(vec![vec![failed], vec![unreachable]]).await;
+    let (_, kind, refusal) = problem(env.chat(false).send().await.unwrap()).await;
+    assert_eq!((kind.as_str(), &refusal["code"]), ("may-have-run", &4001.into()));
+}
--- a/lib/src/transport.rs
+++ b/lib/src/transport.rs
@@ -128,7 +128,12 @@
         let mut stream = self.open(peer, req, timeout).await?;
         match tokio::time::timeout(timeout, stream.recv()).await {
             Ok(reply) => reply?.ok_or(TransportError::Malformed),
-            Err(_) => TimeoutSnafu.fail(),
+            Err(_) => {
+                // The peer may have been replaced behind the connection; its
+                // open streams go on, and the next call connects anew.
+                self.forget(peer);
+                TimeoutSnafu.fail()
+            }
         }
     }
 
@@ -163,6 +168,13 @@
         Ok(connection)
     }
 
+    fn forget(&self, peer: SocketAddr) {
+        let mut connections = self.connections.lock().expect("no holder panics");
+        if let Ok(at) = connections.binary_search_by_key(&peer, |cached| cached.peer) {
+            connections.remove(at);
+        }
+    }
+
     fn cached(&self, peer: SocketAddr) -> Option<Connection> {
         let mut connections = self.connections.lock().expect("no holder panics");
         let at = connections.binary_search_by_key(&peer, |cached| cached.peer).ok()?;
