--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -4,7 +4,6 @@
 //! calls its target once for each that it admits, and keeps the answers so that
 //! a stream can be taken up again.
 
-mod books;
 mod context;
 mod gate;
 mod job;
@@ -28,7 +27,6 @@
 use crate::http_server::{self, HttpServer, HttpServerError, Metrics};
 use crate::settings::{Settings, TargetSettings};
 
-use books::OpenBooks;
 use context::{Parts, Sidecar};
 use peer::SidecarPeer;
 use poison_spread::PoisonSpread;
@@ -77,13 +75,7 @@
         handle: cfg.clone(),
     });
     let metrics = Metrics::start().context(HttpSnafu)?;
-    let parts = Parts {
-        target: Arc::new(HttpTarget::open(&target.url)),
-        witness: Arc::new(OpenBooks),
-        cfg,
-        kv,
-        spread,
-    };
+    let parts = Parts { target: Arc::new(HttpTarget::open(&target.url)), cfg, kv, spread };
     let cx = Sidecar::open(settings.clone(), target, parts, &metrics);
     let watchers = watch::spawn(cx.clone(), config.node());
     let rocket = http_server::build(settings.http, cx.clone(), metrics);
