sidecar: learn poison requests and hosts before the first request

Cause: a sidecar that has just started knew neither the poison requests in the store nor the other sidecars, and could have been crashed a third time. Conclusion: a fingerprint outlives the hosts that learned it.

--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -77,6 +77,7 @@
     let metrics = Metrics::start().context(HttpSnafu)?;
     let parts = Parts { target: Arc::new(HttpTarget::open(&target.url)), cfg, kv, spread };
     let cx = Sidecar::open(settings.clone(), target, parts, &metrics);
+    watch::learn(&cx).await;
     let watchers = watch::spawn(cx.clone(), config.node());
     let rocket = http_server::build(settings.http, cx.clone(), metrics);
     let http = HttpServer::spawn(rocket).await.context(HttpSnafu)?;
--- a/daemon/src/sidecar/poison_spread.rs
+++ b/daemon/src/sidecar/poison_spread.rs
@@ -70,18 +70,20 @@
         let _ = tokio::time::timeout(SHARE_TIMEOUT, join_all(calls)).await;
     }
 
+    /// Everything that the store knows; empty where it does not answer.
+    pub async fn read_all(&self) -> Vec<PoisonRow> {
+        let tables = join_all((0..SHARDS).map(|shard| self.read(shard))).await;
+        tables.into_iter().flatten().flat_map(|(_, table)| table.rows().to_vec()).collect()
+    }
+
     /// Saves and reads the knowledge until the task is dropped.
     pub async fn follow_store(&self, sink: impl Fn(Vec<PoisonRow>) + Send) {
-        for round in 0u32.. {
+        for round in 1u32.. {
+            tokio::time::sleep(FLUSH_INTERVAL).await;
+            self.flush().await;
             if round.is_multiple_of(FLUSHES_PER_READ) {
-                for shard in 0..SHARDS {
-                    if let Some((_, table)) = self.read(shard).await {
-                        sink(table.rows().to_vec());
-                    }
-                }
+                sink(self.read_all().await);
             }
-            self.flush().await;
-            tokio::time::sleep(FLUSH_INTERVAL).await;
         }
     }
 
--- a/daemon/src/sidecar/watch.rs
+++ b/daemon/src/sidecar/watch.rs
@@ -8,12 +8,14 @@
 use rosemarymoor_lib::control::EventSink;
 use rosemarymoor_lib::gate::{GateEvent, LoadReason};
 use rosemarymoor_lib::host_follower::{HostFollower, POLL_INTERVAL};
-use rosemarymoor_lib::host_list::Host;
+use rosemarymoor_lib::host_list::{Host, HostList};
 use rosemarymoor_lib::host_list_http::HostListHttp;
 use tokio::task::JoinHandle;
 
 use super::context::Sidecar;
 
+/// Longest time that a start waits for knowledge from the platform.
+const LEARN_TIMEOUT: Duration = Duration::from_secs(2);
 const LOAD_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Running watchers; they stop when dropped.
@@ -41,6 +43,19 @@
     Watchers { tasks, _hosts: hosts }
 }
 
+/// Learns the poison requests, the other sidecars and the target's state.
+///
+/// A platform that does not answer delays the start only up to a limit.
+pub async fn learn(cx: &Sidecar) {
+    let poison = tokio::time::timeout(LEARN_TIMEOUT, cx.spread.read_all());
+    let list = HostListHttp::open(&cx.settings.hosts_url);
+    let (rows, hosts, ()) = tokio::join!(poison, list.hosts(), cx.gate.read_load(LoadReason::Poll));
+    cx.gate.send(GateEvent::Poison(rows.unwrap_or_default()));
+    if let Some(hosts) = hosts {
+        cx.spread.set_hosts(hosts);
+    }
+}
+
 async fn watch_target(cx: Arc<Sidecar>) {
     let mut limits = AdmissionLimits::default();
     loop {
--- /dev/null
+++ b/daemon/tests/sidecar_env/mod.rs
@@ -0,0 +1,238 @@
+//! A sidecar before a stand-in target, reached as an entry reaches it.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use log::LevelFilter;
+use rosemarymoor_daemon::settings::{BudgetsSettings, Settings, TargetSettings};
+use rosemarymoor_daemon::sidecar;
+use rosemarymoor_lib::fleet_key::FleetKey;
+use rosemarymoor_lib::host_list::{Host, HostState, Role};
+use rosemarymoor_lib::id::{Attempt, BudgetId, EpochId, RequestId};
+use rosemarymoor_lib::transport::{FrameStream, Transport};
+use rosemarymoor_lib::wire::{
+    CallSpec, Class, Funding, FundingPart, PeerRequest, Price, RunEnvelope, RunFrame, RunRequest,
+    StatusReply, WitnessReply, WitnessRequest,
+};
+use rosemarymoor_testutils::host_list::HostListStandIn;
+use rosemarymoor_testutils::kv::KvStandIn;
+use rosemarymoor_testutils::marker;
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+pub const TIMEOUT: Duration = Duration::from_secs(60);
+pub const RESERVE: u64 = 100_000;
+pub const HOLDER: EpochId = EpochId(1);
+pub const OTHER_HOLDER: EpochId = EpochId(2);
+
+/// Platform that the sidecars of a test share.
+pub struct Platform {
+    pub kv: KvStandIn,
+    hosts: HostListStandIn,
+    listed: Vec<Host>,
+    key: String,
+    transport: std::sync::Arc<Transport>,
+}
+
+/// One running sidecar.
+pub struct SidecarEnvironment {
+    pub address: SocketAddr,
+    pub task: JoinHandle<i32>,
+    transport: std::sync::Arc<Transport>,
+}
+
+impl Platform {
+    pub async fn start() -> Platform {
+        let key = FleetKey::generate().unwrap();
+        let transport =
+            Transport::bind(([127, 0, 0, 1], 0).into(), &FleetKey::open(&key).unwrap()).unwrap();
+        let kv = KvStandIn::bind(1).await.unwrap();
+        let hosts = HostListStandIn::bind(Duration::ZERO).await.unwrap();
+        Platform { kv, hosts, listed: Vec::new(), key, transport }
+    }
+
+    /// Puts a sidecar on the host list before it starts.
+    pub fn announce(&mut self, name: &str) -> SocketAddr {
+        let address = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        self.listed.push(Host {
+            name: name.to_owned(),
+            role: Role::Sidecar,
+            address,
+            data_center: "wien-a".to_owned(),
+            region: "at-east".to_owned(),
+            state: HostState::Live,
+        });
+        self.hosts.set_hosts(self.listed.clone());
+        address
+    }
+
+    /// Starts a sidecar of target `name` at `url` and enrols both holders.
+    pub async fn sidecar(&mut self, name: &str, url: String) -> SidecarEnvironment {
+        let listed = self.listed.iter().find(|host| host.name == name).map(|host| host.address);
+        let address = listed.unwrap_or_else(|| self.announce(name));
+        let settings = Settings {
+            name: name.to_owned(),
+            role: Role::Sidecar,
+            data_center: "wien-a".to_owned(),
+            region: "at-east".to_owned(),
+            quic: address,
+            http: ([127, 0, 0, 1], 0).into(),
+            kv_url: self.kv.server().url(),
+            hosts_url: self.hosts.url(name),
+            fleet_key: self.key.clone(),
+            log_level: LevelFilter::Info,
+            drain_ms: 60_000,
+            budgets: BudgetsSettings { shards: 4, policy: "adaptive".to_owned() },
+            config_parents: 2,
+            target: Some(TargetSettings { name: name.to_owned(), url }),
+        };
+        let task = tokio::spawn(sidecar::run(settings));
+        let env = SidecarEnvironment { address, task, transport: self.transport.clone() };
+        env.enroll().await;
+        env
+    }
+}
+
+impl SidecarEnvironment {
+    async fn enroll(&self) {
+        let ask = PeerRequest::Witness(WitnessRequest::Incarnation);
+        let WitnessReply { incarnation, .. } =
+            until(|| self.transport.call(self.address, &ask, TIMEOUT)).await;
+        for epoch in [HOLDER, OTHER_HOLDER] {
+            let enroll = PeerRequest::Witness(WitnessRequest::Enroll { epoch, incarnation });
+            let reply: WitnessReply = self.call(&enroll).await;
+            assert!(reply.enrolled);
+        }
+    }
+
+    pub async fn call<R: serde::de::DeserializeOwned>(&self, req: &PeerRequest) -> R {
+        self.transport.call(self.address, req, TIMEOUT).await.unwrap()
+    }
+
+    pub async fn open(&self, req: PeerRequest) -> FrameStream {
+        self.transport.open(self.address, &req, TIMEOUT).await.unwrap()
+    }
+
+    pub async fn run(&self, req: &RunRequest) -> Answered {
+        read(self.open(PeerRequest::Run(Box::new(req.clone()))).await).await
+    }
+
+    pub async fn status(&self) -> StatusReply {
+        self.call(&PeerRequest::Status).await
+    }
+
+    /// Waits until a request has been given to the target.
+    pub async fn wait_running(&self) {
+        while self.status().await.running == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Repeats a call until it succeeds.
+async fn until<T, E, F: Future<Output = Result<T, E>>>(call: impl Fn() -> F) -> T {
+    loop {
+        if let Ok(value) = call().await {
+            return value;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// What came over a stream.
+#[derive(Debug, Default)]
+pub struct Answered {
+    pub offset: u64,
+    pub body: Vec<u8>,
+    pub last: Option<RunFrame>,
+}
+
+impl Answered {
+    pub fn code(&self) -> u16 {
+        match &self.last {
+            Some(RunFrame::Refused { refusal, .. }) => refusal.code.number(),
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+
+    pub fn charge(&self) -> u64 {
+        match self.last {
+            Some(RunFrame::End { charge, .. } | RunFrame::Refused { charge, .. }) => charge,
+            ref other => panic!("no end: {other:?}"),
+        }
+    }
+
+    pub fn is_whole(&self) -> bool {
+        matches!(self.last, Some(RunFrame::End { .. }))
+    }
+}
+
+/// Reads a stream to its end.
+pub async fn read(mut stream: FrameStream) -> Answered {
+    let mut answered = Answered { offset: u64::MAX, ..Answered::default() };
+    while let Some(envelope) = stream.recv::<RunEnvelope>().await.unwrap() {
+        match envelope.frame {
+            RunFrame::Data { offset, bytes } => {
+                answered.offset = answered.offset.min(offset);
+                assert_eq!(offset, answered.offset + answered.body.len() as u64);
+                answered.body.extend(bytes);
+            }
+            RunFrame::Accepted | RunFrame::Head { .. } => {}
+            end @ (RunFrame::End { .. } | RunFrame::Refused { .. }) => answered.last = Some(end),
+        }
+    }
+    answered
+}
+
+/// Streamed model request for `tokens` tokens under `marker`.
+pub fn model_request(target: &str, marker: &str, tokens: u64) -> RunRequest {
+    let body = json!({
+        "model": "stand-in",
+        "messages": [{ "role": "user", "content": marker::prompt(marker, tokens) }],
+        "max_tokens": tokens,
+        "stream": true,
+        "stream_options": { "include_usage": true },
+    });
+    RunRequest {
+        request: RequestId::from_key("household", marker),
+        attempt: Attempt(1),
+        workspace: "household".to_owned(),
+        route: "dossier".to_owned(),
+        target: target.to_owned(),
+        class: Class::Long,
+        repeatable: true,
+        deadline_ms: 60_000,
+        funding: funding(HOLDER),
+        price: Price::Usage,
+        fingerprint: RequestId::from_key("fingerprint", marker).0,
+        call: CallSpec {
+            method: "POST".to_owned(),
+            path: "/v1/chat/completions".to_owned(),
+            content_type: "application/json".to_owned(),
+            stream: true,
+            body: body.to_string().into_bytes(),
+        },
+    }
+}
+
+/// Submission that must not repeat.
+pub fn action_request(target: &str, marker: &str) -> RunRequest {
+    RunRequest {
+        class: Class::Action,
+        repeatable: false,
+        price: Price::Fixed(50),
+        call: CallSpec {
+            method: "POST".to_owned(),
+            path: format!("/submissions?marker={marker}"),
+            content_type: "application/json".to_owned(),
+            stream: false,
+            body: b"{}".to_vec(),
+        },
+        ..model_request(target, marker, 1)
+    }
+}
+
+pub fn funding(holder: EpochId) -> Funding {
+    let budget = BudgetId { workspace: "household".to_owned(), name: "main".to_owned() };
+    Funding { holder, budget, parts: vec![FundingPart { root: holder, amount: RESERVE }] }
+}
