--- a/lib/src/fleet_key.rs
+++ b/lib/src/fleet_key.rs
@@ -81,6 +81,11 @@
         Ok(cfg)
     }
 
+    /// Secret for another purpose than TLS, equal in every process of the fleet.
+    pub fn derive(&self, purpose: &str) -> [u8; 32] {
+        blake3::derive_key(purpose, &self.private_key)
+    }
+
     fn tls_key(&self) -> PrivateKeyDer<'static> {
         PrivateKeyDer::Pkcs8(PrivatePkcs8KeyDer::from(self.private_key.clone()))
     }
--- a/lib/src/transport.rs
+++ b/lib/src/transport.rs
@@ -1,12 +1,16 @@
 //! QUIC between the fleet's processes: one stream a request, framed messages.
 
+mod reset_key;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, Endpoint, RecvStream, SendStream, ServerConfig, VarInt};
+use quinn::{
+    ClientConfig, Connection, Endpoint, RecvStream, SendStream, ServerConfig, TokioRuntime, VarInt,
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
@@ -79,7 +83,11 @@
         let client_crypto = QuicClientConfig::try_from(client_tls).context(QuicSnafu)?;
         let mut client = ClientConfig::new(Arc::new(client_crypto));
         client.transport_config(settings);
-        let endpoint = Endpoint::server(server, address).context(BindSnafu { address })?;
+        let socket = std::net::UdpSocket::bind(address).context(BindSnafu { address })?;
+        let runtime = Arc::new(TokioRuntime);
+        let endpoint =
+            Endpoint::new(reset_key::endpoint_config(key), Some(server), socket, runtime)
+                .context(BindSnafu { address })?;
         Ok(Arc::new(Transport { endpoint, client, connections: Mutex::default() }))
     }
 
@@ -128,7 +136,10 @@
         let mut stream = self.open(peer, req, timeout).await?;
         match tokio::time::timeout(timeout, stream.recv()).await {
             Ok(reply) => reply?.ok_or(TransportError::Malformed),
-            Err(_) => TimeoutSnafu.fail(),
+            Err(_) => {
+                self.forget(peer);
+                TimeoutSnafu.fail()
+            }
         }
     }
 
@@ -174,6 +185,16 @@
         None
     }
 
+    /// Opens a new connection for the next call, since this one may be dead.
+    ///
+    /// Streams that are open on the old connection keep it alive.
+    fn forget(&self, peer: SocketAddr) {
+        let mut connections = self.connections.lock().expect("no holder panics");
+        if let Ok(at) = connections.binary_search_by_key(&peer, |cached| cached.peer) {
+            connections.remove(at);
+        }
+    }
+
     fn cache(&self, peer: SocketAddr, connection: Connection) {
         let mut connections = self.connections.lock().expect("no holder panics");
         let cached = PeerConnection { peer, connection };
--- a/lib/tests/test_transport.rs
+++ b/lib/tests/test_transport.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use rosemarymoor_lib::fleet_key::FleetKey;
 use rosemarymoor_lib::host_list::Role;
-use rosemarymoor_lib::transport::{FrameStream, PeerHandler, Transport};
+use rosemarymoor_lib::transport::{FrameStream, PeerHandler, Transport, TransportError};
 use rosemarymoor_lib::wire::{PeerRequest, StatusReply};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -57,6 +57,31 @@
     assert_eq!(reply, status());
 }
 
+#[test]
+fn a_peer_that_was_killed_and_restarted_is_reached_soon() {
+    let key = FleetKey::open(&FleetKey::generate().unwrap()).unwrap();
+    let client_runtime = tokio::runtime::Runtime::new().unwrap();
+    let first_life = tokio::runtime::Runtime::new().unwrap();
+    let peer = first_life.block_on(async { serve(&key) });
+    let client = client_runtime.block_on(async { Transport::bind(loopback(), &key).unwrap() });
+    let call = || {
+        let call = client.call::<StatusReply>(peer, &PeerRequest::Status, TIMEOUT);
+        client_runtime.block_on(call)
+    };
+    assert_eq!(call().unwrap(), status());
+    // Without its runtime the endpoint cannot say goodbye.
+    first_life.shutdown_timeout(TIMEOUT);
+    let second_life = tokio::runtime::Runtime::new().unwrap();
+    second_life.block_on(async {
+        let server = Transport::bind(peer, &key).unwrap();
+        tokio::spawn(server.serve(Arc::new(Status)));
+    });
+    // The first call meets the dead connection and its reset, not the idle timeout.
+    let first = call();
+    assert!(!matches!(first, Err(TransportError::Timeout)), "{first:?}");
+    assert_eq!(call().unwrap(), status());
+}
+
 #[tokio::test]
 async fn a_peer_with_another_fleet_key_is_refused() {
     let key = FleetKey::open(&FleetKey::generate().unwrap()).unwrap();
