--- a/lib/src/transport.rs
+++ b/lib/src/transport.rs
@@ -137,6 +137,8 @@
         match tokio::time::timeout(timeout, stream.recv()).await {
             Ok(reply) => reply?.ok_or(TransportError::Malformed),
             Err(_) => {
+                // The peer may have been replaced behind the connection; its
+                // open streams go on, and the next call connects anew.
                 self.forget(peer);
                 TimeoutSnafu.fail()
             }
@@ -174,6 +176,13 @@
         Ok(connection)
     }
 
+    fn forget(&self, peer: SocketAddr) {
+        let mut connections = self.connections.lock().expect("no holder panics");
+        if let Ok(at) = connections.binary_search_by_key(&peer, |cached| cached.peer) {
+            connections.remove(at);
+        }
+    }
+
     fn cached(&self, peer: SocketAddr) -> Option<Connection> {
         let mut connections = self.connections.lock().expect("no holder panics");
         let at = connections.binary_search_by_key(&peer, |cached| cached.peer).ok()?;
@@ -185,16 +194,6 @@
         None
     }
 
-    /// Opens a new connection for the next call, since this one may be dead.
-    ///
-    /// Streams that are open on the old connection keep it alive.
-    fn forget(&self, peer: SocketAddr) {
-        let mut connections = self.connections.lock().expect("no holder panics");
-        if let Ok(at) = connections.binary_search_by_key(&peer, |cached| cached.peer) {
-            connections.remove(at);
-        }
-    }
-
     fn cache(&self, peer: SocketAddr, connection: Connection) {
         let mut connections = self.connections.lock().expect("no holder panics");
         let cached = PeerConnection { peer, connection };
