host_list_http: conditional reads

Cause: every node polls the whole host list each second; its bytes grew by 123 B/s with each process of the fleet and used up the 6 KB/s at 48 processes. Change: the adapter keeps the last list with its entity tag and asks whether it changed; the stand-in answers 304. Conclusion: a quiet list costs a request's headers, whatever its length.

--- a/lib/src/host_list_http.rs
+++ b/lib/src/host_list_http.rs
@@ -1,9 +1,14 @@
 //! Host list over HTTP: `GET` of the settings' URL answers a JSON array.
+//!
+//! Reads are conditional where the service gives entity tags, since the list
+//! grows with the fleet while it changes rarely.
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use reqwest::Client;
+use reqwest::header::{ETAG, HeaderMap, IF_NONE_MATCH};
+use reqwest::{Client, StatusCode};
 
 use crate::host_list::{Host, HostList};
 use crate::http_client::{self, ConnectionReuse};
@@ -11,26 +16,57 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Host list reached over HTTP.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct HostListHttp {
     url: String,
     client: Client,
+    last: Mutex<Option<TaggedList>>,
+}
+
+/// Last list with the entity tag that the service gave it.
+#[derive(Clone, Debug)]
+struct TaggedList {
+    tag: String,
+    hosts: Vec<Host>,
 }
 
 impl HostListHttp {
     /// Opens a client for the list at `url`; connects on first use.
     pub fn open(url: &str) -> HostListHttp {
-        HostListHttp { url: url.to_owned(), client: http_client::open(ConnectionReuse::Pooled) }
+        HostListHttp {
+            url: url.to_owned(),
+            client: http_client::open(ConnectionReuse::Pooled),
+            last: Mutex::default(),
+        }
+    }
+
+    fn last(&self) -> Option<TaggedList> {
+        self.last.lock().expect("no holder panics").clone()
+    }
+
+    fn keep(&self, headers: &HeaderMap, hosts: &[Host]) {
+        let tag = headers.get(ETAG).and_then(|tag| tag.to_str().ok());
+        let list = tag.map(|tag| TaggedList { tag: tag.to_owned(), hosts: hosts.to_vec() });
+        *self.last.lock().expect("no holder panics") = list;
     }
 }
 
 #[async_trait]
 impl HostList for HostListHttp {
     async fn hosts(&self) -> Option<Vec<Host>> {
-        let req = self.client.get(&self.url).timeout(TIMEOUT);
+        let last = self.last();
+        let mut req = self.client.get(&self.url).timeout(TIMEOUT);
+        if let Some(last) = &last {
+            req = req.header(IF_NONE_MATCH, &last.tag);
+        }
         let resp = req.send().await.ok()?.error_for_status().ok()?;
+        if resp.status() == StatusCode::NOT_MODIFIED {
+            return last.map(|last| last.hosts);
+        }
+        let headers = resp.headers().clone();
         let mut hosts: Vec<Host> = resp.json().await.ok()?;
         hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        self.keep(&headers, &hosts);
         Some(hosts)
     }
 }
--- a/lib/testutils/src/host_list.rs
+++ b/lib/testutils/src/host_list.rs
@@ -5,13 +5,16 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
 use rosemarymoor_lib::host_list::Host;
+use rosemarymoor_lib::id::digest128;
 
 use crate::server::{Handler, Reply, Server, answer, empty};
 
@@ -27,6 +30,7 @@
     /// Lists in the order in which they became true.
     lists: Mutex<Vec<(Instant, Vec<Host>)>>,
     addresses: Mutex<Vec<ViewedAddress>>,
+    sent: AtomicU64,
 }
 
 struct ViewedAddress {
@@ -43,6 +47,7 @@
             down: Mutex::default(),
             lists: Mutex::default(),
             addresses: Mutex::default(),
+            sent: AtomicU64::new(0),
         });
         let server = Server::bind(Arc::new(Service(shared.clone()))).await?;
         Ok(HostListStandIn { server, shared })
@@ -71,6 +76,11 @@
         addresses.push(ViewedAddress { viewer, host, address });
     }
 
+    /// Lists sent in full, apart from answers that nothing changed.
+    pub fn lists_sent(&self) -> u64 {
+        self.shared.sent.load(Ordering::Relaxed)
+    }
+
     /// Stops or resumes answering.
     pub fn set_down(&self, down: bool) {
         *self.shared.down.lock().expect("no holder panics") = down;
@@ -90,10 +100,22 @@
             return Ok(empty(404));
         };
         let body = serde_json::to_vec(&self.0.hosts(viewer)).expect("hosts have string keys");
-        Ok(answer(200, "application/json", body))
+        let tag = entity_tag(&body);
+        if req.headers().get(IF_NONE_MATCH) == Some(&tag) {
+            return Ok(empty(304));
+        }
+        self.0.sent.fetch_add(1, Ordering::Relaxed);
+        let mut reply = answer(200, "application/json", body);
+        reply.headers_mut().insert(ETAG, tag);
+        Ok(reply)
     }
 }
 
+fn entity_tag(body: &[u8]) -> HeaderValue {
+    let tag = format!("\"{:032x}\"", digest128(&[body]));
+    HeaderValue::from_str(&tag).expect("hexadecimal digits are valid")
+}
+
 impl Shared {
     fn hosts(&self, viewer: &str) -> Vec<Host> {
         let lists = self.lists.lock().expect("no holder panics");
