bench, testutils: own port blocks for each fleet, fresh connections to restarted nodes

Change: a fleet owns a block of ports by listening on its first; the watcher of revisions connects anew after a failure; the judge names the budgets whose runs are not settled.

--- a/bench/src/judge.rs
+++ b/bench/src/judge.rs
@@ -213,6 +213,9 @@
         verdict.settled_tokens += settled;
         verdict.overspend_tokens += ran.saturating_sub(prepaid);
         verdict.unsettled_tokens += ran.saturating_sub(settled);
+        if ran > settled {
+            eprintln!("{name}: ran {ran}, settled {settled}, prepaid {prepaid}");
+        }
         verdict.stranded_tokens += open;
         let answered: Vec<&CallRecord> = records
             .iter()
--- a/bench/src/measures/config.rs
+++ b/bench/src/measures/config.rs
@@ -99,11 +99,11 @@
     let length = Duration::from_secs(options.seconds.unwrap_or(SECONDS));
     let mut fleet = Fleet::open(plan).await?;
     let key = FleetKey::open(fleet.fleet_key()).map_err(io::Error::other)?;
-    let transport = Transport::bind_client(&key).map_err(io::Error::other)?;
+    let key = Arc::new(key);
     let sightings = Arc::new(Mutex::new(Vec::new()));
     let mut watching = JoinSet::new();
     for (node, quic) in fleet.nodes.iter().map(|node| node.quic).enumerate() {
-        watching.spawn(watch(transport.clone(), node, quic, sightings.clone()));
+        watching.spawn(watch(key.clone(), node, quic, sightings.clone()));
     }
     let bytes = total_bytes(&fleet);
     let start = Instant::now();
@@ -172,19 +172,21 @@
 
 /// Asks a node for its revision until it is aborted.
 async fn watch(
-    transport: Arc<Transport>,
+    key: Arc<FleetKey>,
     node: usize,
     quic: SocketAddr,
     sightings: Arc<Mutex<Vec<Sighting>>>,
 ) {
-    loop {
-        let status: Result<StatusReply, _> =
-            transport.call(quic, &PeerRequest::Status, CALL_TIMEOUT).await;
-        if let Ok(status) = status {
+    // A connection to a process that was killed answers nothing until its idle
+    // timeout, so that a failure asks for a fresh one.
+    while let Ok(transport) = Transport::bind_client(&key) {
+        while let Ok(status) =
+            transport.call::<StatusReply>(quic, &PeerRequest::Status, CALL_TIMEOUT).await
+        {
             let sighting = Sighting { node, at: Instant::now(), revision: status.config_revision };
             sightings.lock().expect("no holder panics").push(sighting);
+            tokio::time::sleep(POLL).await;
         }
-        tokio::time::sleep(POLL).await;
     }
 }
 
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -3,9 +3,10 @@
 mod ledger;
 mod links;
 mod plan;
+mod ports;
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rosemarymoor_lib::config::Config;
@@ -24,12 +25,10 @@
 pub use ledger::LedgerView;
 use links::Links;
 pub use plan::{BudgetPlan, FleetPlan};
+use ports::Ports;
 
 const READY_LIMIT: Duration = Duration::from_secs(60);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
-const FIRST_PORT: u16 = 12_000;
-const LAST_PORT: u16 = 32_000;
-const PORT_TRIES: u32 = 1_000;
 
 /// One host with its process.
 pub struct Node {
@@ -55,6 +54,7 @@
     links: Links,
     fleet_key: String,
     listed: Vec<Host>,
+    ports: Ports,
     folder: TempFolder,
 }
 
@@ -65,8 +65,6 @@
     data_center: String,
     quic: SocketAddr,
     http: SocketAddr,
-    /// Sockets that hold both ports until the process is started.
-    reserved: [ReservedPort; 2],
     /// Name and URL of the target beside it.
     target: Option<(String, String)>,
 }
@@ -92,6 +90,7 @@
             folder: TempFolder::open()?,
             nodes: Vec::new(),
             listed: Vec::new(),
+            ports: Ports::default(),
             links: Links::default(),
             fleet_key,
             plan,
@@ -248,8 +247,7 @@
         let settings = self.folder.path().join(format!("{}.ini", place.name));
         std::fs::write(&settings, self.settings(&place, kv, hosts))?;
         let log = self.folder.path().join(format!("{}.log", place.name));
-        let Place { name, role, data_center, quic, http, reserved, .. } = place;
-        drop(reserved);
+        let Place { name, role, data_center, quic, http, .. } = place;
         let daemon = Daemon::spawn(&self.plan.binary, &settings, &log, http)?;
         Ok(Node { name, role, data_center, quic, daemon })
     }
@@ -278,18 +276,20 @@
         text
     }
 
-    fn places(&self) -> io::Result<Vec<Place>> {
+    fn places(&mut self) -> io::Result<Vec<Place>> {
         let mut places = Vec::new();
         for number in 0..self.plan.entries {
             places.push(self.place(FleetPlan::entry_host(number), Role::Entry, number, None)?);
         }
-        for (number, engine) in self.engines.iter().enumerate() {
-            let target = (FleetPlan::engine_name(number), engine.server().url());
+        for number in 0..self.engines.len() {
+            let url = self.engines[number].server().url();
+            let target = (FleetPlan::engine_name(number), url);
             let name = FleetPlan::sidecar_host(&target.0);
             places.push(self.place(name, Role::Sidecar, number, Some(target))?);
         }
-        for (number, application) in self.applications.iter().enumerate() {
-            let target = (FleetPlan::application_name(number), application.server().url());
+        for number in 0..self.applications.len() {
+            let url = self.applications[number].server().url();
+            let target = (FleetPlan::application_name(number), url);
             let name = FleetPlan::sidecar_host(&target.0);
             places.push(self.place(name, Role::Sidecar, number, Some(target))?);
         }
@@ -297,16 +297,15 @@
     }
 
     fn place(
-        &self,
+        &mut self,
         name: String,
         role: Role,
         number: usize,
         target: Option<(String, String)>,
     ) -> io::Result<Place> {
         let data_center = self.plan.data_center(number).to_owned();
-        let reserved = [ReservedPort::bind()?, ReservedPort::bind()?];
-        let (quic, http) = (reserved[0].address, reserved[1].address);
-        Ok(Place { name, role, data_center, quic, http, reserved, target })
+        let (quic, http) = (self.ports.take()?, self.ports.take()?);
+        Ok(Place { name, role, data_center, quic, http, target })
     }
 
     fn listed_host(&self, place: &Place) -> Host {
@@ -321,26 +320,6 @@
     }
 }
 
-/// Port that no other process can take, outside the range of outgoing connections.
-struct ReservedPort {
-    address: SocketAddr,
-    _tcp: TcpListener,
-    _udp: UdpSocket,
-}
-
-impl ReservedPort {
-    fn bind() -> io::Result<ReservedPort> {
-        for _ in 0..PORT_TRIES {
-            let port = rand::random_range(FIRST_PORT..LAST_PORT);
-            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-            if let (Ok(tcp), Ok(udp)) = (TcpListener::bind(address), UdpSocket::bind(address)) {
-                return Ok(ReservedPort { address, _tcp: tcp, _udp: udp });
-            }
-        }
-        Err(io::Error::other("no free port"))
-    }
-}
-
 fn tail(log: &str) -> String {
     let lines: Vec<&str> = log.lines().rev().take(8).collect();
     lines.into_iter().rev().collect::<Vec<_>>().join("\n")
