--- a/daemon/src/sidecar/gate.rs
+++ b/daemon/src/sidecar/gate.rs
@@ -17,9 +17,9 @@
 use super::poison_spread::PoisonSpread;
 
 /// How long a target may take to answer whether it is still there.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long the end of a lost request may wait for the verdict on its loss.
-const JUDGE_TIMEOUT: Duration = Duration::from_secs(1);
+const JUDGE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// News of one ticket.
 #[derive(Clone, Debug)]
--- a/daemon/src/sidecar/poison_spread.rs
+++ b/daemon/src/sidecar/poison_spread.rs
@@ -14,7 +14,7 @@
 use rosemarymoor_lib::wire::{PeerRequest, PoisonNotice, PoisonReply};
 
 /// Longest time that the end of a lost request waits for other sidecars.
-const SHARE_TIMEOUT: Duration = Duration::from_millis(200);
+const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 const FLUSH_INTERVAL: Duration = Duration::from_secs(1);
 /// Flushes between two reads of the whole knowledge.
