--- a/daemon/src/entry/action.rs
+++ b/daemon/src/entry/action.rs
@@ -18,7 +18,7 @@
 use super::attempt::{AttemptEnd, AttemptRun};
 use super::delivery::{
     Bill, MAX_EPOCH_REFUSALS, OpenFunding, RETRY_AFTER_MS, choose, delivery_end, may_retry,
-    reserve, runs_elsewhere, undelivered,
+    reserve, runs_elsewhere, shutting_down, undelivered,
 };
 use super::job::{Job, Reply};
 use super::join::{self, Joined};
@@ -90,8 +90,7 @@
 impl ActionRun<'_> {
     async fn round(&mut self) -> Joined {
         if self.job.retry_only {
-            let refusal = Refusal::new(ResultCode::ShuttingDown, "ask another entry");
-            return self.not_run(refusal.retry_after(RETRY_AFTER_MS)).await;
+            return self.not_run(shutting_down()).await;
         }
         loop {
             let funding = match reserve(self.entry, self.job).await {
--- a/daemon/src/entry/delivery.rs
+++ b/daemon/src/entry/delivery.rs
@@ -166,6 +166,11 @@
     allowed
 }
 
+/// Refusal of new work by an entry that drains.
+pub fn shutting_down() -> Refusal {
+    Refusal::new(ResultCode::ShuttingDown, "ask another entry").retry_after(RETRY_AFTER_MS)
+}
+
 /// Refusal of a delivery that certainly did not reach its sidecar.
 pub fn undelivered(target: &str, detail: &str) -> Refusal {
     let refusal = Refusal::new(ResultCode::TargetUnreachable, format!("target {target}: {detail}"));
--- a/daemon/src/entry/http.rs
+++ b/daemon/src/entry/http.rs
@@ -39,9 +39,6 @@
 /// Time in which a request's body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// When a caller may ask another entry after this one has begun to stop.
-const SHUTDOWN_RETRY_MS: u64 = 1_000;
-
 /// Replies that may wait for a slow caller.
 const REPLIES_BUFFERED: usize = 16;
 
@@ -71,7 +68,6 @@
         let guard = self.entry.drain.enter();
         let draining = self.entry.drain.is_draining();
         let admitted = match self.kind {
-            TargetKind::Engine if draining => Err(shutting_down()),
             TargetKind::Engine => self.admit_chat(req, data).await,
             TargetKind::Application => self.admit_app(req, data).await,
         };
@@ -83,21 +79,17 @@
     }
 }
 
-/// Lets a draining entry answer retries of calls that must not repeat.
+/// Lets a draining entry answer retries of requests that it can recognise.
 ///
 /// "Not run" would be false for one whose first delivery ran.
 fn while_draining(job: Job, draining: bool) -> Result<Job, Refusal> {
     match draining {
         false => Ok(job),
-        true if job.route.repeatable => Err(shutting_down()),
-        true => Ok(Job { retry_only: true, ..job }),
+        true if job.is_named() => Ok(Job { retry_only: true, ..job }),
+        true => Err(delivery::shutting_down()),
     }
 }
 
-fn shutting_down() -> Refusal {
-    Refusal::new(ResultCode::ShuttingDown, "ask another entry").retry_after(SHUTDOWN_RETRY_MS)
-}
-
 impl CallHandler {
     async fn admit_chat(&self, req: &Request<'_>, data: Data<'_>) -> Result<Job, Refusal> {
         let cfg = self.entry.cfg.current();
--- a/daemon/src/entry/join.rs
+++ b/daemon/src/entry/join.rs
@@ -80,17 +80,18 @@
     match entry.claims.find(job.identity.request, find_until(job)).await {
         Some(Some(held)) => join(entry, job, replies, held).await,
         Some(None) => refused(refusal),
-        None => ask_sidecars(entry, job, replies, refusal).await,
+        None => Joined::Replied(ask_sidecars(entry, job, replies, refusal).await),
     }
 }
 
-/// Asks every sidecar of the route, while the store cannot be asked.
-async fn ask_sidecars(
+/// Asks every sidecar of the route whether it knows the request, and joins it
+/// there; refuses as not run only if all of them know nothing.
+pub async fn ask_sidecars(
     entry: &Entry,
     job: &Job,
     replies: &mpsc::Sender<Reply>,
     refusal: Refusal,
-) -> Joined {
+) -> Vec<Reply> {
     let places = entry.router.places(&job.route.name);
     let answers = join_all(places.iter().map(|place| lookup(entry, job, place))).await;
     let found = places.iter().zip(&answers).find_map(|(place, answer)| match answer {
@@ -104,7 +105,8 @@
     {
         let choice = choice(place.target.clone(), sidecar);
         let followed = follow(entry, job, replies, &choice, attempt, EpochId(0)).await;
-        return Joined::Replied(followed.unwrap_or_else(|refusal| vec![Reply::Refused(refusal)]));
+        entry.metrics.joined();
+        return followed.unwrap_or_else(|refusal| vec![Reply::Refused(refusal)]);
     }
     let ruled_out = |(place, answer): (&TargetPlace, &Option<RequestRecord>)| match answer {
         // A sidecar that started anew has forgotten what it ran before.
@@ -114,10 +116,11 @@
         Some(RequestRecord::Running { .. } | RequestRecord::Finished { .. }) | None => false,
     };
     if places.iter().zip(&answers).all(ruled_out) {
-        return refused(refusal);
+        return vec![Reply::Refused(refusal)];
     }
     let detail = format!("{}; whether an earlier delivery ran cannot be asked now", refusal.detail);
-    refused(Refusal::new(ResultCode::FateUnknown, detail).retry_after(RETRY_AFTER_MS))
+    let refusal = Refusal::new(ResultCode::FateUnknown, detail).retry_after(RETRY_AFTER_MS);
+    vec![Reply::Refused(refusal)]
 }
 
 async fn lookup(entry: &Entry, job: &Job, place: &TargetPlace) -> Option<RequestRecord> {
--- a/daemon/src/entry/repeatable.rs
+++ b/daemon/src/entry/repeatable.rs
@@ -15,13 +15,30 @@
 use super::attempt::{AttemptEnd, AttemptRun};
 use super::delivery::{
     Bill, MAX_EPOCH_REFUSALS, OpenFunding, RETRY_AFTER_MS, choose, delivery_end, may_retry,
-    reserve, runs_elsewhere, undelivered,
+    reserve, runs_elsewhere, shutting_down, undelivered,
 };
 use super::job::{Job, Reply};
+use super::join;
 
 /// Delivers a request until it is answered or refused; answers what the caller
 /// still has to get.
 pub async fn run(entry: &Entry, job: &Job, replies: &mpsc::Sender<Reply>) -> Vec<Reply> {
+    let last = match job.retry_only {
+        true => vec![Reply::Refused(shutting_down())],
+        false => deliver(entry, job, replies).await,
+    };
+    match last.as_slice() {
+        // An earlier delivery under the same key may have run elsewhere.
+        [Reply::Refused(refusal)]
+            if job.is_named() && refusal.code.kind() == RefusalKind::NotRun =>
+        {
+            join::ask_sidecars(entry, job, replies, refusal.clone()).await
+        }
+        _ => last,
+    }
+}
+
+async fn deliver(entry: &Entry, job: &Job, replies: &mpsc::Sender<Reply>) -> Vec<Reply> {
     let mut deliveries = DeliveryRun::new(entry, job, replies);
     loop {
         let funding = match reserve(entry, job).await {
