--- a/lib/src/transport.rs
+++ b/lib/src/transport.rs
@@ -1,12 +1,16 @@
 //! QUIC between the fleet's processes: one stream a request, framed messages.
 
+mod reset_key;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, Endpoint, RecvStream, SendStream, ServerConfig, VarInt};
+use quinn::{
+    ClientConfig, Connection, Endpoint, RecvStream, SendStream, ServerConfig, TokioRuntime, VarInt,
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
@@ -79,7 +83,11 @@
         let client_crypto = QuicClientConfig::try_from(client_tls).context(QuicSnafu)?;
         let mut client = ClientConfig::new(Arc::new(client_crypto));
         client.transport_config(settings);
-        let endpoint = Endpoint::server(server, address).context(BindSnafu { address })?;
+        let socket = std::net::UdpSocket::bind(address).context(BindSnafu { address })?;
+        let runtime = Arc::new(TokioRuntime);
+        let endpoint =
+            Endpoint::new(reset_key::endpoint_config(key), Some(server), socket, runtime)
+                .context(BindSnafu { address })?;
         Ok(Arc::new(Transport { endpoint, client, connections: Mutex::default() }))
     }
 
