--- a/lib/src/budget/system/closing.rs
+++ b/lib/src/budget/system/closing.rs
@@ -32,7 +32,7 @@
 const UNLISTED_SILENCE_MS: u64 = 2_000;
 
 /// Silence of a listed holder before its epoch is closed for want of its money.
-const NEEDED_SILENCE_MS: u64 = 10_000;
+const NEEDED_SILENCE_MS: u64 = 4_000;
 
 /// Silence of a listed holder before its epoch is closed in any case.
 const SILENCE_MS: u64 = 60_000;
