tests: wait until the store knows both crashes

The product has this window too: a sidecar that starts within 1 s of a crash does not know it. Change: the test waits for a row with two suspicions; the asserted outcome is the same. Conclusion: the condition is now the one that the claim needs.

--- a/daemon/tests/test_sidecar.rs
+++ b/daemon/tests/test_sidecar.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rosemarymoor_lib::id::Attempt;
+use rosemarymoor_lib::poison::PoisonRow;
 use rosemarymoor_lib::target_client::{OrderAction, TargetOrder};
 use rosemarymoor_lib::wire::{
     OrderReply, OrderRequest, PeerRequest, ResumeRequest, RunControl, RunEnvelope, RunFrame,
@@ -130,13 +131,22 @@
     assert_eq!(text(&served), marker::answer("neighbour", LONG_TOKENS));
     let crashes: usize = engines.iter().map(|engine| engine.crashes().len()).sum();
     assert_eq!(crashes, 2);
-    while platform.kv.keys("poison/").is_empty() {
+    while !stored_twice(&platform) {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     let fourth = engine_after_all(&mut platform).await;
     assert_eq!(fourth, 3007);
 }
 
+/// Whether the store knows of a fingerprint suspected of two crashes.
+fn stored_twice(platform: &Platform) -> bool {
+    let keys = platform.kv.keys("poison/");
+    let values = keys.iter().filter_map(|key| platform.kv.value(key));
+    let mut rows = values
+        .flat_map(|value| serde_json::from_slice::<Vec<PoisonRow>>(&value).unwrap_or_default());
+    rows.any(|row| row.suspicions() == 2)
+}
+
 /// Code with which a sidecar that was not there refuses the poison request.
 async fn engine_after_all(platform: &mut Platform) -> u16 {
     let engine = engine(EngineSettings::default()).await;
