--- a/daemon/src/entry/delivery.rs
+++ b/daemon/src/entry/delivery.rs
@@ -136,7 +136,7 @@
     exclude: &[String],
     last: Attempt,
 ) -> Result<Choice, Refusal> {
-    let delivery = Delivery { route: &job.route.name, prompt: &job.call.body, exclude };
+    let delivery = Delivery { route: &job.route.name, prompt: &job.prefix, exclude };
     let chosen = entry.router.choose(delivery);
     match &chosen {
         Ok(choice) => log::info!(
@@ -166,6 +166,11 @@
     allowed
 }
 
+/// Refusal of new work by an entry that drains.
+pub fn shutting_down() -> Refusal {
+    Refusal::new(ResultCode::ShuttingDown, "ask another entry").retry_after(RETRY_AFTER_MS)
+}
+
 /// Refusal of a delivery that certainly did not reach its sidecar.
 pub fn undelivered(target: &str, detail: &str) -> Refusal {
     let refusal = Refusal::new(ResultCode::TargetUnreachable, format!("target {target}: {detail}"));
