testutils: a crashed engine closes its port before the connection

The engine stand-in dropped the poison request's connection before its port was closed, so that the sidecar's probe could still be served by the old generation and the crash was not counted. Ruled out: load of the machine and the spread's timeouts (failed in 1.2 s on a quiet machine as well). Change: the connection breaks with the crash itself, as it does when a process dies. Conclusion: the stand-in was wrong, not the sidecar; the test is unchanged.

--- a/lib/testutils/src/engine/generate.rs
+++ b/lib/testutils/src/engine/generate.rs
@@ -159,6 +159,9 @@
     if completion.poison {
         shared.crashes.lock().expect("no holder panics").push(completion.marker);
         shared.crash.notify_one();
+        // A crash closes the port no later than the connection, so that nobody
+        // who sees the connection break can still be served.
+        tx.closed().await;
         return;
     }
     let _ = started_tx.send(());
