budget: standby grants, one holder a budget in each data centre

Change: rendezvous hashing names one entry in each data centre that keeps up to 8,192 tokens of an idle budget, at most a fair share, for at most 4,096 budgets an entry; the others borrow there. Baseline policies keep none. The conservation test expected idle money back in the store at rest; standby money stays out by design, so the test now stops every entry after the faults and then asks that all money is back or settled, which also covers the stop.

--- a/lib/src/budget/book.rs
+++ b/lib/src/budget/book.rs
@@ -199,6 +199,8 @@
     /// Whether the store was read and has no account for the budget.
     pub missing: bool,
     pub last_used: Millis,
+    /// Whether this entry keeps money of the budget although nobody draws on it.
+    pub standby: bool,
     /// Worst case of the latest request.
     pub request: u64,
     /// When the store is asked again after it had no free money.
@@ -222,6 +224,7 @@
             seen: None,
             missing: false,
             last_used: now,
+            standby: false,
             request: 0,
             retry_at: now,
             next_peer: 0,
--- a/lib/src/budget/policy.rs
+++ b/lib/src/budget/policy.rs
@@ -9,6 +9,9 @@
 /// Least prefetch of a budget in use, in requests of its usual size.
 const LEAST_REQUESTS: u64 = 8;
 
+/// Money kept of a budget that nobody draws on, in tokens.
+const STANDBY_TOKENS: u64 = 8_192;
+
 /// Name of a grant policy in the settings.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -67,6 +70,8 @@
     pub entries: u64,
     /// Whether the budget was not drawn on for a while.
     pub idle: bool,
+    /// Whether this entry keeps money of the budget while nobody draws on it.
+    pub standby: bool,
 }
 
 /// Decides on money beyond the needs of waiting requests.
@@ -79,6 +84,11 @@
 
     /// Whether entries lend money to each other.
     fn lends(&self) -> bool;
+
+    /// Whether one entry in each data centre holds money of idle budgets.
+    fn keeps_standby(&self) -> bool {
+        false
+    }
 }
 
 struct Adaptive;
@@ -86,7 +96,8 @@
 impl Adaptive {
     /// Tokens to hold: the demand of the horizon, bounded by a fair share.
     fn goal(view: PolicyView) -> u64 {
-        let demand = (view.rate * HORIZON_S).max(view.request * LEAST_REQUESTS);
+        let least = if view.standby { STANDBY_TOKENS } else { 0 };
+        let demand = (view.rate * HORIZON_S).max(view.request * LEAST_REQUESTS).max(least);
         let share = (view.available + view.free) / (view.entries + 1);
         demand.min(share)
     }
@@ -113,6 +124,10 @@
     fn lends(&self) -> bool {
         true
     }
+
+    fn keeps_standby(&self) -> bool {
+        true
+    }
 }
 
 struct StaticSplit;
--- a/lib/src/budget/system.rs
+++ b/lib/src/budget/system.rs
@@ -2,13 +2,15 @@
 //!
 //! The modules below share [`BudgetSystem`]: [`shards`] writes the ledger,
 //! [`epochs`] registers and rolls this entry's epoch, [`closing`] reclaims the
-//! grants of closed epochs and [`peers`] lends and borrows.
+//! grants of closed epochs, [`standby`] keeps money of idle budgets and [`peers`]
+//! lends and borrows.
 
 mod closing;
 mod epochs;
 mod peers;
 mod reserve;
 mod shards;
+mod standby;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -197,7 +199,9 @@
     }
 
     fn forget_books(&mut self, now: Millis) {
-        let forget = |book: &Book| now.since(book.last_used) > FORGET_MS && book.is_settled();
+        let forget = |book: &Book| {
+            !book.standby && now.since(book.last_used) > FORGET_MS && book.is_settled()
+        };
         self.books.retain(|book| !forget(book));
     }
 }
@@ -220,7 +224,8 @@
         free,
         prepaid,
         entries,
-        idle: now.since(book.last_used) > IDLE_MS,
+        idle: !book.standby && now.since(book.last_used) > IDLE_MS,
+        standby: book.standby,
     }
 }
 
--- a/lib/src/budget/system/epochs.rs
+++ b/lib/src/budget/system/epochs.rs
@@ -200,6 +200,9 @@
         if self.current.record().is_some() && self.is_enrolled_or_late(&self.current, now) {
             self.registered = true;
             log::info!("decision=register epoch={}", self.epoch);
+            if self.policy.keeps_standby() {
+                self.slots.iter_mut().for_each(ShardSlot::wake);
+            }
             return;
         }
         if self.current.record().is_none() && self.has_collected(self.current.since, now) {
--- a/lib/src/budget/system/peers.rs
+++ b/lib/src/budget/system/peers.rs
@@ -344,6 +344,11 @@
 }
 
 impl PeerRow {
+    /// Whether the entry is in this entry's data centre.
+    pub(super) fn is_near(&self) -> bool {
+        self.distance == 0
+    }
+
     fn new(host: &Host, params: &SystemParams, now: Millis) -> PeerRow {
         let distance = u8::from(host.data_center != params.data_center)
             + u8::from(host.region != params.region);
--- a/lib/src/budget/system/shards.rs
+++ b/lib/src/budget/system/shards.rs
@@ -145,6 +145,9 @@
             self.lose_epoch(now);
         }
         self.observe_foreign(shard, &ledger, now);
+        if self.stopping.is_none() {
+            self.open_standby_books(&ledger, now);
+        }
         let changed = self.change_shard(shard, &mut ledger, now);
         let closed_others = self.apply_closings(shard, &mut ledger);
         if changed || closed_others {
--- /dev/null
+++ b/lib/src/budget/system/standby.rs
@@ -0,0 +1,42 @@
+//! Standby grants: one entry in each data centre keeps some money of a budget
+//! that nobody draws on, so that a store outage or a partition finds it there.
+//!
+//! Rendezvous hashing names the holder without any message. Two entries that
+//! see different host lists may both hold, or neither; only comfort rests on it.
+
+use super::*;
+use crate::budget::ledger::Shard;
+use crate::id::digest128;
+
+/// Idle budgets that one entry keeps money of at most, so that its memory stays
+/// bounded where few entries share many budgets.
+const MAX_STANDBY_BOOKS: usize = 4_096;
+
+impl BudgetSystem {
+    /// Opens books of the shard's budgets that this entry keeps standby money of.
+    pub(super) fn open_standby_books(&mut self, ledger: &Shard, now: Millis) {
+        if !self.policy.keeps_standby() {
+            return;
+        }
+        let held = self.books.iter().filter(|book| book.standby).count();
+        let mut room = MAX_STANDBY_BOOKS.saturating_sub(held);
+        for account in &ledger.accounts {
+            let holds = self.is_standby_holder(&account.budget);
+            if let Ok(at) = self.book_at(&account.budget) {
+                self.books[at].standby = holds && (self.books[at].standby || room > 0);
+            } else if holds && room > 0 && account.free() > 0 {
+                let at = self.open_book(&account.budget, now);
+                self.books[at].standby = true;
+                room -= 1;
+            }
+        }
+    }
+
+    /// Whether this entry comes first for the budget among those of its data centre.
+    fn is_standby_holder(&self, budget: &BudgetId) -> bool {
+        let rank = |host: &str| digest128(&["standby", host, &budget.workspace, &budget.name]);
+        let own = rank(&self.params.host);
+        let near = self.peers.iter().filter(|peer| peer.listed && peer.is_near());
+        near.map(|peer| rank(&peer.name)).all(|other| other < own)
+    }
+}
--- a/lib/tests/budget_world/mod.rs
+++ b/lib/tests/budget_world/mod.rs
@@ -462,6 +462,21 @@
         }
     }
 
+    /// Stops every node gracefully, one after another.
+    pub fn stop_all(&mut self) {
+        for node in 0..self.nodes.len() {
+            let (reply, _closed) = oneshot::channel();
+            self.handle(node, BudgetEvent::Close { reply });
+            self.advance(6_000);
+            self.kill(node);
+        }
+    }
+
+    /// Requests of a node that have their money and are not dispatched.
+    pub fn funded(&self, node: usize) -> usize {
+        self.nodes[node].funded.len()
+    }
+
     /// Ends every fault and lets the fleet come to rest.
     pub fn heal(&mut self, ms: u64) {
         self.chaos = Chaos::default();
--- a/lib/tests/test_budget_state_machine.rs
+++ b/lib/tests/test_budget_state_machine.rs
@@ -69,9 +69,10 @@
     world
 }
 
-/// After every fault has ended, all money is either settled at its true charge or free.
+/// After every fault has ended and every entry has stopped, all money is either settled at its true charge or free.
 fn assert_conserved(mut world: World) {
     world.heal(150_000);
+    world.stop_all();
     for budget in 0..world.truths.len() {
         let account = world.account(budget).unwrap();
         let truth = &world.truths[budget];
@@ -129,3 +130,26 @@
         assert_conserved(run(seed, chaos, GrantPolicyName::Adaptive, &steps));
     }
 }
+
+/// One of the data centre's entries holds money of a budget that nobody drew on.
+#[test]
+fn an_idle_budget_is_served_through_a_store_outage() {
+    let mut world = World::open(11, NODES, GrantPolicyName::Adaptive);
+    world.top_up(0, 4_000);
+    world.advance(3_000);
+    (0..NODES).for_each(|node| world.cut_store(node, true));
+    (0..NODES).for_each(|node| world.reserve(node, 0, 50, 1_500));
+    world.advance(2_000);
+    for node in 0..NODES {
+        assert_eq!(world.funded(node), 1, "node {node}");
+    }
+    world.check();
+}
+
+#[test]
+fn a_baseline_policy_keeps_no_standby_money() {
+    let mut world = World::open(11, NODES, GrantPolicyName::PerRequest);
+    world.top_up(0, 4_000);
+    world.advance(3_000);
+    assert_eq!(world.account(0).unwrap().free(), 4_000);
+}
