budget: keep the standby cap, rank last; bench: equal budgets in one place

Change: every new standby budget takes its room; the rank is asked only where this entry holds or may hold the budget; equal_budgets serves the measures. Conclusion: below the cap the choice of holders is as before.

--- a/bench/src/measures.rs
+++ b/bench/src/measures.rs
@@ -12,7 +12,7 @@
 
 use std::io;
 
-use rosemarymoor_testutils::fleet::{Fleet, FleetPlan};
+use rosemarymoor_testutils::fleet::{BudgetPlan, Fleet, FleetPlan};
 use serde_json::Value;
 
 use crate::binary;
@@ -43,6 +43,13 @@
     Ok(plan)
 }
 
+/// Budgets of the same size, in both workspaces by turns.
+fn equal_budgets(count: usize, tokens: u64) -> Vec<BudgetPlan> {
+    let plan =
+        |number| BudgetPlan { workspace: number % 2, name: format!("household-{number}"), tokens };
+    (0..count).map(plan).collect()
+}
+
 /// Copies the logs of the processes to the folder that the options name.
 fn keep_logs(options: &Options, fleet: &Fleet) -> io::Result<()> {
     let Some(folder) = &options.logs else {
--- a/bench/src/measures/actions.rs
+++ b/bench/src/measures/actions.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use rand::Rng;
-use rosemarymoor_testutils::fleet::{BudgetPlan, Fleet, FleetPlan};
+use rosemarymoor_testutils::fleet::{Fleet, FleetPlan};
 use rosemarymoor_testutils::kv::{KvFaults, Outage};
 use serde_json::{Value, json};
 
 use super::timeline::Timeline;
-use super::{keep_logs, mix, plan, say};
+use super::{equal_budgets, keep_logs, mix, plan, say};
 use crate::caller::{CallRecord, Callers, End, Kind};
 use crate::judge::Judge;
 use crate::load::{self, Arrivals};
@@ -26,13 +26,7 @@
 /// Runs the measure.
 pub async fn run(options: &Options) -> io::Result<Value> {
     let mut plan = plan(options)?;
-    plan.budgets = (0..options.budgets.unwrap_or(BUDGETS))
-        .map(|number| BudgetPlan {
-            workspace: number % 2,
-            name: format!("household-{number}"),
-            tokens: BUDGET_TOKENS,
-        })
-        .collect();
+    plan.budgets = equal_budgets(options.budgets.unwrap_or(BUDGETS), BUDGET_TOKENS);
     let length = Duration::from_secs(options.seconds.unwrap_or(SECONDS));
     let arrivals = Arrivals { seed: options.seed, rate: options.rate.unwrap_or(RATE), length };
     let mut fleet = Fleet::open(plan.clone()).await?;
--- a/bench/src/measures/routing.rs
+++ b/bench/src/measures/routing.rs
@@ -7,11 +7,11 @@
 use rosemarymoor_lib::config::PolicyName;
 use rosemarymoor_lib::host_list::HostState;
 use rosemarymoor_testutils::engine::EngineRun;
-use rosemarymoor_testutils::fleet::{BudgetPlan, Fleet, FleetPlan};
+use rosemarymoor_testutils::fleet::{Fleet, FleetPlan};
 use serde_json::{Value, json};
 
 use super::timeline::Timeline;
-use super::{keep_logs, mix, plan, say};
+use super::{equal_budgets, keep_logs, mix, plan, say};
 use crate::caller::{Call, CallRecord, Callers, Kind};
 use crate::load::{self, Arrivals};
 use crate::options::Options;
@@ -80,13 +80,7 @@
     if options.fault == "stale-load" {
         plan.engine.load_lag = STALE_LOAD;
     }
-    plan.budgets = (0..options.budgets.unwrap_or(BUDGETS))
-        .map(|number| BudgetPlan {
-            workspace: number % 2,
-            name: format!("household-{number}"),
-            tokens: BUDGET_TOKENS,
-        })
-        .collect();
+    plan.budgets = equal_budgets(options.budgets.unwrap_or(BUDGETS), BUDGET_TOKENS);
     let length = Duration::from_secs(options.seconds.unwrap_or(SECONDS));
     let mut fleet = Fleet::open(plan.clone()).await?;
     let callers = Callers::open(fleet.entry_urls());
--- a/lib/src/budget/system/standby.rs
+++ b/lib/src/budget/system/standby.rs
@@ -21,14 +21,16 @@
         let held = self.books.iter().filter(|book| book.standby).count();
         let mut room = MAX_STANDBY_BOOKS.saturating_sub(held);
         for account in &ledger.accounts {
-            let holds = self.is_standby_holder(&account.budget);
-            if let Ok(at) = self.book_at(&account.budget) {
-                self.books[at].standby = holds && (self.books[at].standby || room > 0);
-            } else if holds && room > 0 && account.free() > 0 {
+            let known = self.book_at(&account.budget);
+            let was_held = known.is_ok_and(|at| self.books[at].standby);
+            let may_hold = was_held || (room > 0 && (known.is_ok() || account.free() > 0));
+            // The rank costs a digest for each entry nearby, so it comes last.
+            let holds = may_hold && self.is_standby_holder(&account.budget);
+            if holds || was_held {
                 let at = self.open_book(&account.budget, now);
-                self.books[at].standby = true;
-                room -= 1;
+                self.books[at].standby = holds;
             }
+            room -= usize::from(holds && !was_held);
         }
     }
 
