--- /dev/null
+++ b/daemon/src/direct/budget_client.rs
@@ -0,0 +1,248 @@
+//! Money for an entry's requests: from the budget's server, or from own ceilings.
+//!
+//! All entries rank the budget servers of a budget in the same order, so that
+//! one holder knows exactly what is left of it. Any other holder is as safe: an
+//! entry goes on to the next server, and at last to ceilings of its own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
+use rosemarymoor_lib::budget::ceiling::{Reply, ReservationId};
+use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::id::BudgetId;
+use serde::Serialize;
+
+use super::budget_server::{
+    RESERVE_PATH, ReserveAnswer, ReserveMessage, SETTLE_PATH, SettleMessage,
+};
+use super::ceilings::Ceilings;
+use super::peers::{PeerEntry, Peers};
+use crate::http_pool::{HttpPool, SendFailure};
+
+/// Budget servers that one request asks.
+const MAX_SERVERS: usize = 3;
+
+/// Time for a connection to a budget server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Time beyond the asker's patience in which a budget server answers.
+const ANSWER_GRACE: Duration = Duration::from_millis(60);
+
+/// Largest answer of a budget server.
+const MAX_ANSWER_BYTES: usize = 4096;
+
+/// Tries to deliver a settlement, and the pause before the second one.
+const SETTLE_TRIES: u32 = 8;
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Money that a request needs.
+#[derive(Clone, Debug)]
+pub struct Need {
+    pub budget: BudgetId,
+    /// Tokens prepaid in all, and the version of the catalog that says so.
+    pub prepaid: u64,
+    pub prepaid_version: u64,
+    /// Worst case in tokens.
+    pub tokens: u64,
+    /// How long each holder may take.
+    pub patience: Duration,
+    /// Time until the request has ended at the latest.
+    pub lifetime: Duration,
+}
+
+/// Why no money was had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoMoney {
+    /// The budget certainly does not cover the request.
+    Exhausted,
+    /// The money cannot be reached now.
+    Unavailable,
+}
+
+/// Where a reservation is held.
+#[derive(Clone)]
+enum Holder {
+    Server(PeerEntry),
+    Own,
+}
+
+/// Entry's way to money; clones share it.
+#[derive(Clone)]
+pub struct BudgetClient {
+    pool: HttpPool,
+    peers: Arc<Peers>,
+    own: Ceilings,
+}
+
+/// Money reserved for one request; dropping it settles what was noted as used.
+pub struct Reserved {
+    client: BudgetClient,
+    holder: Holder,
+    budget: BudgetId,
+    id: ReservationId,
+    /// Tokens used so far.
+    pub used: u64,
+}
+
+impl BudgetClient {
+    /// Opens the way over budget servers and own ceilings.
+    pub fn open(pool: HttpPool, peers: Arc<Peers>, own: Ceilings) -> BudgetClient {
+        BudgetClient { pool, peers, own }
+    }
+
+    /// Reserves the worst case of a request.
+    pub async fn reserve(&self, need: &Need) -> Result<Reserved, NoMoney> {
+        let mut verdict = NoMoney::Unavailable;
+        for server in self.servers_of(&need.budget) {
+            match self.ask_server(&server, need).await {
+                Some((id, ReserveAnswer::Granted)) => {
+                    return Ok(self.reserved(Holder::Server(server), need, id));
+                }
+                Some((_, ReserveAnswer::Exhausted)) => return Err(NoMoney::Exhausted),
+                Some((_, ReserveAnswer::Unavailable)) => verdict = NoMoney::Unavailable,
+                None => {}
+            }
+        }
+        let message = message(need);
+        let id = message.id;
+        match self.own.ask(message.into()).await {
+            Reply::Granted => Ok(self.reserved(Holder::Own, need, id)),
+            Reply::Exhausted => Err(NoMoney::Exhausted),
+            Reply::Unavailable => Err(verdict),
+        }
+    }
+
+    /// Hands own money back; for a graceful stop.
+    pub async fn close(&self) {
+        self.own.close().await;
+    }
+
+    fn servers_of(&self, budget: &BudgetId) -> Vec<PeerEntry> {
+        let mut servers = self.peers.budget_servers();
+        rank::order(rank::key_of(&budget.workspace), &mut servers, |server| server.name.as_str());
+        let is_resting = |server: &PeerEntry| self.peers.is_resting(server.internal);
+        servers.sort_by_key(is_resting);
+        servers.truncate(MAX_SERVERS);
+        servers
+    }
+
+    fn reserved(&self, holder: Holder, need: &Need, id: ReservationId) -> Reserved {
+        Reserved { client: self.clone(), holder, budget: need.budget.clone(), id, used: 0 }
+    }
+
+    async fn ask_server(
+        &self,
+        server: &PeerEntry,
+        need: &Need,
+    ) -> Option<(ReservationId, ReserveAnswer)> {
+        let message = message(need);
+        let id = message.id;
+        let mut abandoned = AbandonedAsk { client: self, server, need, id, is_answered: false };
+        let timeout = need.patience + ANSWER_GRACE;
+        let answer = self.post(server, RESERVE_PATH, &message, timeout).await;
+        match answer {
+            Ok(body) => {
+                let answer = serde_json::from_slice(&body).ok()?;
+                abandoned.is_answered = true;
+                Some((id, answer))
+            }
+            Err(failure) => {
+                log::info!(
+                    "event=budget_server_failed server={} budget={} reason={failure:?}",
+                    server.name,
+                    need.budget
+                );
+                self.peers.failed(server.internal);
+                abandoned.is_answered = failure == SendFailure::NotSent;
+                None
+            }
+        }
+    }
+
+    fn settle(&self, holder: &Holder, budget: &BudgetId, id: ReservationId, used: u64) {
+        match holder {
+            Holder::Own => self.own.settle(budget, id, used),
+            Holder::Server(server) => {
+                let message = SettleMessage { id, budget: budget.clone(), used };
+                tokio::spawn(self.clone().deliver(server.clone(), message));
+            }
+        }
+    }
+
+    async fn deliver(self, server: PeerEntry, message: SettleMessage) {
+        let messages = [message];
+        for attempt in 0..SETTLE_TRIES {
+            if self.post(&server, SETTLE_PATH, &messages, SETTLE_TIMEOUT).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(SETTLE_PAUSE * 2_u32.pow(attempt)).await;
+        }
+        let [SettleMessage { id, budget, used }] = &messages;
+        log::warn!(
+            "event=settlement_lost server={} budget={budget} reservation={id:032x} used={used}",
+            server.name
+        );
+    }
+
+    async fn post<T: Serialize>(
+        &self,
+        server: &PeerEntry,
+        path: &'static str,
+        message: &T,
+        timeout: Duration,
+    ) -> Result<bytes::Bytes, SendFailure> {
+        let body = serde_json::to_vec(message).expect("messages can be encoded");
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(HOST, server.internal.to_string())
+            .body(Full::new(body.into()))
+            .map_err(|_| SendFailure::NotSent)?;
+        let fetch = self.pool.fetch(server.internal, req, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
+        match tokio::time::timeout(timeout, fetch).await {
+            Ok(Ok((StatusCode::OK, _, body))) => Ok(body),
+            Ok(Ok(_)) | Err(_) => Err(SendFailure::Broken),
+            Ok(Err(failure)) => Err(failure),
+        }
+    }
+}
+
+fn message(need: &Need) -> ReserveMessage {
+    ReserveMessage {
+        id: rand::random(),
+        budget: need.budget.clone(),
+        prepaid: need.prepaid,
+        prepaid_version: need.prepaid_version,
+        tokens: need.tokens,
+        patience_ms: need.patience.as_millis() as u64,
+        lifetime_ms: need.lifetime.as_millis() as u64,
+    }
+}
+
+/// Cancels an ask whose answer is not known.
+struct AbandonedAsk<'a> {
+    client: &'a BudgetClient,
+    server: &'a PeerEntry,
+    need: &'a Need,
+    id: ReservationId,
+    is_answered: bool,
+}
+
+impl Drop for AbandonedAsk<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let holder = Holder::Server(self.server.clone());
+            self.client.settle(&holder, &self.need.budget, self.id, 0);
+        }
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        self.client.settle(&self.holder, &self.budget, self.id, self.used);
+    }
+}
--- /dev/null
+++ b/daemon/src/direct/budget_server.rs
@@ -0,0 +1,226 @@
+//! Budget server: holds ceilings for entries and passes store calls on.
+//!
+//! It speaks HTTP on the fleet's internal address:
+//!
+//! - `POST /reserve` takes an [`Ask`](rosemarymoor_lib::budget::ceiling::Ask);
+//! - `POST /settle` takes settlements of several reservations;
+//! - everything under `/store` is a call to the platform's store, passed on as
+//!   it is; 502 says that the store did not answer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rosemarymoor_lib::budget::ceiling::{Ask, Reply, ReservationId};
+use rosemarymoor_lib::id::BudgetId;
+use rosemarymoor_platform::store::{PlatformStore, StoreCall, StoreCaller};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use super::ceilings::Ceilings;
+use super::context::Basics;
+use super::settings::DirectSettings;
+use super::store_path::{DirectPath, RELAY_PREFIX};
+use crate::http_pool::guard_stream;
+
+/// Longest time that a passed-on call may take, a watch's wait included.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(12_000);
+
+/// Longest time that a passed-on call other than a watch may take.
+const RELAY_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Largest body of an internal call.
+const MAX_BODY_BYTES: usize = 2 << 20;
+
+/// Time that an idle connection of an entry is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Path under which money is asked for.
+pub const RESERVE_PATH: &str = "/reserve";
+
+/// Path under which reservations are ended.
+pub const SETTLE_PATH: &str = "/settle";
+
+/// Money asked for, as it travels between processes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReserveMessage {
+    pub id: ReservationId,
+    pub budget: BudgetId,
+    pub prepaid: u64,
+    pub prepaid_version: u64,
+    pub tokens: u64,
+    pub patience_ms: u64,
+    pub lifetime_ms: u64,
+}
+
+/// Answer to a [`ReserveMessage`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReserveAnswer {
+    Granted,
+    Exhausted,
+    Unavailable,
+}
+
+/// End of one reservation.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SettleMessage {
+    pub id: ReservationId,
+    pub budget: BudgetId,
+    /// Tokens that were spent.
+    pub used: u64,
+}
+
+impl From<Reply> for ReserveAnswer {
+    fn from(reply: Reply) -> ReserveAnswer {
+        match reply {
+            Reply::Granted => ReserveAnswer::Granted,
+            Reply::Exhausted => ReserveAnswer::Exhausted,
+            Reply::Unavailable => ReserveAnswer::Unavailable,
+        }
+    }
+}
+
+impl From<ReserveMessage> for Ask {
+    fn from(message: ReserveMessage) -> Ask {
+        Ask {
+            id: message.id,
+            budget: message.budget,
+            prepaid: message.prepaid,
+            prepaid_version: message.prepaid_version,
+            tokens: message.tokens,
+            patience_ms: message.patience_ms,
+            lifetime_ms: message.lifetime_ms,
+        }
+    }
+}
+
+struct Server {
+    ceilings: Ceilings,
+    store: DirectPath,
+}
+
+/// Runs a budget server until it is told to stop; answers the exit code.
+pub async fn run(settings: DirectSettings) -> i32 {
+    let basics = Basics::open(&settings);
+    let store = DirectPath::open(basics.pool.clone(), settings.store);
+    let kv = Arc::new(PlatformStore::open(Arc::new(store.clone())));
+    let ceilings = Ceilings::spawn(kv.clone(), basics.clock);
+    let epoch = ceilings.epoch();
+    log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
+    let server = Arc::new(Server { ceilings: ceilings.clone(), store });
+    let listener = match TcpListener::bind(settings.internal).await {
+        Ok(listener) => listener,
+        Err(err) => {
+            log::error!("event=stop reason=bind_failed address={} {err}", settings.internal);
+            return 1;
+        }
+    };
+    tokio::spawn(accept(listener, server));
+    basics.enlist(&settings, kv);
+    basics.stop_requested().await;
+    log::warn!("event=stopping role=budget-server host={}", settings.name);
+    ceilings.close().await;
+    log::warn!("event=stop role=budget-server host={}", settings.name);
+    0
+}
+
+async fn accept(listener: TcpListener, server: Arc<Server>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!("event=accept_failed reason={err}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        guard_stream(&stream);
+        let server = server.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req| {
+                let server = server.clone();
+                async move { Ok::<_, Infallible>(server.serve(req).await) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(err) = served {
+                log::debug!("event=peer_connection_ended reason={err}");
+            }
+        });
+    }
+}
+
+impl Server {
+    async fn serve(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, body) = req.into_parts();
+        let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let body = body.to_bytes();
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        if let Some(path) = path.strip_prefix(RELAY_PREFIX) {
+            return self.relay(head.method, path.to_owned(), body).await;
+        }
+        match (head.method, path) {
+            (Method::POST, RESERVE_PATH) => self.reserve(&body).await,
+            (Method::POST, SETTLE_PATH) => self.settle(&body),
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn reserve(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(message) = decode::<ReserveMessage>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let reply = ReserveAnswer::from(self.ceilings.ask(message.into()).await);
+        let body = serde_json::to_vec(&reply).expect("an answer can be encoded");
+        Response::new(Full::new(body.into()))
+    }
+
+    fn settle(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(settlements) = decode::<Vec<SettleMessage>>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        for settlement in settlements {
+            self.ceilings.settle(&settlement.budget, settlement.id, settlement.used);
+        }
+        empty(StatusCode::OK)
+    }
+
+    async fn relay(&self, method: Method, path: String, body: Bytes) -> Response<Full<Bytes>> {
+        let timeout = if path.contains("wait_ms=") { RELAY_TIMEOUT } else { RELAY_CALL_TIMEOUT };
+        match self.store.call(StoreCall { method, path, body, timeout }).await {
+            Ok(answer) => {
+                let mut resp = Response::new(Full::new(answer.body));
+                *resp.status_mut() =
+                    StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+                resp
+            }
+            Err(failure) => {
+                log::debug!("event=relay_failed reason={failure:?}");
+                empty(StatusCode::BAD_GATEWAY)
+            }
+        }
+    }
+}
+
+fn decode<T: for<'de> Deserialize<'de>>(body: &[u8]) -> Result<T, serde_json::Error> {
+    serde_json::from_slice(body)
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut resp = Response::new(Full::default());
+    *resp.status_mut() = status;
+    resp
+}
--- /dev/null
+++ b/daemon/src/direct/context.rs
@@ -0,0 +1,107 @@
+//! What every process for direct delivery opens first.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemarymoor_lib::kv_feed::KvFeed;
+use rosemarymoor_lib::kv_store::{KvStore, Outcome};
+use rosemarymoor_lib::time::MonotonicClock;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::feed::{self, FeedSink, Urgency};
+use super::peers::{PEER_PREFIX, PeerEntry, Peers, peer_key, role_name};
+use super::settings::DirectSettings;
+use crate::http_pool::HttpPool;
+use rosemarymoor_lib::kv_feed::{Changes, Listing};
+
+/// Time to live of an entry in the fleet's own list.
+const PEER_TTL: Duration = Duration::from_secs(300);
+
+/// Pause between two renewals of it.
+const PEER_RENEWAL: Duration = Duration::from_secs(100);
+
+/// Pause after a failed write of it.
+const PEER_RETRY: Duration = Duration::from_millis(500);
+
+/// Time in which the store has to answer.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pool, clock and list of processes.
+#[derive(Clone)]
+pub struct Basics {
+    pub pool: HttpPool,
+    pub clock: MonotonicClock,
+    pub peers: Arc<Peers>,
+}
+
+impl Basics {
+    /// Opens them for a process.
+    pub fn open(_settings: &DirectSettings) -> Basics {
+        let clock = MonotonicClock::start();
+        Basics { pool: HttpPool::open(), clock, peers: Arc::new(Peers::open(clock)) }
+    }
+
+    /// Starts to keep this process in the fleet's own list.
+    pub fn enlist(&self, settings: &DirectSettings, kv: Arc<dyn KvStore>) {
+        let role = role_name(settings.role);
+        let entry = PeerEntry {
+            name: settings.name.clone(),
+            role: role.to_owned(),
+            data_center: settings.data_center.clone(),
+            internal: settings.internal,
+        };
+        let key = peer_key(role, &settings.name);
+        tokio::spawn(async move {
+            loop {
+                let pause = if list_once(kv.as_ref(), &key, &entry).await {
+                    PEER_RENEWAL
+                } else {
+                    PEER_RETRY
+                };
+                tokio::time::sleep(pause).await;
+            }
+        });
+    }
+
+    /// Starts to follow the fleet's own list.
+    pub fn follow_peers(&self, feed: Arc<dyn KvFeed>) {
+        let sink = Arc::new(PeerSink { peers: self.peers.clone() });
+        feed::spawn(feed, PEER_PREFIX, Urgency::Slow, sink);
+    }
+
+    /// Waits until the process is told to stop.
+    pub async fn stop_requested(&self) {
+        let terminate = signal(SignalKind::terminate());
+        let interrupt = signal(SignalKind::interrupt());
+        match (terminate, interrupt) {
+            (Ok(mut terminate), Ok(mut interrupt)) => tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            },
+            _ => log::error!("event=signals_unavailable"),
+        }
+    }
+}
+
+async fn list_once(kv: &dyn KvStore, key: &str, entry: &PeerEntry) -> bool {
+    let Outcome::Done(lease) = kv.open_lease(PEER_TTL, STORE_TIMEOUT).await else { return false };
+    let Outcome::Done(found) = kv.get(key, STORE_TIMEOUT).await else { return false };
+    let revision = found.map_or_else(Default::default, |found| found.revision);
+    let value = serde_json::to_vec(entry).expect("an entry can be encoded");
+    let written = kv.compare_and_swap(key, revision, value, Some(lease), STORE_TIMEOUT).await;
+    matches!(written, Outcome::Done(_))
+}
+
+struct PeerSink {
+    peers: Arc<Peers>,
+}
+
+impl FeedSink for PeerSink {
+    fn listed(&self, listing: Listing) {
+        self.peers.replace(&listing);
+    }
+
+    fn changed(&self, changes: Changes) {
+        self.peers.change(&changes);
+    }
+}
--- /dev/null
+++ b/daemon/src/direct/deliver.rs
@@ -0,0 +1,204 @@
+//! Delivers an admitted request: chooses targets, tries them, answers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::Response;
+use rosemarymoor_lib::dispatch::choice::{self, Wanted};
+use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::dispatch::targets::TargetKey;
+use rosemarymoor_lib::result_code::{Refusal, ResultCode};
+use rosemarymoor_platform::answer::AnswerKind;
+
+use super::attempt::{self, Failed, Whole};
+use super::entry::Entry;
+use super::handler::Call;
+use super::refusal::{self, AnswerBody, whole_body};
+use super::stream;
+
+/// Tries that certainly did not run, for each request.
+const MAX_TURNED_AWAY: u32 = 4;
+
+/// Part of the objective after which an idempotent call is tried elsewhere.
+const SILENCE_GOALS: f64 = 2.0;
+
+/// Time below which no other target is tried.
+const LEAST_TIME: Duration = Duration::from_millis(15);
+
+/// When a caller should come back whose request found no room.
+const FULL_RETRY_MS: u64 = 400;
+
+/// Spread of the times at which callers come back.
+const RETRY_SPREAD_MS: u64 = 300;
+
+/// Tries of one request.
+#[derive(Default)]
+pub struct Tries {
+    pub tried: Vec<TargetKey>,
+    /// Targets that ran it or may have run it.
+    pub may_have_run: u32,
+    /// Targets that certainly did not run it.
+    pub turned_away: u32,
+    pub last: Option<Failed>,
+}
+
+impl Tries {
+    /// Notes a try that came to nothing.
+    pub fn failed(&mut self, failed: Failed) {
+        self.last = Some(failed);
+        if failed.did_not_run() {
+            self.turned_away += 1;
+        } else {
+            self.may_have_run += 1;
+        }
+    }
+
+    /// Whether the request may go to one more target.
+    pub fn may_go_on(&self, call: &Call) -> bool {
+        if call.time_left() < LEAST_TIME || self.turned_away > MAX_TURNED_AWAY {
+            return false;
+        }
+        if self.may_have_run == 0 {
+            return true;
+        }
+        call.route.kind.is_idempotent() && self.may_have_run < call.route.max_attempts
+    }
+}
+
+/// Delivers a request and answers its caller.
+pub async fn deliver(entry: &Arc<Entry>, mut call: Call) -> Response<AnswerBody> {
+    let mut tries = Tries::default();
+    let mut failure: Option<Whole> = None;
+    while let Some(target) = next_target(entry, &call, &mut tries) {
+        let wait = patience(&call, &tries);
+        let answered = attempt::send(entry, &call, target, None, wait).await;
+        let (running, kind) = match answered {
+            Ok(answered) => answered,
+            Err(failed) => {
+                note_failure(&mut call, &mut tries, target, failed);
+                continue;
+            }
+        };
+        call.charge_prompt();
+        if kind == AnswerKind::Success && call.route.kind.is_stream() {
+            match stream::begin(entry, &mut call, running, wait).await {
+                Ok(begun) => return stream::response(entry, call, tries, begun),
+                Err(failed) => note_failure(&mut call, &mut tries, target, failed),
+            }
+            continue;
+        }
+        match attempt::read_whole(running, Instant::now() + wait).await {
+            Ok(whole) if kind == AnswerKind::Success => return answer(&call, &tries, whole),
+            Ok(whole) => {
+                tries.may_have_run += 1;
+                tries.last = None;
+                let status = whole.status.as_u16();
+                log::info!("event=target_failed request={} status={status}", call.head.attempt_id);
+                let is_final = !whole.status.is_server_error();
+                failure = Some(whole);
+                if is_final {
+                    break;
+                }
+            }
+            Err(failed) => note_failure(&mut call, &mut tries, target, failed),
+        }
+    }
+    if let Some(whole) = failure {
+        return answer(&call, &tries, whole);
+    }
+    refuse(&call, &tries)
+}
+
+/// Next target to try; `None` if the request has to be answered as it is.
+pub fn next_target(entry: &Entry, call: &Call, tries: &mut Tries) -> Option<TargetKey> {
+    if !tries.tried.is_empty() && !tries.may_go_on(call) {
+        return None;
+    }
+    let now = entry.now();
+    let entries = entry.peers.entries();
+    let wanted = Wanted {
+        service: &call.service,
+        data_center: &entry.data_center,
+        prompt: call.shared_prompt(),
+        draw: rank::key_of(&call.head.attempt_id),
+        entries,
+    };
+    let chosen = {
+        let mut table = entry.targets();
+        table.expire(now);
+        choice::choose(&table, wanted, &tries.tried, now)?
+    };
+    if !tries.tried.is_empty() && !entry.retries().try_retry(&call.service, entries, now) {
+        log::info!("event=retry_denied request={} reason=retry_budget", call.head.attempt_id);
+        return None;
+    }
+    tries.tried.push(chosen);
+    Some(chosen)
+}
+
+/// Time for one try: all that is left, unless another target may be tried.
+fn patience(call: &Call, tries: &Tries) -> Duration {
+    let left = call.time_left();
+    let may_rerun =
+        call.route.kind.is_idempotent() && tries.may_have_run + 1 < call.route.max_attempts;
+    if may_rerun { left.min(call.route.goal.mul_f64(SILENCE_GOALS)) } else { left }
+}
+
+fn note_failure(call: &mut Call, tries: &mut Tries, target: TargetKey, failed: Failed) {
+    if !failed.did_not_run() {
+        call.charge_prompt();
+    }
+    tries.failed(failed);
+    log::info!(
+        "event=try_failed request={} target={target:?} outcome={failed:?} tries={} left_ms={}",
+        call.head.attempt_id,
+        tries.tried.len(),
+        call.time_left().as_millis()
+    );
+}
+
+fn answer(call: &Call, tries: &Tries, whole: Whole) -> Response<AnswerBody> {
+    log::info!(
+        "event=answered request={} route={} status={} tries={} took_ms={} version={}",
+        call.head.attempt_id,
+        call.route.name,
+        whole.status.as_u16(),
+        tries.tried.len(),
+        call.arrived.elapsed().as_millis(),
+        call.catalog_version
+    );
+    let mut resp = Response::new(whole_body(whole.body));
+    *resp.status_mut() = whole.status;
+    *resp.headers_mut() = whole.headers;
+    resp
+}
+
+fn refuse(call: &Call, tries: &Tries) -> Response<AnswerBody> {
+    let refused = refusal_for(call, tries);
+    log::info!(
+        "event=refused request={} route={} code={} tries={} after_ms={} last={:?}",
+        call.head.attempt_id,
+        call.route.name,
+        refused.code.number(),
+        tries.tried.len(),
+        call.arrived.elapsed().as_millis(),
+        tries.last
+    );
+    refusal::response(&refused)
+}
+
+fn refusal_for(call: &Call, tries: &Tries) -> Refusal {
+    if tries.may_have_run > 0 {
+        if call.time_left() < LEAST_TIME {
+            return Refusal::new(ResultCode::TimedOut, "the target did not answer in time");
+        }
+        return Refusal::new(ResultCode::FateUnknown, "the target broke off");
+    }
+    let spread = rank::key_of(&call.head.attempt_id) % RETRY_SPREAD_MS;
+    let (code, detail) = match tries.last {
+        None => (ResultCode::NoTarget, "no target of the service is listed"),
+        Some(Failed::TurnedAway) => (ResultCode::QueueFull, "the targets have no room"),
+        Some(_) => (ResultCode::TargetUnreachable, "no target could be reached"),
+    };
+    Refusal::new(code, detail).retry_after(FULL_RETRY_MS + spread)
+}
--- /dev/null
+++ b/daemon/src/direct/entry.rs
@@ -0,0 +1,237 @@
+//! Entry for direct delivery: its shared state, its start and its stop.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+use rosemarymoor_lib::dispatch::catalog::Catalog;
+use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
+use rosemarymoor_lib::dispatch::targets::TargetTable;
+use rosemarymoor_lib::kv_feed::{Changes, KeyChange, KvFeed, Listing};
+use rosemarymoor_lib::time::{Millis, MonotonicClock};
+use rosemarymoor_platform::store::PlatformStore;
+use rosemarymoor_platform::{catalog, keys, registration};
+
+use super::budget_client::BudgetClient;
+use super::ceilings::Ceilings;
+use super::context::Basics;
+use super::feed::{self, FeedSink, Urgency};
+use super::listener::{self, Listeners};
+use super::peers::Peers;
+use super::settings::DirectSettings;
+use super::store_path::RelayedPath;
+use crate::http_pool::HttpPool;
+
+/// Time after a request to stop in which new connections are still served: the
+/// balancer needs two failed readiness checks, one a second, to send no more.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
+
+/// Part of the grace that is left for handing money back and for the exit.
+const EXIT_RESERVE: Duration = Duration::from_millis(1_300);
+
+/// State that all requests of an entry share.
+pub struct Entry {
+    pub name: String,
+    pub data_center: String,
+    pub catalog: ArcSwapOption<Catalog>,
+    targets: Mutex<TargetTable>,
+    retries: Mutex<RetryBudget>,
+    pub pool: HttpPool,
+    pub budgets: BudgetClient,
+    pub peers: Arc<Peers>,
+    pub clock: MonotonicClock,
+    is_stopping: AtomicBool,
+    has_targets: AtomicBool,
+}
+
+impl Entry {
+    /// Targets with what this entry saw of them.
+    pub fn targets(&self) -> MutexGuard<'_, TargetTable> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Retries that this entry may send.
+    pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time on the entry's clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Whether the process was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether the balancer should send new connections.
+    pub fn is_ready(&self) -> bool {
+        let has_targets = self.has_targets.load(Ordering::Relaxed);
+        !self.is_stopping() && has_targets && self.catalog.load().is_some()
+    }
+}
+
+/// Runs an entry until it is told to stop; answers the exit code.
+pub async fn run(settings: DirectSettings) -> i32 {
+    let basics = Basics::open(&settings);
+    let path = RelayedPath::spawn(basics.pool.clone(), settings.store, basics.peers.clone());
+    let store = Arc::new(PlatformStore::open(path));
+    let own = Ceilings::spawn(store.clone(), basics.clock);
+    log::warn!("event=start role=direct-entry host={} epoch={}", settings.name, own.epoch());
+    let entry = Arc::new(Entry {
+        name: settings.name.clone(),
+        data_center: settings.data_center.clone(),
+        catalog: ArcSwapOption::empty(),
+        targets: Mutex::new(TargetTable::default()),
+        retries: Mutex::new(RetryBudget::open(settings.retries)),
+        pool: basics.pool.clone(),
+        budgets: BudgetClient::open(basics.pool.clone(), basics.peers.clone(), own),
+        peers: basics.peers.clone(),
+        clock: basics.clock,
+        is_stopping: AtomicBool::new(false),
+        has_targets: AtomicBool::new(false),
+    });
+    let listeners = match listener::spawn(&settings, entry.clone()).await {
+        Ok(listeners) => listeners,
+        Err(err) => {
+            log::error!("event=stop reason=bind_failed {err}");
+            return 1;
+        }
+    };
+    follow_store(&entry, store.clone());
+    basics.follow_peers(store.clone());
+    basics.enlist(&settings, store);
+    basics.stop_requested().await;
+    stop(&entry, listeners, settings.grace).await;
+    0
+}
+
+fn follow_store(entry: &Arc<Entry>, store: Arc<dyn KvFeed>) {
+    let catalog = Arc::new(CatalogSink { entry: entry.clone() });
+    feed::spawn(store.clone(), keys::CONFIGURATION, Urgency::Prompt, catalog);
+    let targets = Arc::new(TargetSink { entry: entry.clone() });
+    feed::spawn(store, keys::REGISTRATIONS, Urgency::Prompt, targets);
+}
+
+async fn stop(entry: &Entry, listeners: Listeners, grace: Duration) {
+    let begun = Instant::now();
+    entry.is_stopping.store(true, Ordering::Relaxed);
+    log::warn!("event=stopping role=direct-entry host={}", entry.name);
+    tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2)).await;
+    let limit = grace.saturating_sub(EXIT_RESERVE).saturating_sub(begun.elapsed());
+    let open = listeners.close(limit).await;
+    entry.budgets.close().await;
+    let ms = begun.elapsed().as_millis();
+    log::warn!(
+        "event=stop role=direct-entry host={} open_connections={open} took_ms={ms}",
+        entry.name
+    );
+}
+
+struct CatalogSink {
+    entry: Arc<Entry>,
+}
+
+impl CatalogSink {
+    fn take(&self, bytes: &[u8]) {
+        let decoded = match catalog::decode(bytes) {
+            Ok(decoded) => decoded,
+            Err(err) => {
+                log::error!("event=catalog_refused reason={err}");
+                return;
+            }
+        };
+        let held = self.entry.catalog.load().as_ref().map_or(0, |held| held.version);
+        if decoded.version <= held {
+            return;
+        }
+        let routes = decoded.route_count();
+        log::info!(
+            "event=catalog_in_force version={} before={held} routes={routes}",
+            decoded.version
+        );
+        self.entry.catalog.store(Some(Arc::new(decoded)));
+    }
+}
+
+impl FeedSink for CatalogSink {
+    fn listed(&self, listing: Listing) {
+        for (key, found) in &listing.items {
+            if key == keys::CONFIGURATION {
+                self.take(&found.value);
+            }
+        }
+    }
+
+    fn changed(&self, changes: Changes) {
+        let Changes::Seen { changes, .. } = changes else { return };
+        // Only the newest of several versions matters.
+        let newest = changes.iter().rev().find(|change| change.key == keys::CONFIGURATION);
+        if let Some(found) = newest.and_then(|change| change.value.as_ref()) {
+            self.take(&found.value);
+        }
+    }
+}
+
+struct TargetSink {
+    entry: Arc<Entry>,
+}
+
+impl TargetSink {
+    fn take(&self, table: &mut TargetTable, change: &KeyChange) {
+        let Some(id) = keys::registered_id(&change.key) else { return };
+        let decoded =
+            change.value.as_ref().and_then(|found| registration::decode(id, &found.value));
+        match decoded {
+            Some(registration) => {
+                let leaving = registration.leaving;
+                let service = registration.service.clone();
+                if table.register(registration) {
+                    log::info!(
+                        "event=target_listed target={id} service={service} leaving={leaving}"
+                    );
+                }
+            }
+            None => {
+                log::info!(
+                    "event=target_vanished target={id} malformed={}",
+                    change.value.is_some()
+                );
+                table.vanish(id);
+            }
+        }
+    }
+}
+
+impl FeedSink for TargetSink {
+    fn listed(&self, listing: Listing) {
+        let decode = |(key, found): &(String, rosemarymoor_lib::kv_store::Versioned)| {
+            registration::decode(keys::registered_id(key)?, &found.value)
+        };
+        let registrations: Vec<_> = listing.items.iter().filter_map(decode).collect();
+        log::info!("event=targets_listed count={}", registrations.len());
+        let mut table = self.entry.targets();
+        table.expire(self.entry.now());
+        table.replace(registrations);
+        self.entry.has_targets.store(true, Ordering::Relaxed);
+    }
+
+    fn changed(&self, changes: Changes) {
+        let Changes::Seen { changes, .. } = changes else { return };
+        let mut table = self.entry.targets();
+        for change in &changes {
+            self.take(&mut table, change);
+        }
+    }
+
+    fn lost(&self) {
+        self.entry.targets().store_lost();
+    }
+
+    fn regained(&self) {
+        let now = self.entry.now();
+        self.entry.targets().store_regained(now);
+    }
+}
--- /dev/null
+++ b/daemon/src/direct/feed.rs
@@ -0,0 +1,130 @@
+//! Keeps catalog, targets and peers up to date from the platform's store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rosemarymoor_lib::kv_feed::{Changes, KvFeed, Listing};
+use rosemarymoor_lib::kv_store::{Outcome, Revision};
+
+/// Wait of one watch. A connection that has fallen silent is noticed after it,
+/// within the time that the platform's rules give a host to find its feet.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Wait of a watch whose news are in no hurry.
+const SLOW_WATCH_WAIT: Duration = Duration::from_millis(10_000);
+
+/// Time in which a list has to be answered.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed call, doubled up to the longest one.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// How urgent the news of a prefix are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    Prompt,
+    Slow,
+}
+
+/// Takes what a feed brings.
+#[async_trait]
+pub trait FeedSink: Send + Sync + 'static {
+    /// The whole list under the prefix, as read at one time.
+    fn listed(&self, listing: Listing);
+
+    /// What has changed since.
+    fn changed(&self, changes: Changes);
+
+    /// The store does not answer.
+    fn lost(&self) {}
+
+    /// The store answers again.
+    fn regained(&self) {}
+}
+
+/// Starts to follow a prefix.
+pub fn spawn(
+    feed: Arc<dyn KvFeed>,
+    prefix: &'static str,
+    urgency: Urgency,
+    sink: Arc<dyn FeedSink>,
+) {
+    tokio::spawn(async move {
+        let wait = match urgency {
+            Urgency::Prompt => WATCH_WAIT,
+            Urgency::Slow => SLOW_WATCH_WAIT,
+        };
+        let mut follower = Follower { feed, prefix, wait, sink, seen: None, failures: 0 };
+        loop {
+            follower.step().await;
+        }
+    });
+}
+
+struct Follower {
+    feed: Arc<dyn KvFeed>,
+    prefix: &'static str,
+    wait: Duration,
+    sink: Arc<dyn FeedSink>,
+    /// Revision up to which everything is known; `None` before the first list.
+    seen: Option<Revision>,
+    failures: u32,
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        match self.seen {
+            None => self.list().await,
+            Some(seen) => self.watch(seen).await,
+        }
+    }
+
+    async fn list(&mut self) {
+        match self.feed.list(self.prefix, LIST_TIMEOUT).await {
+            Outcome::Done(listing) => {
+                self.answered();
+                self.seen = Some(listing.store_revision);
+                self.sink.listed(listing);
+            }
+            Outcome::NotDone(_) | Outcome::Unknown => self.failed().await,
+        }
+    }
+
+    async fn watch(&mut self, seen: Revision) {
+        match self.feed.watch_prefix(self.prefix, seen, self.wait).await {
+            Outcome::Done(Changes::HistoryGone) => {
+                log::warn!("event=history_gone prefix={} revision={seen}", self.prefix);
+                self.answered();
+                self.seen = None;
+            }
+            Outcome::Done(changes) => {
+                self.answered();
+                if let Changes::Seen { store_revision, .. } = &changes {
+                    self.seen = Some((*store_revision).max(seen));
+                }
+                self.sink.changed(changes);
+            }
+            Outcome::NotDone(_) | Outcome::Unknown => self.failed().await,
+        }
+    }
+
+    fn answered(&mut self) {
+        if self.failures > 0 {
+            log::warn!("event=dependency_regained dependency=store prefix={}", self.prefix);
+            self.failures = 0;
+        }
+        self.sink.regained();
+    }
+
+    async fn failed(&mut self) {
+        if self.failures == 0 {
+            log::warn!("event=dependency_lost dependency=store prefix={}", self.prefix);
+        }
+        self.sink.lost();
+        let pause = SHORTEST_PAUSE * 2_u32.pow(self.failures.min(4));
+        self.failures += 1;
+        tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
+    }
+}
--- /dev/null
+++ b/daemon/src/direct/handler.rs
@@ -0,0 +1,236 @@
+//! Admits callers' requests: route, key, body and money.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::HeaderMap;
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, Uri};
+use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
+use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::id::BudgetId;
+use rosemarymoor_lib::result_code::{Refusal, ResultCode};
+use rosemarymoor_platform::request::{self, CallerHead, HeadFault};
+
+use super::budget_client::{Need, NoMoney, Reserved};
+use super::deliver;
+use super::entry::Entry;
+use super::refusal::{self, AnswerBody};
+
+/// Name of the one budget that a workspace has on the platform.
+const BUDGET_NAME: &str = "prepaid";
+
+/// Part of the latency objective that a request may wait for money.
+const MONEY_PATIENCE_DIVISOR: u32 = 3;
+
+/// Longest wait for money at one holder.
+const MONEY_PATIENCE: Duration = Duration::from_millis(250);
+
+/// When a caller should come back whose money cannot be reached now.
+const MONEY_RETRY_MS: u64 = 700;
+
+/// When a caller should come back to an entry that has just started.
+const START_RETRY_MS: u64 = 400;
+
+/// Time that a caller is taken to wait who names no deadline.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// Request that was admitted.
+pub struct Call {
+    pub head: CallerHead,
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub route: Route,
+    pub service: String,
+    pub workspace: Option<String>,
+    pub catalog_version: u64,
+    pub arrived: Instant,
+    /// When the caller, or the route, has waited long enough.
+    pub until: Instant,
+    /// Reserved money; dropping it settles what was used.
+    pub money: Option<Reserved>,
+    /// Most tokens that one event of the answer holds.
+    pub tokens_per_event: u64,
+}
+
+impl Call {
+    /// Time that is left for the whole answer.
+    pub fn time_left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Last part of the prompt that other prompts may share.
+    pub fn shared_prompt(&self) -> Option<u64> {
+        let parts = &self.head.prompt;
+        let shared = parts.len().saturating_sub(2);
+        parts.get(shared).map(|part| part.id)
+    }
+
+    /// Charges the prompt: the request ran or may have run.
+    pub fn charge_prompt(&mut self) {
+        let (Some(money), Some(tokens)) = (&mut self.money, self.head.tokens) else { return };
+        money.used = money.used.max(tokens.input);
+    }
+
+    /// Charges one event that goes to the caller.
+    pub fn charge_event(&mut self) {
+        let (Some(money), Some(tokens)) = (&mut self.money, self.head.tokens) else { return };
+        money.used = (money.used + self.tokens_per_event).min(tokens.total());
+    }
+}
+
+/// Serves one request of a caller.
+pub async fn serve(entry: &Arc<Entry>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let (parts, body) = req.into_parts();
+    let head = match request::decode(&parts) {
+        Ok(head) => head,
+        Err(fault) => return refusal::response(&bad_head(fault)),
+    };
+    let attempt_id = head.attempt_id.clone();
+    match admit(entry, head, parts, body, arrived).await {
+        Ok(call) => deliver::deliver(entry, call).await,
+        Err(refused) => {
+            log::info!(
+                "event=refused request={attempt_id} code={} detail={:?} after_ms={}",
+                refused.code.number(),
+                refused.detail,
+                arrived.elapsed().as_millis()
+            );
+            refusal::response(&refused)
+        }
+    }
+}
+
+async fn admit(
+    entry: &Entry,
+    head: CallerHead,
+    parts: Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Call, Refusal> {
+    let Some(catalog) = entry.catalog.load_full() else {
+        let refusal = Refusal::new(ResultCode::NotConfigured, "no configuration has been read yet");
+        return Err(refusal.retry_after(START_RETRY_MS));
+    };
+    let path = parts.uri.path();
+    let route = catalog.route(&head.host, path);
+    let route = route.ok_or_else(|| Refusal::new(ResultCode::UnknownRoute, "no route"))?.clone();
+    let workspace = workspace(&catalog, &route, &head)?.cloned();
+    let draw = rank::key_of(&head.attempt_id);
+    let service = route.service_for(draw).map(str::to_owned).ok_or_else(no_backend)?;
+    let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+    let until = arrived + deadline;
+    let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
+    let uri = uri.map_err(|_| Refusal::new(ResultCode::BadRequest, "the path cannot be read"))?;
+    let body = read_body(body, &catalog, until).await?;
+    entry.retries().note_request(&service, entry.now());
+    let engine = catalog.service(&service).and_then(|service| service.engine.as_ref());
+    let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event);
+    let money = match &workspace {
+        Some(workspace) => reserve(entry, &catalog, &route, &head, workspace, until).await?,
+        None => None,
+    };
+    Ok(Call {
+        head,
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        body,
+        service,
+        workspace: workspace.map(|workspace| workspace.name),
+        catalog_version: catalog.version,
+        route,
+        arrived,
+        until,
+        money,
+        tokens_per_event,
+    })
+}
+
+fn workspace<'a>(
+    catalog: &'a Catalog,
+    route: &Route,
+    head: &CallerHead,
+) -> Result<Option<&'a Workspace>, Refusal> {
+    let holder = head.key.as_deref().and_then(|key| catalog.workspace_of(key));
+    if holder.is_none() && !route.public {
+        return Err(Refusal::new(ResultCode::Unauthorized, "the key is missing or unknown"));
+    }
+    Ok(holder)
+}
+
+async fn read_body(body: Incoming, catalog: &Catalog, until: Instant) -> Result<Bytes, Refusal> {
+    let limits = catalog.limits;
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(too_large());
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let read = Limited::new(body, limits.body_bytes).collect();
+    let limit = until.min(Instant::now() + limits.read_timeout);
+    match tokio::time::timeout_at(limit.into(), read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => Err(Refusal::new(ResultCode::BadRequest, "the body broke off")),
+        Err(_) => Err(Refusal::new(ResultCode::BodyTimeout, "the body did not arrive in time")),
+    }
+}
+
+async fn reserve(
+    entry: &Entry,
+    catalog: &Catalog,
+    route: &Route,
+    head: &CallerHead,
+    workspace: &Workspace,
+    until: Instant,
+) -> Result<Option<Reserved>, Refusal> {
+    let (Some(prepaid), Some(tokens)) = (workspace.prepaid, head.tokens) else { return Ok(None) };
+    let lifetime = until.saturating_duration_since(Instant::now());
+    let patience = (route.goal / MONEY_PATIENCE_DIVISOR).min(MONEY_PATIENCE).min(lifetime);
+    let need = Need {
+        budget: BudgetId { workspace: workspace.name.clone(), name: BUDGET_NAME.to_owned() },
+        prepaid,
+        prepaid_version: catalog.version,
+        tokens: tokens.total(),
+        patience,
+        lifetime,
+    };
+    match entry.budgets.reserve(&need).await {
+        Ok(reserved) => Ok(Some(reserved)),
+        Err(NoMoney::Exhausted) => {
+            let detail = format!("{} tokens do not fit into what is left", need.tokens);
+            Err(Refusal::new(ResultCode::BudgetExhausted, detail))
+        }
+        Err(NoMoney::Unavailable) => {
+            let refusal = Refusal::new(ResultCode::BudgetUnavailable, "no holder has the money");
+            Err(refusal.retry_after(MONEY_RETRY_MS))
+        }
+    }
+}
+
+fn no_backend() -> Refusal {
+    Refusal::new(ResultCode::NoTarget, "the route has no service").retry_after(START_RETRY_MS)
+}
+
+fn too_large() -> Refusal {
+    Refusal::new(ResultCode::BodyTooLarge, "the body exceeds the limit")
+}
+
+fn bad_head(fault: HeadFault) -> Refusal {
+    let detail = match fault {
+        HeadFault::NoAttemptId => "the request has no identity",
+        HeadFault::NoHost => "the request names no host",
+        HeadFault::BadDeadline => "the deadline is no number",
+        HeadFault::BadTokens => "the token bound cannot be read",
+        HeadFault::BadPrompt => "the prompt's parts cannot be read",
+    };
+    Refusal::new(ResultCode::BadRequest, detail)
+}
--- /dev/null
+++ b/daemon/src/direct/peers.rs
@@ -0,0 +1,135 @@
+//! Processes of the fleet, as they list themselves in the store.
+//!
+//! Each process writes one key under a long lease and renews it now and then.
+//! The list only says where to look: who answers is found out by asking.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use rosemarymoor_lib::kv_feed::{Changes, KeyChange, Listing};
+use rosemarymoor_lib::time::{Millis, MonotonicClock};
+use serde::{Deserialize, Serialize};
+
+use super::settings::DirectRole;
+
+/// Prefix of the fleet's own list in the store.
+pub const PEER_PREFIX: &str = "fleet/";
+
+/// Time for which a process that did not answer is asked last.
+const REST_MS: u64 = 2_000;
+
+/// Entry of the fleet's own list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerEntry {
+    pub name: String,
+    /// Name of the role as in the settings.
+    pub role: String,
+    pub data_center: String,
+    /// Address for other processes of the fleet.
+    pub internal: SocketAddr,
+}
+
+/// Key of a host's entry.
+pub fn peer_key(role: &str, name: &str) -> String {
+    format!("{PEER_PREFIX}{role}/{name}")
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    key: String,
+    entry: PeerEntry,
+    rest_until: Millis,
+}
+
+/// Other processes of the fleet.
+pub struct Peers {
+    /// Sorted by key.
+    peers: Mutex<Vec<Peer>>,
+    clock: MonotonicClock,
+}
+
+impl Peers {
+    /// Opens an empty list.
+    pub fn open(clock: MonotonicClock) -> Peers {
+        Peers { peers: Mutex::new(Vec::new()), clock }
+    }
+
+    /// Replaces the list.
+    pub fn replace(&self, listing: &Listing) {
+        let mut peers = self.lock();
+        peers.retain(|peer| listing.items.iter().any(|(key, _)| *key == peer.key));
+        for (key, found) in &listing.items {
+            put(&mut peers, key, &found.value);
+        }
+    }
+
+    /// Takes changes of the list in.
+    pub fn change(&self, changes: &Changes) {
+        let Changes::Seen { changes, .. } = changes else { return };
+        let mut peers = self.lock();
+        for KeyChange { key, value } in changes {
+            match value {
+                Some(found) => put(&mut peers, key, &found.value),
+                None => peers.retain(|peer| peer.key != *key),
+            }
+        }
+    }
+
+    /// Budget servers; those that did not answer lately come last.
+    pub fn budget_servers(&self) -> Vec<PeerEntry> {
+        let now = self.clock.now();
+        let name = role_name(DirectRole::BudgetServer);
+        let peers = self.lock();
+        let of_role = || peers.iter().filter(|peer| peer.entry.role == name);
+        let rested = of_role().filter(|peer| now >= peer.rest_until);
+        let resting = of_role().filter(|peer| now < peer.rest_until);
+        rested.chain(resting).map(|peer| peer.entry.clone()).collect()
+    }
+
+    /// Whether a process failed to answer lately.
+    pub fn is_resting(&self, address: SocketAddr) -> bool {
+        let now = self.clock.now();
+        self.lock().iter().any(|peer| peer.entry.internal == address && now < peer.rest_until)
+    }
+
+    /// Notes that a process did not answer.
+    pub fn failed(&self, address: SocketAddr) {
+        let until = self.clock.now().plus(REST_MS);
+        for peer in self.lock().iter_mut().filter(|peer| peer.entry.internal == address) {
+            peer.rest_until = until;
+        }
+    }
+
+    /// Number of entries, at least one.
+    pub fn entries(&self) -> u64 {
+        let name = role_name(DirectRole::Entry);
+        let entries = self.lock().iter().filter(|peer| peer.entry.role == name).count();
+        entries.max(1) as u64
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Name of a role in the settings and in the list.
+pub fn role_name(role: DirectRole) -> &'static str {
+    match role {
+        DirectRole::Entry => "direct-entry",
+        DirectRole::BudgetServer => "budget-server",
+    }
+}
+
+fn put(peers: &mut Vec<Peer>, key: &str, value: &[u8]) {
+    let entry: PeerEntry = match serde_json::from_slice(value) {
+        Ok(entry) => entry,
+        Err(err) => {
+            log::warn!("event=peer_malformed key={key} reason={err}");
+            return;
+        }
+    };
+    match peers.binary_search_by(|peer| peer.key.as_str().cmp(key)) {
+        Ok(at) => peers[at].entry = entry,
+        Err(at) => peers.insert(at, Peer { key: key.to_owned(), entry, rest_until: Millis(0) }),
+    }
+}
--- /dev/null
+++ b/daemon/src/direct/settings.rs
@@ -0,0 +1,155 @@
+//! Settings of the roles for direct delivery.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use log::LevelFilter;
+use rosemarymoor_lib::dispatch::retry_budget::FleetRetryLimits;
+use rosemarymoor_lib::ini::{
+    IniDocument, IniError, IniErrors, IniSection, Position, SectionReader,
+};
+
+use crate::settings::{LOG_LEVELS, SettingsError};
+
+/// Role of a process for direct delivery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DirectRole {
+    /// Takes callers' requests and sends them to targets.
+    Entry,
+    /// Holds budgets and passes store calls on, beside a target.
+    BudgetServer,
+}
+
+/// Names of the roles in the settings.
+pub const DIRECT_ROLES: &[(&str, DirectRole)] =
+    &[("direct-entry", DirectRole::Entry), ("budget-server", DirectRole::BudgetServer)];
+
+/// Settings of one process for direct delivery.
+#[derive(Clone, Debug)]
+pub struct DirectSettings {
+    /// Name of the host.
+    pub name: String,
+    pub role: DirectRole,
+    pub data_center: String,
+    pub log_level: LevelFilter,
+    /// Address for callers; an entry has one.
+    pub callers: Option<SocketAddr>,
+    /// Address for the balancer's readiness checks; an entry has one.
+    pub ready: Option<SocketAddr>,
+    /// Address for other processes of the fleet.
+    pub internal: SocketAddr,
+    /// Address for metrics.
+    pub metrics: Option<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    pub retries: FleetRetryLimits,
+    /// Time between a request to stop and the end of the process.
+    pub grace: Duration,
+}
+
+const ADDRESS_EXPECTED: &str = "an IP address with a port, as 10.0.0.1:7000";
+const NUMBER_EXPECTED: &str = "a number, as 0.2";
+const SECTIONS: &[&str] = &["process", "listen", "platform", "retries"];
+
+/// Defaults for a fleet whose operator names no limits.
+const DEFAULT_RETRY_RATIO: f64 = 0.2;
+const DEFAULT_RETRY_CONSTANT: f64 = 50.0;
+const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
+const DEFAULT_GRACE_S: f64 = 8.0;
+const MS_PER_S: f64 = 1_000.0;
+
+impl DirectSettings {
+    /// Whether a document names a role for direct delivery.
+    pub fn is_direct(document: &IniDocument) -> bool {
+        document
+            .section("process")
+            .and_then(|section| section.key("role"))
+            .is_some_and(|role| DIRECT_ROLES.iter().any(|(name, _)| *name == role.value))
+    }
+
+    /// Checks settings that are already parsed.
+    pub fn from_document(document: &IniDocument) -> Result<DirectSettings, SettingsError> {
+        let mut errors = Vec::new();
+        for section in &document.sections {
+            if !SECTIONS.contains(&section.name.as_str()) {
+                errors.push(IniError::UnknownSection {
+                    at: section.at.clone(),
+                    section: section.name.clone(),
+                    known: SECTIONS.iter().map(|name| (*name).to_owned()).collect(),
+                });
+            }
+        }
+        match read(document, &mut errors) {
+            Some(settings) if errors.is_empty() => Ok(settings),
+            _ => Err(SettingsError { errors: IniErrors(errors) }),
+        }
+    }
+}
+
+fn read(document: &IniDocument, errors: &mut Vec<IniError>) -> Option<DirectSettings> {
+    let empty = empty_section(document);
+    let section = |name: &str| document.section(name).unwrap_or(&empty);
+
+    let mut reader = SectionReader::new(section("process"), errors);
+    let name = reader.text("name");
+    let role = reader.choice("role", DIRECT_ROLES, None);
+    let data_center = reader.text("data_center");
+    let log_level = reader.choice("log_level", LOG_LEVELS, Some(LevelFilter::Info));
+    reader.finish();
+
+    let mut reader = SectionReader::new(section("listen"), errors);
+    let (callers, ready) = match role {
+        DirectRole::Entry => {
+            (reader.parse("callers", ADDRESS_EXPECTED), reader.parse("ready", ADDRESS_EXPECTED))
+        }
+        DirectRole::BudgetServer => (None, None),
+    };
+    let internal = reader.parse("internal", ADDRESS_EXPECTED);
+    let metrics = reader.parse_optional("metrics", ADDRESS_EXPECTED);
+    reader.finish();
+
+    let mut reader = SectionReader::new(section("platform"), errors);
+    let store = reader.parse("store", ADDRESS_EXPECTED);
+    let grace_s = positive_or(&mut reader, "grace_s", DEFAULT_GRACE_S);
+    reader.finish();
+
+    let mut reader = SectionReader::new(section("retries"), errors);
+    let ratio = positive_or(&mut reader, "ratio", DEFAULT_RETRY_RATIO);
+    let constant = positive_or(&mut reader, "constant", DEFAULT_RETRY_CONSTANT);
+    let window_s = positive_or(&mut reader, "window_s", DEFAULT_RETRY_WINDOW_S);
+    reader.finish();
+
+    Some(DirectSettings {
+        name,
+        role,
+        data_center,
+        log_level,
+        callers,
+        ready,
+        internal: internal?,
+        metrics,
+        store: store?,
+        retries: FleetRetryLimits {
+            ratio,
+            constant: constant as u64,
+            window_ms: (window_s * MS_PER_S) as u64,
+        },
+        grace: Duration::from_secs_f64(grace_s),
+    })
+}
+
+fn empty_section(document: &IniDocument) -> IniSection {
+    let at = Position { file: document.file.clone(), line: 1 };
+    IniSection { name: String::new(), at, keys: Vec::new() }
+}
+
+fn positive_or(reader: &mut SectionReader<'_>, name: &'static str, default: f64) -> f64 {
+    let Some(key) = reader.key(name) else { return default };
+    match key.value.parse::<f64>() {
+        Ok(value) if value.is_finite() && value >= 0.0 => value,
+        _ => {
+            reader.bad_value(key, NUMBER_EXPECTED);
+            default
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/direct/store_path.rs
@@ -0,0 +1,180 @@
+//! Ways to the platform's store: straight, or over a budget server.
+//!
+//! A host may be cut off from the store, or be turned away by it, while hosts
+//! beside the targets still reach it. After a failure of the straight way calls
+//! go over budget servers, and a probe now and then finds out when the straight
+//! way works again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use rosemarymoor_platform::store::{CallFailure, StoreAnswer, StoreCall, StoreCaller, is_served};
+
+use super::peers::Peers;
+use crate::http_pool::{HttpPool, SendFailure};
+
+/// Path prefix under which a budget server passes store calls on.
+pub const RELAY_PREFIX: &str = "/store";
+
+/// Time for a connection to the store or to a budget server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause between two probes of the straight way while it does not work.
+const PROBE_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Time in which a probe has to be answered.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Budget servers that one call tries.
+const MAX_RELAYS: usize = 3;
+
+/// Largest answer of the store: a full page of items in text form.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Cheapest read, for probes.
+const PROBE_PATH: &str = "/kv-key?key=fleet&serializable=1";
+
+/// Straight way to the store.
+#[derive(Clone)]
+pub struct DirectPath {
+    pool: HttpPool,
+    store: SocketAddr,
+}
+
+impl DirectPath {
+    /// Opens the way; connects on first use.
+    pub fn open(pool: HttpPool, store: SocketAddr) -> DirectPath {
+        DirectPath { pool, store }
+    }
+}
+
+#[async_trait]
+impl StoreCaller for DirectPath {
+    async fn call(&self, call: StoreCall) -> Result<StoreAnswer, CallFailure> {
+        send(&self.pool, self.store, &call, &call.path).await
+    }
+}
+
+/// Way to the store that goes over budget servers where the straight one fails.
+pub struct RelayedPath {
+    direct: DirectPath,
+    pool: HttpPool,
+    peers: Arc<Peers>,
+    direct_down: AtomicBool,
+    next_relay: AtomicU64,
+}
+
+impl RelayedPath {
+    /// Opens the way and the task that probes the straight one.
+    pub fn spawn(pool: HttpPool, store: SocketAddr, peers: Arc<Peers>) -> Arc<RelayedPath> {
+        let path = Arc::new(RelayedPath {
+            direct: DirectPath::open(pool.clone(), store),
+            pool,
+            peers,
+            direct_down: AtomicBool::new(false),
+            next_relay: AtomicU64::new(0),
+        });
+        tokio::spawn(probe(Arc::downgrade(&path)));
+        path
+    }
+
+    fn lose_direct(&self, reason: &str) {
+        if !self.direct_down.swap(true, Ordering::Relaxed) {
+            log::warn!("event=dependency_lost dependency=store_direct reason={reason}");
+        }
+    }
+
+    async fn call_relays(&self, call: &StoreCall) -> Result<StoreAnswer, CallFailure> {
+        let servers = self.peers.budget_servers();
+        let first = self.next_relay.load(Ordering::Relaxed) as usize;
+        let is_read = call.method == Method::GET;
+        let mut refusal = Err(CallFailure::NotSent);
+        for step in 0..servers.len().min(MAX_RELAYS) {
+            let server = &servers[(first + step) % servers.len()];
+            let path = format!("{RELAY_PREFIX}{}", call.path);
+            match send(&self.pool, server.internal, call, &path).await {
+                Ok(answer) if answer.status == StatusCode::BAD_GATEWAY.as_u16() => {}
+                Ok(answer) if is_served(answer.status) => return Ok(answer),
+                Ok(answer) => refusal = Ok(answer),
+                Err(CallFailure::NoAnswer) if !is_read => {
+                    self.next_relay.fetch_add(1, Ordering::Relaxed);
+                    self.peers.failed(server.internal);
+                    return Err(CallFailure::NoAnswer);
+                }
+                Err(_) => self.peers.failed(server.internal),
+            }
+            self.next_relay.fetch_add(1, Ordering::Relaxed);
+        }
+        refusal
+    }
+}
+
+#[async_trait]
+impl StoreCaller for RelayedPath {
+    async fn call(&self, call: StoreCall) -> Result<StoreAnswer, CallFailure> {
+        if !self.direct_down.load(Ordering::Relaxed) {
+            match self.direct.call(call.clone()).await {
+                Ok(answer) if is_served(answer.status) => return Ok(answer),
+                Ok(answer) => self.lose_direct(&format!("status_{}", answer.status)),
+                Err(failure) => {
+                    self.lose_direct(&format!("{failure:?}"));
+                    if failure == CallFailure::NoAnswer && call.method != Method::GET {
+                        return Err(failure);
+                    }
+                }
+            }
+        }
+        self.call_relays(&call).await
+    }
+}
+
+async fn probe(path: std::sync::Weak<RelayedPath>) {
+    loop {
+        tokio::time::sleep(PROBE_PAUSE).await;
+        let Some(path) = path.upgrade() else { return };
+        if !path.direct_down.load(Ordering::Relaxed) {
+            continue;
+        }
+        let call = StoreCall {
+            method: Method::GET,
+            path: PROBE_PATH.to_owned(),
+            body: Bytes::new(),
+            timeout: PROBE_TIMEOUT,
+        };
+        let since = Instant::now();
+        if path.direct.call(call).await.is_ok_and(|answer| is_served(answer.status)) {
+            path.direct_down.store(false, Ordering::Relaxed);
+            let ms = since.elapsed().as_millis();
+            log::warn!("event=dependency_regained dependency=store_direct probe_ms={ms}");
+        }
+    }
+}
+
+async fn send(
+    pool: &HttpPool,
+    address: SocketAddr,
+    call: &StoreCall,
+    path: &str,
+) -> Result<StoreAnswer, CallFailure> {
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = path.parse().map_err(|_| CallFailure::NotSent)?;
+    let host = HeaderValue::from_str(&address.to_string()).map_err(|_| CallFailure::NotSent)?;
+    req.headers_mut().insert(HOST, host);
+    if !call.body.is_empty() {
+        req.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
+    let fetch = pool.fetch(address, req, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
+    match tokio::time::timeout(call.timeout, fetch).await {
+        Ok(Ok((status, _, body))) => Ok(StoreAnswer { status: status.as_u16(), body }),
+        Ok(Err(SendFailure::NotSent)) => Err(CallFailure::NotSent),
+        Ok(Err(SendFailure::Broken)) | Err(_) => Err(CallFailure::NoAnswer),
+    }
+}
--- /dev/null
+++ b/daemon/src/direct/stream.rs
@@ -0,0 +1,246 @@
+//! Passes a stream of events on, and resumes it elsewhere where that is allowed.
+//!
+//! The head of the answer is held until the first whole event is there, so that
+//! a target that breaks off before it can still be replaced. The answer keeps
+//! the head of its first target.
+
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use rosemarymoor_lib::dispatch::event_stream::{Event, EventSplitter};
+use rosemarymoor_lib::dispatch::targets::Observation;
+use rosemarymoor_platform::answer::AnswerKind;
+use rosemarymoor_platform::request::strip_connection_headers;
+
+use super::attempt::{self, Failed, Running};
+use super::deliver::{Tries, next_target};
+use super::entry::Entry;
+use super::handler::Call;
+use super::refusal::AnswerBody;
+
+/// Silence within a resumable stream after which it is resumed elsewhere.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Stream whose first event is there.
+pub struct Begun {
+    running: Running,
+    splitter: EventSplitter,
+    first: Option<Event>,
+}
+
+/// What comes next in a stream.
+enum Next {
+    Event(Event),
+    /// The target ended its answer as it should.
+    End,
+}
+
+/// Waits for the first event.
+pub async fn begin(
+    _entry: &Arc<Entry>,
+    call: &mut Call,
+    mut running: Running,
+    wait: Duration,
+) -> Result<Begun, Failed> {
+    let mut splitter = EventSplitter::default();
+    let until = call.until.min(Instant::now() + wait);
+    let next = next_event(&mut running, &mut splitter, until).await?;
+    running.run.first_answer();
+    let first = match next {
+        Next::Event(event) => Some(event),
+        Next::End => None,
+    };
+    Ok(Begun { running, splitter, first })
+}
+
+async fn next_event(
+    running: &mut Running,
+    splitter: &mut EventSplitter,
+    until: Instant,
+) -> Result<Next, Failed> {
+    loop {
+        if let Some(event) = splitter.next_event() {
+            return Ok(Next::Event(event));
+        }
+        let frame = tokio::time::timeout_at(until.into(), running.exchange.body.frame()).await;
+        match frame {
+            Err(_) => return Err(Failed::Silent),
+            Ok(None) if splitter.has_rest() => {
+                let bytes = splitter.take_rest();
+                return Ok(Next::Event(Event { bytes, id: None }));
+            }
+            Ok(None) => return Ok(Next::End),
+            Ok(Some(Err(_))) => {
+                running.run.observe(Observation::Failed);
+                return Err(Failed::Broken);
+            }
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else { continue };
+                splitter.push(&data).map_err(|_| Failed::Broken)?;
+            }
+        }
+    }
+}
+
+/// Answer that passes the events on.
+pub fn response(
+    entry: &Arc<Entry>,
+    call: Call,
+    tries: Tries,
+    begun: Begun,
+) -> Response<AnswerBody> {
+    let Begun { running, splitter, first } = begun;
+    let mut headers = running.head.headers.clone();
+    let status = running.head.status;
+    strip_connection_headers(&mut headers);
+    let relay = Relay {
+        entry: entry.clone(),
+        last_event: call.head.last_event,
+        call,
+        tries,
+        running: Some(running),
+        splitter,
+        first,
+        events: 0,
+        is_done: false,
+    };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let frame = relay.next_frame().await?;
+        Some((frame, relay))
+    });
+    let mut resp = Response::new(StreamBody::new(frames).boxed_unsync());
+    *resp.status_mut() = status;
+    *resp.headers_mut() = headers;
+    resp
+}
+
+struct Relay {
+    entry: Arc<Entry>,
+    call: Call,
+    tries: Tries,
+    /// `None` after the stream has ended.
+    running: Option<Running>,
+    splitter: EventSplitter,
+    first: Option<Event>,
+    /// Newest event that went to the caller.
+    last_event: Option<u64>,
+    events: u64,
+    is_done: bool,
+}
+
+impl Relay {
+    async fn next_frame(&mut self) -> Option<io::Result<Frame<Bytes>>> {
+        if self.is_done {
+            return None;
+        }
+        match self.next_new_event().await {
+            Ok(Some(event)) => {
+                self.events += 1;
+                self.last_event = event.id.or(self.last_event);
+                self.call.charge_event();
+                Some(Ok(Frame::data(event.bytes)))
+            }
+            Ok(None) => {
+                self.end("complete");
+                if let Some(running) = self.running.take() {
+                    running.exchange.lease.finish();
+                }
+                None
+            }
+            Err(failed) => {
+                self.end(if failed == Failed::Silent { "timed_out" } else { "broken" });
+                self.running = None;
+                Some(Err(io::Error::other("the stream broke off")))
+            }
+        }
+    }
+
+    /// Next event that the caller does not have; `None` at the end.
+    async fn next_new_event(&mut self) -> Result<Option<Event>, Failed> {
+        loop {
+            let next = match self.first.take() {
+                Some(event) => Ok(Next::Event(event)),
+                None => self.read().await,
+            };
+            match next {
+                Ok(Next::End) => return Ok(None),
+                Ok(Next::Event(event)) if self.is_known(&event) => {}
+                Ok(Next::Event(event)) => return Ok(Some(event)),
+                Err(failed) => self.resume(failed).await?,
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<Next, Failed> {
+        let mut until = self.call.until;
+        if self.call.route.kind.is_idempotent() {
+            until = until.min(Instant::now() + SILENCE);
+        }
+        let Some(running) = self.running.as_mut() else { return Err(Failed::Broken) };
+        next_event(running, &mut self.splitter, until).await
+    }
+
+    fn is_known(&self, event: &Event) -> bool {
+        match (event.id, self.last_event) {
+            (Some(id), Some(last)) => id <= last,
+            _ => false,
+        }
+    }
+
+    /// Goes on at another target, if the route allows it.
+    async fn resume(&mut self, failed: Failed) -> Result<(), Failed> {
+        let mut failed = failed;
+        // Closing the connection stops the run there.
+        self.running = None;
+        self.splitter = EventSplitter::default();
+        self.tries.failed(failed);
+        if !self.call.route.kind.is_idempotent() || self.last_event.is_none() {
+            return Err(failed);
+        }
+        while let Some(target) = next_target(&self.entry, &self.call, &mut self.tries) {
+            let wait = self.call.time_left();
+            let sent = attempt::send(&self.entry, &self.call, target, self.last_event, wait).await;
+            match sent {
+                Ok((mut running, AnswerKind::Success)) => {
+                    running.run.first_answer();
+                    log::info!(
+                        "event=resumed request={} after_event={:?} target={}",
+                        self.call.head.attempt_id,
+                        self.last_event,
+                        running.run.target_id
+                    );
+                    self.running = Some(running);
+                    return Ok(());
+                }
+                Ok(_) => {
+                    failed = Failed::Broken;
+                    self.tries.failed(failed);
+                }
+                Err(other) => {
+                    failed = other;
+                    self.tries.failed(other);
+                }
+            }
+        }
+        Err(failed)
+    }
+
+    fn end(&mut self, outcome: &str) {
+        self.is_done = true;
+        log::info!(
+            "event=stream_ended request={} route={} outcome={outcome} events={} tries={} took_ms={} version={}",
+            self.call.head.attempt_id,
+            self.call.route.name,
+            self.events,
+            self.tries.tried.len(),
+            self.call.arrived.elapsed().as_millis(),
+            self.call.catalog_version
+        );
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,7 +1,10 @@
 //! The daemon: an entry before the callers or a sidecar beside a target.
 
+pub mod direct;
 pub mod entry;
+pub mod http_pool;
 pub mod http_server;
+pub mod line_log;
 pub mod logging;
 pub mod memory;
 pub mod settings;
--- /dev/null
+++ b/daemon/src/line_log.rs
@@ -0,0 +1,134 @@
+//! Structured log lines on standard output that never hold a request up.
+//!
+//! A line is `time level module key=value …`. Lines go through a bounded queue
+//! to a thread of their own. When the queue is full, or a second has had its
+//! budget of ordinary lines, lines are left out and counted; warnings and errors
+//! have a larger budget, so that they are the last to be left out.
+
+use std::io::{self, Write};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use log::{Level, LevelFilter, Log, Metadata, Record};
+
+/// Lines that wait for the writer.
+const QUEUE_LINES: usize = 2_048;
+
+/// Ordinary lines that are written in one second.
+const LINES_PER_S: u64 = 500;
+
+/// Lines of any level that are written in one second.
+const MOST_LINES_PER_S: u64 = 800;
+
+/// Longest line in bytes.
+const MAX_LINE_BYTES: usize = 600;
+
+/// Longest wait for the writer at the end of the process.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+enum Message {
+    Line(String),
+    Flush(SyncSender<()>),
+}
+
+struct LineLog {
+    queue: SyncSender<Message>,
+    /// Second of the present budget, and lines that it has had.
+    second: AtomicU64,
+    lines: AtomicU64,
+    left_out: AtomicU64,
+}
+
+static LOG: OnceLock<LineLog> = OnceLock::new();
+
+/// Starts logging: the fleet's own crates at `level`, others at warn.
+///
+/// # Panics
+///
+/// Panics if logging was started before.
+pub fn start(level: LevelFilter) {
+    let (queue, lines) = sync_channel(QUEUE_LINES);
+    let writer = std::thread::Builder::new().name("log".to_owned()).spawn(move || write(&lines));
+    writer.expect("a process can start a thread for its log");
+    let line_log = LineLog {
+        queue,
+        second: AtomicU64::new(0),
+        lines: AtomicU64::new(0),
+        left_out: AtomicU64::new(0),
+    };
+    let line_log = LOG.get_or_init(|| line_log);
+    log::set_logger(line_log).expect("logging is started once");
+    log::set_max_level(level);
+}
+
+/// Waits until the lines so far are written, for a short time at most.
+pub fn flush() {
+    let Some(line_log) = LOG.get() else { return };
+    let (done, written) = sync_channel(1);
+    if line_log.queue.try_send(Message::Flush(done)).is_ok() {
+        let _ = written.recv_timeout(FLUSH_TIMEOUT);
+    }
+}
+
+impl Log for LineLog {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target().starts_with("rosemarymoor") || metadata.level() <= Level::Warn
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        if !self.takes_line(since_epoch.as_secs(), record.level()) {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let module = record.target().rsplit("::").next().unwrap_or_default();
+        let (seconds, millis) = (since_epoch.as_secs(), since_epoch.subsec_millis());
+        let level = record.level();
+        let mut line = format!("{seconds}.{millis:03} {level} {module} {}", record.args());
+        let left_out = self.left_out.swap(0, Ordering::Relaxed);
+        if left_out > 0 {
+            line.push_str(&format!(" lines_left_out={left_out}"));
+        }
+        if line.len() > MAX_LINE_BYTES {
+            let end = line.floor_char_boundary(MAX_LINE_BYTES);
+            line.truncate(end);
+        }
+        line.push('\n');
+        if self.queue.try_send(Message::Line(line)).is_err() {
+            self.left_out.fetch_add(1 + left_out, Ordering::Relaxed);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+impl LineLog {
+    fn takes_line(&self, second: u64, level: Level) -> bool {
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        let lines = self.lines.fetch_add(1, Ordering::Relaxed);
+        lines < if level <= Level::Warn { MOST_LINES_PER_S } else { LINES_PER_S }
+    }
+}
+
+fn write(lines: &Receiver<Message>) {
+    let mut out = io::stdout().lock();
+    while let Ok(message) = lines.recv() {
+        // Nobody can be told of a failed write to the log.
+        match message {
+            Message::Line(line) => {
+                let _ = out.write_all(line.as_bytes());
+            }
+            Message::Flush(done) => {
+                let _ = out.flush();
+                let _ = done.try_send(());
+            }
+        }
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,12 +1,14 @@
 //! `rosemarymoord`, the daemon.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use gumdrop::Options;
+use rosemarymoor_daemon::direct::settings::{DirectRole, DirectSettings};
 use rosemarymoor_daemon::settings::Settings;
-use rosemarymoor_daemon::{entry, logging, sidecar};
+use rosemarymoor_daemon::{direct, entry, line_log, logging, sidecar};
 use rosemarymoor_lib::host_list::Role;
+use rosemarymoor_lib::ini::IniDocument;
 
 const EXIT_BAD_ARGUMENTS: u8 = 2;
 const EXIT_NO_RUNTIME: u8 = 1;
@@ -36,11 +38,25 @@
         eprintln!("rosemarymoord: name a settings file: rosemarymoord --config FILE");
         return ExitCode::from(EXIT_BAD_ARGUMENTS);
     };
-    match Settings::open(&path) {
-        Ok(_) if args.check => {
-            println!("{}: the settings are valid", path.display());
-            ExitCode::SUCCESS
+    let document = match IniDocument::open(&path) {
+        Ok(document) => document,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(EXIT_BAD_ARGUMENTS);
         }
+    };
+    if DirectSettings::is_direct(&document) {
+        return match DirectSettings::from_document(&document) {
+            Ok(_) if args.check => valid(&path),
+            Ok(settings) => run_direct(settings),
+            Err(err) => {
+                eprintln!("{err}");
+                ExitCode::from(EXIT_BAD_ARGUMENTS)
+            }
+        };
+    }
+    match Settings::from_document(&document) {
+        Ok(_) if args.check => valid(&path),
         Ok(settings) => run(settings),
         Err(err) => {
             eprintln!("{err}");
@@ -49,6 +65,31 @@
     }
 }
 
+fn valid(path: &Path) -> ExitCode {
+    println!("{}: the settings are valid", path.display());
+    ExitCode::SUCCESS
+}
+
+/// Runs a role for direct delivery on one thread: its hosts have one core at most.
+fn run_direct(settings: DirectSettings) -> ExitCode {
+    line_log::start(settings.log_level);
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("rosemarymoord: no runtime: {err}");
+            return ExitCode::from(EXIT_NO_RUNTIME);
+        }
+    };
+    let code = runtime.block_on(async move {
+        match settings.role {
+            DirectRole::Entry => direct::entry::run(settings).await,
+            DirectRole::BudgetServer => direct::budget_server::run(settings).await,
+        }
+    });
+    line_log::flush();
+    ExitCode::from(u8::try_from(code).unwrap_or(EXIT_NO_RUNTIME))
+}
+
 fn run(settings: Settings) -> ExitCode {
     logging::start(settings.log_level);
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -74,7 +74,7 @@
 const DEFAULT_DRAIN_MS: u64 = 600_000;
 
 const ROLES: &[(&str, Role)] = &[("entry", Role::Entry), ("sidecar", Role::Sidecar)];
-const LOG_LEVELS: &[(&str, LevelFilter)] = &[
+pub(crate) const LOG_LEVELS: &[(&str, LevelFilter)] = &[
     ("error", LevelFilter::Error),
     ("warn", LevelFilter::Warn),
     ("info", LevelFilter::Info),
--- a/lib/src/budget.rs
+++ b/lib/src/budget.rs
@@ -5,6 +5,7 @@
 //! whose write it has seen confirmed.
 
 mod book;
+pub mod ceiling;
 mod driver;
 mod epoch_record;
 mod event;
--- /dev/null
+++ b/lib/src/budget/ceiling.rs
@@ -0,0 +1,586 @@
+//! Budgets held under ceilings that the store has acknowledged.
+//!
+//! A holder is any process that pays for requests. For each budget it owns one
+//! grant in the ledger, named by its epoch, and spends only below the `granted`
+//! of that grant whose write it has seen confirmed: its ceiling. Any number of
+//! holders may serve one budget at any time; safety rests on the ledger's
+//! invariant alone, never on who is thought to be alive. What a holder leaves
+//! between its last settled figure and its ceiling when it dies counts as spent.
+//!
+//! Ceilings follow the need: what is used, reserved and asked for, plus a
+//! headroom for the near future that shrinks as the budget runs dry. The system
+//! is pure; it answers every event with effects.
+
+use std::collections::VecDeque;
+
+use super::ledger::{Account, Grant, Shard};
+use crate::id::{BudgetId, EpochId};
+use crate::kv_store::{NotDone, Outcome, Revision, Versioned};
+use crate::time::Millis;
+
+/// Time of usual spending that the headroom covers at most, in milliseconds.
+///
+/// The store may be out of reach for some seconds, and a store call for each
+/// request would cost more than the headroom that a death leaves behind.
+const HEADROOM_MS: f64 = 5_000.0;
+
+/// Largest share of the free money that one holder takes as headroom.
+const HEADROOM_SHARE: f64 = 0.10;
+
+/// Headroom is raised in advance when less than this share of it is left.
+const LOW_SHARE: f64 = 0.35;
+
+/// Least time between two writes that no request waits for, in milliseconds.
+const IDLE_WRITE_MS: u64 = 500;
+
+/// Time without a request after which a holder hands its headroom back.
+const RETURN_AFTER_MS: u64 = 1_500;
+
+/// Window of the smoothed spending rate, in milliseconds.
+const RATE_WINDOW_MS: f64 = 4_000.0;
+
+/// Pause before the store is asked again after a failure, in milliseconds.
+const RETRY_MS: u64 = 40;
+const MAX_RETRY_MS: u64 = 640;
+
+/// Time after its deadline for which a reservation waits for its settlement.
+const SETTLE_GRACE_MS: u64 = 5_000;
+
+/// Time for which settlements of unknown reservations are remembered.
+const TOMBSTONE_MS: u64 = 10_000;
+
+/// Key of a budget's account in the store.
+pub fn account_key(budget: &BudgetId) -> String {
+    format!("account/{}/{}", budget.workspace, budget.name)
+}
+
+/// Name of a reservation, chosen by the process that asks for it.
+pub type ReservationId = u128;
+
+/// Money asked for before a request is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    pub id: ReservationId,
+    pub budget: BudgetId,
+    /// Tokens prepaid in all, as the asker knows.
+    pub prepaid: u64,
+    /// Version of the configuration that says so.
+    pub prepaid_version: u64,
+    /// Worst case of the request, in tokens.
+    pub tokens: u64,
+    /// How long the answer may take, in milliseconds.
+    pub patience_ms: u64,
+    /// Time until the request has ended at the latest, in milliseconds.
+    pub lifetime_ms: u64,
+}
+
+/// Answer to an [`Ask`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    Granted,
+    /// It certainly does not fit into what is left of the budget.
+    Exhausted,
+    /// It may fit, but the money cannot be had now.
+    Unavailable,
+}
+
+/// What the driver has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CeilingEffect {
+    Answer { id: ReservationId, reply: Reply },
+    Read { budget: BudgetId },
+    Write { budget: BudgetId, expected: Revision, value: Vec<u8> },
+}
+
+struct Reservation {
+    id: ReservationId,
+    tokens: u64,
+    expires: Millis,
+}
+
+struct Waiting {
+    ask: Ask,
+    until: Millis,
+}
+
+/// Call to the store that has not been answered.
+enum Pending {
+    Read,
+    Write { granted: u64, account: Account },
+}
+
+/// Holder's view of one budget.
+struct Held {
+    budget: BudgetId,
+    prepaid: u64,
+    prepaid_version: u64,
+    /// Account as it was last seen; `None` before the first read.
+    seen: Option<(Revision, Account)>,
+    /// Most that may be used and reserved: confirmed, and not lowered since.
+    ceiling: u64,
+    used: u64,
+    reserved: u64,
+    reservations: Vec<Reservation>,
+    waiting: VecDeque<Waiting>,
+    pending: Option<Pending>,
+    /// Tokens a millisecond, smoothed.
+    rate: f64,
+    rate_at: Millis,
+    asked_at: Millis,
+    written_at: Millis,
+    retry_at: Millis,
+    failures: u32,
+    closing: bool,
+}
+
+/// Budgets of one holder.
+pub struct CeilingSystem {
+    epoch: EpochId,
+    /// Sorted by budget.
+    held: Vec<Held>,
+    /// Settlements that came before their reservation, or after its end.
+    tombstones: Vec<(ReservationId, Millis)>,
+}
+
+/// State of one budget at a holder, for logs and metrics.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldBudget {
+    pub budget: BudgetId,
+    pub prepaid: u64,
+    pub ceiling: u64,
+    pub used: u64,
+    pub reserved: u64,
+    pub waiting: usize,
+}
+
+impl CeilingSystem {
+    /// Opens a holder that holds nothing yet.
+    pub fn open(epoch: EpochId) -> CeilingSystem {
+        CeilingSystem { epoch, held: Vec::new(), tombstones: Vec::new() }
+    }
+
+    /// Epoch that names this holder's grants.
+    pub fn epoch(&self) -> EpochId {
+        self.epoch
+    }
+
+    /// Takes a request for money; it is answered by an effect, now or later.
+    pub fn ask(&mut self, ask: Ask, now: Millis, effects: &mut Vec<CeilingEffect>) {
+        if let Some(at) = self.tombstones.iter().position(|(id, _)| *id == ask.id) {
+            self.tombstones.swap_remove(at);
+            effects.push(CeilingEffect::Answer { id: ask.id, reply: Reply::Unavailable });
+            return;
+        }
+        let epoch = self.epoch;
+        let held = self.open_budget(&ask.budget, now);
+        held.learn_prepaid(ask.prepaid, ask.prepaid_version);
+        held.note_demand(ask.tokens, now);
+        let until = now.plus(ask.patience_ms);
+        held.waiting.push_back(Waiting { ask, until });
+        held.advance(epoch, now, effects);
+    }
+
+    /// Ends a reservation: `used` tokens are spent, the rest is free again.
+    pub fn settle(
+        &mut self,
+        budget: &BudgetId,
+        id: ReservationId,
+        used: u64,
+        now: Millis,
+        effects: &mut Vec<CeilingEffect>,
+    ) {
+        let epoch = self.epoch;
+        let held = self.open_budget(budget, now);
+        if let Some(at) = held.waiting.iter().position(|waiting| waiting.ask.id == id) {
+            held.waiting.remove(at);
+            effects.push(CeilingEffect::Answer { id, reply: Reply::Unavailable });
+        }
+        match held.reservations.iter().position(|reservation| reservation.id == id) {
+            Some(at) => {
+                let reservation = held.reservations.swap_remove(at);
+                held.reserved -= reservation.tokens;
+                held.used += used.min(reservation.tokens);
+                held.advance(epoch, now, effects);
+            }
+            None => {
+                self.tombstones.retain(|(_, at)| now.since(*at) < TOMBSTONE_MS);
+                self.tombstones.push((id, now));
+            }
+        }
+    }
+
+    /// Takes the answer to [`CeilingEffect::Read`].
+    pub fn read_done(
+        &mut self,
+        budget: &BudgetId,
+        outcome: Outcome<Option<Versioned>>,
+        now: Millis,
+        effects: &mut Vec<CeilingEffect>,
+    ) {
+        let epoch = self.epoch;
+        let held = self.open_budget(budget, now);
+        held.pending = None;
+        match outcome {
+            Outcome::Done(found) => held.take_read(epoch, found, now),
+            Outcome::NotDone(_) | Outcome::Unknown => held.store_failed(now),
+        }
+        held.advance(epoch, now, effects);
+    }
+
+    /// Takes the answer to [`CeilingEffect::Write`].
+    pub fn write_done(
+        &mut self,
+        budget: &BudgetId,
+        outcome: Outcome<Revision>,
+        now: Millis,
+        effects: &mut Vec<CeilingEffect>,
+    ) {
+        let epoch = self.epoch;
+        let held = self.open_budget(budget, now);
+        let Some(Pending::Write { granted, account }) = held.pending.take() else { return };
+        match outcome {
+            Outcome::Done(revision) => {
+                held.ceiling = granted;
+                held.seen = Some((revision, account));
+                held.failures = 0;
+                held.written_at = now;
+            }
+            Outcome::NotDone(NotDone::Conflict { .. }) => {
+                // Nothing can be written until a read shows who was faster.
+                held.seen = None;
+                held.failures = 0;
+            }
+            Outcome::NotDone(_) => held.store_failed(now),
+            Outcome::Unknown => {
+                // The write may land later; a read shows where the account stands,
+                // and the next write at that revision overrules it.
+                held.seen = None;
+                held.store_failed(now);
+            }
+        }
+        held.advance(epoch, now, effects);
+    }
+
+    /// Does what has become due; answers when to call again.
+    pub fn tick(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) -> Option<Millis> {
+        let epoch = self.epoch;
+        let mut next: Option<Millis> = None;
+        for held in &mut self.held {
+            held.expire_reservations(now);
+            held.advance(epoch, now, effects);
+            if let Some(due) = held.due(now) {
+                next = Some(next.map_or(due, |next| next.min(due)));
+            }
+        }
+        next
+    }
+
+    /// Hands all headroom back; for a graceful stop.
+    pub fn close(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) {
+        let epoch = self.epoch;
+        for held in &mut self.held {
+            held.closing = true;
+            held.advance(epoch, now, effects);
+        }
+    }
+
+    /// Whether nothing is left to hand back.
+    pub fn is_closed(&self) -> bool {
+        self.held.iter().all(|held| held.closing && held.is_settled())
+    }
+
+    /// State of all budgets.
+    pub fn budgets(&self) -> Vec<HeldBudget> {
+        self.held.iter().map(Held::summary).collect()
+    }
+
+    fn open_budget(&mut self, budget: &BudgetId, now: Millis) -> &mut Held {
+        let at = match self.held.binary_search_by(|held| held.budget.cmp(budget)) {
+            Ok(at) => at,
+            Err(at) => {
+                self.held.insert(at, Held::new(budget.clone(), now));
+                at
+            }
+        };
+        &mut self.held[at]
+    }
+}
+
+impl Held {
+    fn new(budget: BudgetId, now: Millis) -> Held {
+        Held {
+            budget,
+            prepaid: 0,
+            prepaid_version: 0,
+            seen: None,
+            ceiling: 0,
+            used: 0,
+            reserved: 0,
+            reservations: Vec::new(),
+            waiting: VecDeque::new(),
+            pending: None,
+            rate: 0.0,
+            rate_at: now,
+            asked_at: now,
+            written_at: Millis(0),
+            retry_at: Millis(0),
+            failures: 0,
+            closing: false,
+        }
+    }
+
+    fn summary(&self) -> HeldBudget {
+        HeldBudget {
+            budget: self.budget.clone(),
+            prepaid: self.prepaid,
+            ceiling: self.ceiling,
+            used: self.used,
+            reserved: self.reserved,
+            waiting: self.waiting.len(),
+        }
+    }
+
+    fn learn_prepaid(&mut self, prepaid: u64, version: u64) {
+        if version >= self.prepaid_version {
+            self.prepaid = prepaid;
+            self.prepaid_version = version;
+        }
+    }
+
+    fn note_demand(&mut self, tokens: u64, now: Millis) {
+        let elapsed = now.since(self.rate_at) as f64;
+        let keep = (-elapsed / RATE_WINDOW_MS).exp();
+        self.rate = self.rate * keep + tokens as f64 / RATE_WINDOW_MS;
+        self.rate_at = now;
+        self.asked_at = now;
+    }
+
+    fn current_rate(&self, now: Millis) -> f64 {
+        self.rate * (-(now.since(self.rate_at) as f64) / RATE_WINDOW_MS).exp()
+    }
+
+    fn committed(&self) -> u64 {
+        self.used + self.reserved
+    }
+
+    /// Serves who waits, then asks the store for what is missing.
+    fn advance(&mut self, epoch: EpochId, now: Millis, effects: &mut Vec<CeilingEffect>) {
+        self.serve(now, effects);
+        self.refuse_hopeless(epoch, now, effects);
+        self.ask_store(epoch, now, effects);
+    }
+
+    fn serve(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) {
+        while let Some(first) = self.waiting.front() {
+            let tokens = first.ask.tokens;
+            if self.committed() + tokens > self.ceiling {
+                return;
+            }
+            let Some(Waiting { ask, .. }) = self.waiting.pop_front() else { return };
+            self.reserved += tokens;
+            let expires = now.plus(ask.lifetime_ms + SETTLE_GRACE_MS);
+            self.reservations.push(Reservation { id: ask.id, tokens, expires });
+            effects.push(CeilingEffect::Answer { id: ask.id, reply: Reply::Granted });
+        }
+    }
+
+    /// Refuses what waited too long, and what the account shows not to fit.
+    fn refuse_hopeless(&mut self, epoch: EpochId, now: Millis, effects: &mut Vec<CeilingEffect>) {
+        let mut kept = VecDeque::new();
+        let mut promised = 0;
+        while let Some(waiting) = self.waiting.pop_front() {
+            let reply = self.verdict(epoch, &waiting, promised, now);
+            match reply {
+                None => {
+                    promised += waiting.ask.tokens;
+                    kept.push_back(waiting);
+                }
+                Some(reply) => effects.push(CeilingEffect::Answer { id: waiting.ask.id, reply }),
+            }
+        }
+        self.waiting = kept;
+    }
+
+    /// Refusal of a waiting request; `None` while it may still be granted.
+    fn verdict(&self, epoch: EpochId, waiting: &Waiting, ahead: u64, now: Millis) -> Option<Reply> {
+        let tokens = waiting.ask.tokens;
+        if self.certainly_exhausted(epoch, tokens) {
+            return Some(Reply::Exhausted);
+        }
+        if now >= waiting.until {
+            return Some(Reply::Unavailable);
+        }
+        let (_, account) = self.seen.as_ref()?;
+        let available = self.reachable(account, epoch);
+        let is_missing = self.committed() + ahead + tokens > available;
+        (is_missing && self.pending.is_none()).then_some(Reply::Unavailable)
+    }
+
+    /// Largest ceiling that the account allows this holder.
+    fn reachable(&self, account: &Account, epoch: EpochId) -> u64 {
+        let others: u64 = account
+            .grants
+            .iter()
+            .filter(|grant| grant.epoch != epoch)
+            .map(|grant| grant.granted)
+            .sum();
+        self.prepaid.saturating_sub(account.settled + others)
+    }
+
+    /// Whether the tokens do not fit even if all other holders spend no more.
+    fn certainly_exhausted(&self, epoch: EpochId, tokens: u64) -> bool {
+        let Some((_, account)) = self.seen.as_ref() else { return false };
+        let spent_by_others: u64 = account
+            .grants
+            .iter()
+            .filter(|grant| grant.epoch != epoch)
+            .map(|grant| grant.settled)
+            .sum();
+        let spent = account.settled + spent_by_others + self.committed();
+        spent + tokens > self.prepaid
+    }
+
+    fn ask_store(&mut self, epoch: EpochId, now: Millis, effects: &mut Vec<CeilingEffect>) {
+        if self.pending.is_some() || now < self.retry_at {
+            return;
+        }
+        let Some((revision, account)) = self.seen.clone() else {
+            if !self.waiting.is_empty() || self.closing || self.ceiling > self.committed() {
+                self.pending = Some(Pending::Read);
+                effects.push(CeilingEffect::Read { budget: self.budget.clone() });
+            }
+            return;
+        };
+        let Some(granted) = self.next_ceiling(&account, epoch, now) else { return };
+        self.write(revision, account, epoch, granted, effects);
+    }
+
+    /// Ceiling worth a write now; `None` if the present one will do.
+    fn next_ceiling(&self, account: &Account, epoch: EpochId, now: Millis) -> Option<u64> {
+        let reachable = self.reachable(account, epoch);
+        let committed = self.committed();
+        let free = reachable.saturating_sub(committed);
+        let is_idle = now.since(self.asked_at) >= RETURN_AFTER_MS;
+        let headroom = if is_idle || self.closing { 0 } else { self.headroom(free, now) };
+        let asked: u64 = self.waiting.iter().map(|waiting| waiting.ask.tokens).sum();
+        let wanted = (committed + asked + headroom).min(reachable).max(committed);
+        if !self.waiting.is_empty() {
+            let first = self.waiting.front().map_or(0, |waiting| waiting.ask.tokens);
+            return (committed + first <= reachable).then_some(wanted);
+        }
+        let recently_written = now.since(self.written_at) < IDLE_WRITE_MS;
+        if recently_written && !self.closing {
+            return None;
+        }
+        let left = self.ceiling.saturating_sub(committed);
+        if headroom == 0 {
+            let own = account.grant(epoch).copied();
+            let is_recorded =
+                own.is_some_and(|own| own.granted == committed && own.settled == self.used);
+            let has_nothing = own.is_none() && committed == 0;
+            return (!is_recorded && !has_nothing && (is_idle || self.closing))
+                .then_some(committed);
+        }
+        ((left as f64) < headroom as f64 * LOW_SHARE && wanted > self.ceiling).then_some(wanted)
+    }
+
+    fn headroom(&self, free: u64, now: Millis) -> u64 {
+        let by_rate = self.current_rate(now) * HEADROOM_MS;
+        let by_share = free as f64 * HEADROOM_SHARE;
+        by_rate.min(by_share) as u64
+    }
+
+    fn write(
+        &mut self,
+        revision: Revision,
+        mut account: Account,
+        epoch: EpochId,
+        granted: u64,
+        effects: &mut Vec<CeilingEffect>,
+    ) {
+        let total: u64 = account.grants.iter().map(|grant| grant.granted).sum();
+        // A lowered budget may lie below what was granted; the account then only
+        // holds what was granted, and nothing is free.
+        account.prepaid = self.prepaid.max(account.settled + total);
+        let grant = Grant { epoch, granted, settled: self.used };
+        if !account.set_grant(grant) {
+            log::warn!("event=ceiling_refused budget={} granted={granted}", self.budget);
+            return;
+        }
+        // A lower ceiling binds before the store knows of it.
+        self.ceiling = self.ceiling.min(granted);
+        let mut shard = Shard::default();
+        shard.accounts.push(account.clone());
+        let value = shard.encode();
+        self.pending = Some(Pending::Write { granted, account });
+        effects.push(CeilingEffect::Write {
+            budget: self.budget.clone(),
+            expected: revision,
+            value,
+        });
+    }
+
+    fn take_read(&mut self, epoch: EpochId, found: Option<Versioned>, now: Millis) {
+        let (revision, account) = match found {
+            None => (Revision::ABSENT, Shard::default().open_account(&self.budget).clone()),
+            Some(found) => {
+                let shard = Shard::decode(&found.value);
+                let account = shard.as_ref().and_then(|shard| shard.account(&self.budget));
+                let Some(account) = account else {
+                    log::error!("event=account_malformed budget={}", self.budget);
+                    self.store_failed(now);
+                    return;
+                };
+                (found.revision, account.clone())
+            }
+        };
+        // An unanswered write that lowered the ceiling may still land, so that a
+        // read never raises it; the next confirmed write does.
+        let recorded = account.grant(epoch).map_or(0, |grant| grant.granted);
+        self.ceiling = self.ceiling.min(recorded);
+        self.seen = Some((revision, account));
+        self.failures = 0;
+    }
+
+    fn store_failed(&mut self, now: Millis) {
+        let pause = (RETRY_MS << self.failures.min(8)).min(MAX_RETRY_MS);
+        self.failures += 1;
+        self.retry_at = now.plus(pause);
+    }
+
+    /// Counts reservations as spent whose settlement never came.
+    fn expire_reservations(&mut self, now: Millis) {
+        let mut expired = 0;
+        self.reservations.retain(|reservation| {
+            if now < reservation.expires {
+                return true;
+            }
+            expired += reservation.tokens;
+            false
+        });
+        if expired > 0 {
+            log::warn!("event=reservation_expired budget={} tokens={expired}", self.budget);
+        }
+        self.reserved -= expired;
+        self.used += expired;
+    }
+
+    fn is_settled(&self) -> bool {
+        self.pending.is_none() && self.waiting.is_empty() && self.ceiling <= self.committed()
+    }
+
+    /// When this budget needs attention next.
+    fn due(&self, now: Millis) -> Option<Millis> {
+        const LATER_MS: u64 = 100;
+        if self.pending.is_none() && now < self.retry_at {
+            return Some(self.retry_at);
+        }
+        let first = self.waiting.iter().map(|waiting| waiting.until).min();
+        let has_headroom = self.ceiling > self.committed();
+        let returns = has_headroom
+            .then(|| self.asked_at.plus(RETURN_AFTER_MS).max(self.written_at.plus(IDLE_WRITE_MS)));
+        let expires = self.reservations.iter().map(|reservation| reservation.expires).min();
+        let due = [first, returns, expires].into_iter().flatten().min()?;
+        Some(if due > now { due } else { now.plus(LATER_MS) })
+    }
+}
