budget: headroom shrinks as a budget runs dry; a short holder ends the search; reload on SIGHUP

Change: headroom 8 % of the free money while over half is left, down to 0.5 % below three tenths; answer Short ends the search; SIGHUP reloads level and retry limits; money_refused lines with their inputs.

--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -59,6 +59,8 @@
 pub enum NoMoney {
     /// The budget certainly does not cover the request.
     Exhausted,
+    /// Other holders have what is left of it.
+    Short,
     /// The money cannot be reached now.
     Unavailable,
 }
@@ -96,15 +98,14 @@
 
     /// Reserves the worst case of a request.
     pub async fn reserve(&self, need: &Need) -> Result<Reserved, NoMoney> {
-        let mut verdict = NoMoney::Unavailable;
         for server in self.servers_of(&need.budget) {
             match self.ask_server(&server, need).await {
                 Some((id, ReserveAnswer::Granted)) => {
                     return Ok(self.reserved(Holder::Server(server), need, id));
                 }
                 Some((_, ReserveAnswer::Exhausted)) => return Err(NoMoney::Exhausted),
-                Some((_, ReserveAnswer::Unavailable)) => verdict = NoMoney::Unavailable,
-                None => {}
+                Some((_, ReserveAnswer::Short)) => return Err(NoMoney::Short),
+                Some((_, ReserveAnswer::Unavailable)) | None => {}
             }
         }
         let message = message(need);
@@ -112,7 +113,8 @@
         match self.own.ask(message.into()).await {
             Reply::Granted => Ok(self.reserved(Holder::Own, need, id)),
             Reply::Exhausted => Err(NoMoney::Exhausted),
-            Reply::Unavailable => Err(verdict),
+            Reply::Short => Err(NoMoney::Short),
+            Reply::Unavailable => Err(NoMoney::Unavailable),
         }
     }
 
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -8,6 +8,7 @@
 //!   it is; 502 says that the store did not answer.
 
 use std::convert::Infallible;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
 use tokio::net::TcpListener;
 
 use super::ceilings::Ceilings;
-use super::context::Basics;
+use super::context::{Basics, reload_on_hangup};
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RELAY_PREFIX};
 use crate::http_pool::guard_stream;
@@ -66,6 +67,7 @@
 pub enum ReserveAnswer {
     Granted,
     Exhausted,
+    Short,
     Unavailable,
 }
 
@@ -83,6 +85,7 @@
         match reply {
             Reply::Granted => ReserveAnswer::Granted,
             Reply::Exhausted => ReserveAnswer::Exhausted,
+            Reply::Short => ReserveAnswer::Short,
             Reply::Unavailable => ReserveAnswer::Unavailable,
         }
     }
@@ -108,7 +111,7 @@
 }
 
 /// Runs a budget server until it is told to stop; answers the exit code.
-pub async fn run(settings: DirectSettings) -> i32 {
+pub async fn run(settings: DirectSettings, path: PathBuf) -> i32 {
     let basics = Basics::open(&settings);
     let store = DirectPath::open(basics.pool.clone(), settings.store);
     let kv = Arc::new(PlatformStore::open(Arc::new(store.clone())));
@@ -123,6 +126,7 @@
             return 1;
         }
     };
+    reload_on_hangup(path, |_| {});
     tokio::spawn(accept(listener, server));
     basics.enlist(&settings, kv);
     basics.stop_requested().await;
--- a/daemon/src/direct/context.rs
+++ b/daemon/src/direct/context.rs
@@ -1,5 +1,6 @@
 //! What every process for direct delivery opens first.
 
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,6 +84,32 @@
     }
 }
 
+/// Starts to reload the settings whenever the process is told that they changed.
+///
+/// The log level and the limits of retries take effect at once; addresses and
+/// names hold until the next start.
+pub fn reload_on_hangup(path: PathBuf, take: impl Fn(&DirectSettings) + Send + 'static) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(err) => {
+            log::error!("event=signals_unavailable reason={err}");
+            return;
+        }
+    };
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            match DirectSettings::open(&path) {
+                Ok(settings) => {
+                    log::set_max_level(settings.log_level);
+                    take(&settings);
+                    log::warn!("event=reload outcome=taken log_level={}", settings.log_level);
+                }
+                Err(err) => log::error!("event=reload outcome=kept_old reason={err}"),
+            }
+        }
+    });
+}
+
 async fn list_once(kv: &dyn KvStore, key: &str, entry: &PeerEntry) -> bool {
     let Outcome::Done(lease) = kv.open_lease(PEER_TTL, STORE_TIMEOUT).await else { return false };
     let Outcome::Done(found) = kv.get(key, STORE_TIMEOUT).await else { return false };
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -1,5 +1,6 @@
 //! Entry for direct delivery: its shared state, its start and its stop.
 
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -15,7 +16,7 @@
 
 use super::budget_client::BudgetClient;
 use super::ceilings::Ceilings;
-use super::context::Basics;
+use super::context::{Basics, reload_on_hangup};
 use super::feed::{self, FeedSink, Urgency};
 use super::listener::{self, Listeners};
 use super::peers::Peers;
@@ -74,10 +75,10 @@
 }
 
 /// Runs an entry until it is told to stop; answers the exit code.
-pub async fn run(settings: DirectSettings) -> i32 {
+pub async fn run(settings: DirectSettings, path: PathBuf) -> i32 {
     let basics = Basics::open(&settings);
-    let path = RelayedPath::spawn(basics.pool.clone(), settings.store, basics.peers.clone());
-    let store = Arc::new(PlatformStore::open(path));
+    let store_path = RelayedPath::spawn(basics.pool.clone(), settings.store, basics.peers.clone());
+    let store = Arc::new(PlatformStore::open(store_path));
     let own = Ceilings::spawn(store.clone(), basics.clock);
     log::warn!("event=start role=direct-entry host={} epoch={}", settings.name, own.epoch());
     let entry = Arc::new(Entry {
@@ -100,6 +101,8 @@
             return 1;
         }
     };
+    let reloaded = entry.clone();
+    reload_on_hangup(path, move |settings| reloaded.retries().set_limits(settings.retries));
     follow_store(&entry, store.clone());
     basics.follow_peers(store.clone());
     basics.enlist(&settings, store);
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -32,6 +32,10 @@
 /// When a caller should come back whose money cannot be reached now.
 const MONEY_RETRY_MS: u64 = 700;
 
+/// When a caller should come back whose money other holders have: they hand back
+/// what they do not need within this time.
+const SHORT_RETRY_MS: u64 = 1_800;
+
 /// When a caller should come back to an entry that has just started.
 const START_RETRY_MS: u64 = 400;
 
@@ -209,6 +213,10 @@
             let detail = format!("{} tokens do not fit into what is left", need.tokens);
             Err(Refusal::new(ResultCode::BudgetExhausted, detail))
         }
+        Err(NoMoney::Short) => {
+            let refusal = Refusal::new(ResultCode::BudgetUnavailable, "other holders have it");
+            Err(refusal.retry_after(SHORT_RETRY_MS))
+        }
         Err(NoMoney::Unavailable) => {
             let refusal = Refusal::new(ResultCode::BudgetUnavailable, "no holder has the money");
             Err(refusal.retry_after(MONEY_RETRY_MS))
--- a/daemon/src/direct/settings.rs
+++ b/daemon/src/direct/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the roles for direct delivery.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use log::LevelFilter;
@@ -67,6 +68,12 @@
             .is_some_and(|role| DIRECT_ROLES.iter().any(|(name, _)| *name == role.value))
     }
 
+    /// Reads and checks a settings file.
+    pub fn open(path: &Path) -> Result<DirectSettings, SettingsError> {
+        let document = IniDocument::open(path).map_err(|errors| SettingsError { errors })?;
+        DirectSettings::from_document(&document)
+    }
+
     /// Checks settings that are already parsed.
     pub fn from_document(document: &IniDocument) -> Result<DirectSettings, SettingsError> {
         let mut errors = Vec::new();
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -48,7 +48,7 @@
     if DirectSettings::is_direct(&document) {
         return match DirectSettings::from_document(&document) {
             Ok(_) if args.check => valid(&path),
-            Ok(settings) => run_direct(settings),
+            Ok(settings) => run_direct(settings, path),
             Err(err) => {
                 eprintln!("{err}");
                 ExitCode::from(EXIT_BAD_ARGUMENTS)
@@ -71,7 +71,7 @@
 }
 
 /// Runs a role for direct delivery on one thread: its hosts have one core at most.
-fn run_direct(settings: DirectSettings) -> ExitCode {
+fn run_direct(settings: DirectSettings, path: PathBuf) -> ExitCode {
     line_log::start(settings.log_level);
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
@@ -82,8 +82,8 @@
     };
     let code = runtime.block_on(async move {
         match settings.role {
-            DirectRole::Entry => direct::entry::run(settings).await,
-            DirectRole::BudgetServer => direct::budget_server::run(settings).await,
+            DirectRole::Entry => direct::entry::run(settings, path).await,
+            DirectRole::BudgetServer => direct::budget_server::run(settings, path).await,
         }
     });
     line_log::flush();
--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -24,8 +24,16 @@
 /// request would cost more than the headroom that a death leaves behind.
 const HEADROOM_MS: f64 = 5_000.0;
 
-/// Largest share of the free money that one holder takes as headroom.
-const HEADROOM_SHARE: f64 = 0.10;
+/// Share of the free money that one holder takes as headroom while much is left.
+const HEADROOM_SHARE: f64 = 0.08;
+
+/// Share of the free money that it takes when little is left: money that a death
+/// leaves behind then is refused to callers before the day is over.
+const SCARCE_SHARE: f64 = 0.005;
+
+/// Shares of the prepaid tokens between which the headroom shrinks.
+const PLENTY: f64 = 0.5;
+const SCARCE: f64 = 0.3;
 
 /// Headroom is raised in advance when less than this share of it is left.
 const LOW_SHARE: f64 = 0.35;
@@ -80,7 +88,9 @@
     Granted,
     /// It certainly does not fit into what is left of the budget.
     Exhausted,
-    /// It may fit, but the money cannot be had now.
+    /// It may fit, but other holders have what is left.
+    Short,
+    /// The store did not answer in time.
     Unavailable,
 }
 
@@ -142,6 +152,14 @@
     tombstones: Vec<(ReservationId, Millis)>,
 }
 
+/// Tokens that other epochs hold, and those that they are known to have spent.
+fn others_totals(account: &Account, epoch: EpochId) -> (u64, u64) {
+    let others = account.grants.iter().filter(|grant| grant.epoch != epoch);
+    others.fold((account.settled, account.settled), |(granted, settled), grant| {
+        (granted + grant.granted, settled + grant.settled)
+    })
+}
+
 /// State of one budget at a holder, for logs and metrics.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeldBudget {
@@ -395,12 +413,36 @@
                     promised += waiting.ask.tokens;
                     kept.push_back(waiting);
                 }
-                Some(reply) => effects.push(CeilingEffect::Answer { id: waiting.ask.id, reply }),
+                Some(reply) => {
+                    self.log_refusal(epoch, &waiting.ask, reply);
+                    effects.push(CeilingEffect::Answer { id: waiting.ask.id, reply });
+                }
             }
         }
         self.waiting = kept;
     }
 
+    fn log_refusal(&self, epoch: EpochId, ask: &Ask, reply: Reply) {
+        let (granted, settled) = match &self.seen {
+            Some((_, account)) => others_totals(account, epoch),
+            None => (0, 0),
+        };
+        log::info!(
+            "event=money_refused reservation={:032x} budget={} reply={reply:?} tokens={} prepaid={} \
+             prepaid_version={} used={} reserved={} ceiling={} others_granted={granted} \
+             others_settled={settled} account_seen={}",
+            ask.id,
+            self.budget,
+            ask.tokens,
+            self.prepaid,
+            self.prepaid_version,
+            self.used,
+            self.reserved,
+            self.ceiling,
+            self.seen.is_some()
+        );
+    }
+
     /// Refusal of a waiting request; `None` while it may still be granted.
     fn verdict(&self, epoch: EpochId, waiting: &Waiting, ahead: u64, now: Millis) -> Option<Reply> {
         let tokens = waiting.ask.tokens;
@@ -413,31 +455,18 @@
         let (_, account) = self.seen.as_ref()?;
         let available = self.reachable(account, epoch);
         let is_missing = self.committed() + ahead + tokens > available;
-        (is_missing && self.pending.is_none()).then_some(Reply::Unavailable)
+        (is_missing && self.pending.is_none()).then_some(Reply::Short)
     }
 
     /// Largest ceiling that the account allows this holder.
     fn reachable(&self, account: &Account, epoch: EpochId) -> u64 {
-        let others: u64 = account
-            .grants
-            .iter()
-            .filter(|grant| grant.epoch != epoch)
-            .map(|grant| grant.granted)
-            .sum();
-        self.prepaid.saturating_sub(account.settled + others)
+        self.prepaid.saturating_sub(others_totals(account, epoch).0)
     }
 
     /// Whether the tokens do not fit even if all other holders spend no more.
     fn certainly_exhausted(&self, epoch: EpochId, tokens: u64) -> bool {
         let Some((_, account)) = self.seen.as_ref() else { return false };
-        let spent_by_others: u64 = account
-            .grants
-            .iter()
-            .filter(|grant| grant.epoch != epoch)
-            .map(|grant| grant.settled)
-            .sum();
-        let spent = account.settled + spent_by_others + self.committed();
-        spent + tokens > self.prepaid
+        others_totals(account, epoch).1 + self.committed() + tokens > self.prepaid
     }
 
     fn ask_store(&mut self, epoch: EpochId, now: Millis, effects: &mut Vec<CeilingEffect>) {
@@ -486,7 +515,10 @@
 
     fn headroom(&self, free: u64, now: Millis) -> u64 {
         let by_rate = self.current_rate(now) * HEADROOM_MS;
-        let by_share = free as f64 * HEADROOM_SHARE;
+        let left = free as f64 / self.prepaid.max(1) as f64;
+        let plenty = ((left - SCARCE) / (PLENTY - SCARCE)).clamp(0.0, 1.0);
+        let share = SCARCE_SHARE + (HEADROOM_SHARE - SCARCE_SHARE) * plenty;
+        let by_share = free as f64 * share;
         by_rate.min(by_share) as u64
     }
 
--- a/lib/src/dispatch/retry_budget.rs
+++ b/lib/src/dispatch/retry_budget.rs
@@ -43,6 +43,11 @@
         RetryBudget { limits, windows: Vec::new() }
     }
 
+    /// Replaces the fleet's limits.
+    pub fn set_limits(&mut self, limits: FleetRetryLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a caller's request for a service.
     pub fn note_request(&mut self, service: &str, now: Millis) {
         let window_ms = self.limits.window_ms;
