budget: stand-in holders keep no headroom, surplus goes back at once

Change: only budget servers hold headroom; a surplus of twice the goal is lowered at once; more headroom while over 60 % is left; a second server at most; the prompt is charged with the first event that is delivered.

--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -22,8 +22,9 @@
 use super::peers::{PeerEntry, Peers};
 use crate::http_pool::{HttpPool, SendFailure};
 
-/// Budget servers that one request asks.
-const MAX_SERVERS: usize = 3;
+/// Budget servers that one request asks; the second one stands in for a first
+/// one that does not answer or does not reach the store.
+const MAX_SERVERS: usize = 2;
 
 /// Time for a connection to a budget server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
@@ -98,6 +99,7 @@
 
     /// Reserves the worst case of a request.
     pub async fn reserve(&self, need: &Need) -> Result<Reserved, NoMoney> {
+        let mut is_store_lost = false;
         for server in self.servers_of(&need.budget) {
             match self.ask_server(&server, need).await {
                 Some((id, ReserveAnswer::Granted)) => {
@@ -105,9 +107,13 @@
                 }
                 Some((_, ReserveAnswer::Exhausted)) => return Err(NoMoney::Exhausted),
                 Some((_, ReserveAnswer::Short)) => return Err(NoMoney::Short),
-                Some((_, ReserveAnswer::Unavailable)) | None => {}
+                Some((_, ReserveAnswer::Unavailable)) => is_store_lost = true,
+                None => {}
             }
         }
+        if is_store_lost {
+            return Err(NoMoney::Unavailable);
+        }
         let message = message(need);
         let id = message.id;
         match self.own.ask(message.into()).await {
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -19,7 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use rosemarymoor_lib::budget::ceiling::{Ask, Reply, ReservationId};
+use rosemarymoor_lib::budget::ceiling::{Ask, Headroom, Reply, ReservationId};
 use rosemarymoor_lib::id::BudgetId;
 use rosemarymoor_platform::store::{PlatformStore, StoreCall, StoreCaller};
 use serde::{Deserialize, Serialize};
@@ -115,7 +115,7 @@
     let basics = Basics::open(&settings);
     let store = DirectPath::open(basics.pool.clone(), settings.store);
     let kv = Arc::new(PlatformStore::open(Arc::new(store.clone())));
-    let ceilings = Ceilings::spawn(kv.clone(), basics.clock);
+    let ceilings = Ceilings::spawn(kv.clone(), basics.clock, Headroom::ByRate);
     let epoch = ceilings.epoch();
     log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
     let server = Arc::new(Server { ceilings: ceilings.clone(), store });
--- a/daemon/src/direct/ceilings.rs
+++ b/daemon/src/direct/ceilings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rosemarymoor_lib::budget::ceiling::{
-    Ask, CeilingEffect, CeilingSystem, HeldBudget, Reply, ReservationId, account_key,
+    Ask, CeilingEffect, CeilingSystem, Headroom, HeldBudget, Reply, ReservationId, account_key,
 };
 use rosemarymoor_lib::id::{BudgetId, EpochId};
 use rosemarymoor_lib::kv_store::KvStore;
@@ -41,8 +41,8 @@
 
 impl Ceilings {
     /// Opens a holder under a fresh epoch and the task that keeps its times.
-    pub fn spawn(kv: Arc<dyn KvStore>, clock: MonotonicClock) -> Ceilings {
-        let system = CeilingSystem::open(EpochId::random());
+    pub fn spawn(kv: Arc<dyn KvStore>, clock: MonotonicClock, headroom: Headroom) -> Ceilings {
+        let system = CeilingSystem::open(EpochId::random(), headroom);
         let state = Mutex::new(State { system, replies: Vec::new() });
         let ceilings =
             Ceilings { shared: Arc::new(Shared { state, kv, clock, wake: Notify::new() }) };
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -79,7 +79,6 @@
                 continue;
             }
         };
-        call.charge_prompt();
         if kind == AnswerKind::Success && call.route.kind.is_stream() {
             match stream::begin(entry, &mut call, running, wait).await {
                 Ok(begun) => return stream::response(entry, call, tries, begun),
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
+use rosemarymoor_lib::budget::ceiling::Headroom;
 use rosemarymoor_lib::dispatch::catalog::Catalog;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
 use rosemarymoor_lib::dispatch::targets::TargetTable;
@@ -79,7 +80,7 @@
     let basics = Basics::open(&settings);
     let store_path = RelayedPath::spawn(basics.pool.clone(), settings.store, basics.peers.clone());
     let store = Arc::new(PlatformStore::open(store_path));
-    let own = Ceilings::spawn(store.clone(), basics.clock);
+    let own = Ceilings::spawn(store.clone(), basics.clock, Headroom::None);
     log::warn!("event=start role=direct-entry host={} epoch={}", settings.name, own.epoch());
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -85,7 +85,8 @@
     /// Charges one event that goes to the caller.
     pub fn charge_event(&mut self) {
         let (Some(money), Some(tokens)) = (&mut self.money, self.head.tokens) else { return };
-        money.used = (money.used + self.tokens_per_event).min(tokens.total());
+        let used = money.used.max(tokens.input) + self.tokens_per_event;
+        money.used = used.min(tokens.total());
     }
 }
 
--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -22,19 +22,22 @@
 ///
 /// The store may be out of reach for some seconds, and a store call for each
 /// request would cost more than the headroom that a death leaves behind.
-const HEADROOM_MS: f64 = 5_000.0;
+const HEADROOM_MS: f64 = 8_000.0;
 
 /// Share of the free money that one holder takes as headroom while much is left.
-const HEADROOM_SHARE: f64 = 0.08;
+const HEADROOM_SHARE: f64 = 0.16;
 
 /// Share of the free money that it takes when little is left: money that a death
 /// leaves behind then is refused to callers before the day is over.
 const SCARCE_SHARE: f64 = 0.005;
 
 /// Shares of the prepaid tokens between which the headroom shrinks.
-const PLENTY: f64 = 0.5;
+const PLENTY: f64 = 0.6;
 const SCARCE: f64 = 0.3;
 
+/// Headroom is lowered at once when it exceeds its goal by this factor.
+const SURPLUS_FACTOR: u64 = 2;
+
 /// Headroom is raised in advance when less than this share of it is left.
 const LOW_SHARE: f64 = 0.35;
 
@@ -94,6 +97,15 @@
     Unavailable,
 }
 
+/// How much a holder holds beyond what requests need now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Headroom {
+    /// For the near future, by the rate of spending.
+    ByRate,
+    /// Nothing: this holder only stands in for another one.
+    None,
+}
+
 /// What the driver has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CeilingEffect {
@@ -122,6 +134,7 @@
 /// Holder's view of one budget.
 struct Held {
     budget: BudgetId,
+    headroom_kind: Headroom,
     prepaid: u64,
     prepaid_version: u64,
     /// Account as it was last seen; `None` before the first read.
@@ -133,6 +146,8 @@
     reservations: Vec<Reservation>,
     waiting: VecDeque<Waiting>,
     pending: Option<Pending>,
+    /// Largest request so far; below it a surplus is not worth a write.
+    largest_ask: u64,
     /// Tokens a millisecond, smoothed.
     rate: f64,
     rate_at: Millis,
@@ -146,6 +161,7 @@
 /// Budgets of one holder.
 pub struct CeilingSystem {
     epoch: EpochId,
+    headroom: Headroom,
     /// Sorted by budget.
     held: Vec<Held>,
     /// Settlements that came before their reservation, or after its end.
@@ -173,8 +189,8 @@
 
 impl CeilingSystem {
     /// Opens a holder that holds nothing yet.
-    pub fn open(epoch: EpochId) -> CeilingSystem {
-        CeilingSystem { epoch, held: Vec::new(), tombstones: Vec::new() }
+    pub fn open(epoch: EpochId, headroom: Headroom) -> CeilingSystem {
+        CeilingSystem { epoch, headroom, held: Vec::new(), tombstones: Vec::new() }
     }
 
     /// Epoch that names this holder's grants.
@@ -316,7 +332,7 @@
         let at = match self.held.binary_search_by(|held| held.budget.cmp(budget)) {
             Ok(at) => at,
             Err(at) => {
-                self.held.insert(at, Held::new(budget.clone(), now));
+                self.held.insert(at, Held::new(budget.clone(), self.headroom, now));
                 at
             }
         };
@@ -325,9 +341,10 @@
 }
 
 impl Held {
-    fn new(budget: BudgetId, now: Millis) -> Held {
+    fn new(budget: BudgetId, headroom_kind: Headroom, now: Millis) -> Held {
         Held {
             budget,
+            headroom_kind,
             prepaid: 0,
             prepaid_version: 0,
             seen: None,
@@ -337,6 +354,7 @@
             reservations: Vec::new(),
             waiting: VecDeque::new(),
             pending: None,
+            largest_ask: 0,
             rate: 0.0,
             rate_at: now,
             asked_at: now,
@@ -371,6 +389,7 @@
         self.rate = self.rate * keep + tokens as f64 / RATE_WINDOW_MS;
         self.rate_at = now;
         self.asked_at = now;
+        self.largest_ask = self.largest_ask.max(tokens);
     }
 
     fn current_rate(&self, now: Millis) -> f64 {
@@ -502,18 +521,23 @@
             return None;
         }
         let left = self.ceiling.saturating_sub(committed);
-        if headroom == 0 {
-            let own = account.grant(epoch).copied();
+        if is_idle || self.closing {
+            let own = account.grant(epoch);
             let is_recorded =
                 own.is_some_and(|own| own.granted == committed && own.settled == self.used);
             let has_nothing = own.is_none() && committed == 0;
-            return (!is_recorded && !has_nothing && (is_idle || self.closing))
-                .then_some(committed);
+            return (!is_recorded && !has_nothing).then_some(committed);
+        }
+        if left > headroom.max(self.largest_ask) * SURPLUS_FACTOR {
+            return Some(wanted);
         }
         ((left as f64) < headroom as f64 * LOW_SHARE && wanted > self.ceiling).then_some(wanted)
     }
 
     fn headroom(&self, free: u64, now: Millis) -> u64 {
+        if self.headroom_kind == Headroom::None {
+            return 0;
+        }
         let by_rate = self.current_rate(now) * HEADROOM_MS;
         let left = free as f64 / self.prepaid.max(1) as f64;
         let plenty = ((left - SCARCE) / (PLENTY - SCARCE)).clamp(0.0, 1.0);
