--- a/daemon/src/direct/ceilings.rs
+++ b/daemon/src/direct/ceilings.rs
@@ -145,7 +145,7 @@
                     let key = account_key(&budget);
                     let write = kv.compare_and_swap(&key, expected, value, None, STORE_TIMEOUT);
                     let outcome = write.await;
-                    log::debug!("event=ceiling_written budget={budget} outcome={outcome:?}");
+                    log::info!("event=ceiling_written budget={budget} outcome={outcome:?}");
                     ceilings.apply(|state, now, effects| {
                         state.system.write_done(&budget, outcome, now, effects);
                     });
--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -155,6 +155,8 @@
     written_at: Millis,
     retry_at: Millis,
     failures: u32,
+    /// Whether a write failed, so that the ledger may hold more than is needed.
+    is_unrecorded: bool,
     closing: bool,
 }
 
@@ -272,6 +274,7 @@
         let epoch = self.epoch;
         let held = self.open_budget(budget, now);
         let Some(Pending::Write { granted, account }) = held.pending.take() else { return };
+        held.is_unrecorded = !matches!(outcome, Outcome::Done(_));
         match outcome {
             Outcome::Done(revision) => {
                 held.ceiling = granted;
@@ -361,6 +364,7 @@
             written_at: Millis(0),
             retry_at: Millis(0),
             failures: 0,
+            is_unrecorded: false,
             closing: false,
         }
     }
@@ -493,7 +497,8 @@
             return;
         }
         let Some((revision, account)) = self.seen.clone() else {
-            if !self.waiting.is_empty() || self.closing || self.ceiling > self.committed() {
+            let is_needed = !self.waiting.is_empty() || self.is_unrecorded || self.closing;
+            if is_needed || self.ceiling > self.committed() {
                 self.pending = Some(Pending::Read);
                 effects.push(CeilingEffect::Read { budget: self.budget.clone() });
             }
@@ -568,6 +573,15 @@
         let mut shard = Shard::default();
         shard.accounts.push(account.clone());
         let value = shard.encode();
+        log::info!(
+            "event=ceiling_asked budget={} revision={revision} granted={granted} used={} reserved={} \
+             waiting={} prepaid={}",
+            self.budget,
+            self.used,
+            self.reserved,
+            self.waiting.len(),
+            self.prepaid
+        );
         self.pending = Some(Pending::Write { granted, account });
         effects.push(CeilingEffect::Write {
             budget: self.budget.clone(),
@@ -622,7 +636,8 @@
     }
 
     fn is_settled(&self) -> bool {
-        self.pending.is_none() && self.waiting.is_empty() && self.ceiling <= self.committed()
+        let is_quiet = self.pending.is_none() && self.waiting.is_empty();
+        is_quiet && !self.is_unrecorded && self.ceiling <= self.committed()
     }
 
     /// When this budget needs attention next.
@@ -632,7 +647,7 @@
             return Some(self.retry_at);
         }
         let first = self.waiting.iter().map(|waiting| waiting.until).min();
-        let has_headroom = self.ceiling > self.committed();
+        let has_headroom = self.is_unrecorded || self.ceiling > self.committed();
         let returns = has_headroom
             .then(|| self.asked_at.plus(RETURN_AFTER_MS).max(self.written_at.plus(IDLE_WRITE_MS)));
         let expires = self.reservations.iter().map(|reservation| reservation.expires).min();
