--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -376,8 +376,7 @@
         let id = self.next_id;
         self.next_id += 1;
         self.open.push((at, id, tokens));
-        let ask =
-            Ask { prepaid: self.prepaid, prepaid_version: self.version, ..ask(id, tokens) };
+        let ask = Ask { prepaid: self.prepaid, prepaid_version: self.version, ..ask(id, tokens) };
         self.holders[at].ask(ask, now);
     }
 
