--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -7,16 +7,20 @@
 use rosemarymoor_lib::id::RequestId;
 use rosemarymoor_lib::wire::{LookupRequest, PeerRequest, RequestRecord};
 use serde::Serialize;
-use snafu::ensure;
+use snafu::{ResultExt, ensure};
 use tokio::task::JoinSet;
 
 use crate::context::Context;
-use crate::error::{ArgumentSnafu, CliError, UnknownRequestSnafu};
+use crate::error::{ArgumentSnafu, CliError, ReadLogSnafu, UnknownRequestSnafu};
 use crate::output::print_json;
+use crate::request_story::{self, ProcessLog};
 
 const TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Asks every sidecar for its record of a request.
+/// Asks every sidecar for its record of a request, or reads it from logs.
+///
+/// With --log, once for each process, the story of the request is told from the
+/// files; `-` stands for standard input. No process is asked then.
 ///
 /// REQUEST is the id from the answer's header or the log, or with --key the
 /// caller's idempotency key as WORKSPACE:KEY.
@@ -31,6 +35,9 @@
     key: bool,
     /// print JSON
     json: bool,
+    /// log of one process to read; may be repeated
+    #[options(no_short, meta = "FILE")]
+    log: Vec<String>,
 }
 
 /// What one host answered.
@@ -43,6 +50,9 @@
 
 /// Runs the command.
 pub async fn run(options: &ExplainOptions, cx: &Context) -> Result<(), CliError> {
+    if !options.log.is_empty() {
+        return tell_from_logs(options);
+    }
     let request = parse_request(options)?;
     let hosts = cx.hosts().await?;
     let findings = ask(cx, hosts, request).await?;
@@ -60,6 +70,32 @@
     Ok(())
 }
 
+fn tell_from_logs(options: &ExplainOptions) -> Result<(), CliError> {
+    let mut logs = Vec::new();
+    for path in &options.log {
+        let text = if path == "-" {
+            std::io::read_to_string(std::io::stdin())
+        } else {
+            std::fs::read_to_string(path)
+        };
+        let text = text.context(ReadLogSnafu { path })?;
+        logs.push(ProcessLog { name: path.clone(), text });
+    }
+    let request = options.request.as_str();
+    let story = request_story::tell(request, &logs);
+    ensure!(!story.is_empty(), UnknownRequestSnafu { request });
+    if options.json {
+        print_json(&story);
+        return Ok(());
+    }
+    println!("request {request}");
+    let begin = story[0].at_ms;
+    for line in &story {
+        println!("  {:>7} ms  {:<20} {}", line.at_ms - begin, line.process, line.text);
+    }
+    Ok(())
+}
+
 fn parse_request(options: &ExplainOptions) -> Result<RequestId, CliError> {
     let value = options.request.as_str();
     if options.key {
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -54,6 +54,8 @@
     UnknownBudget { budget: String },
     #[snafu(display("no host of the fleet knows request {request}"))]
     UnknownRequest { request: String },
+    #[snafu(display("cannot read the log {path}: {source}"))]
+    ReadLog { path: String, source: std::io::Error },
     #[snafu(display("the runtime cannot start"))]
     Runtime { source: std::io::Error },
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod ledger;
 mod operator_settings;
 mod output;
+mod request_story;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/cli/tests/test_explain_logs.rs
@@ -0,0 +1,74 @@
+//! `explain --log`: the story of a request from the logs of several processes.
+
+mod environment;
+
+use environment::{Ended, run};
+use rosemarymoor_testutils::temp_folder::TempFolder;
+
+const ENTRY: &str = "\
+1000.010 INFO handler event=admitted request=r1 route=drafts version=3
+1000.011 INFO handler event=admitted request=r2 route=drafts version=3
+1000.015 INFO budget_client event=money_reserved request=r1 reservation=ab budget=shop/prepaid holder=side-1 tokens=10
+1000.400 INFO stream event=stream_ended request=r1 outcome=broken events=3
+1000.401 INFO budget_client event=money_settled request=r1 reservation=ab used=9
+not a line of a log
+";
+
+/// The budget server's clock is two seconds ahead.
+const SERVER: &str = "\
+1002.014 INFO ceiling event=reserved reservation=ab budget=shop/prepaid tokens=10
+1002.015 INFO ceiling event=reserved reservation=cd budget=shop/prepaid tokens=10
+1002.402 INFO ceiling event=settled reservation=ab used=9
+";
+
+async fn explain(request: &str, options: &[&str]) -> Ended {
+    let folder = TempFolder::open().unwrap();
+    let write = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    };
+    let (entry, server) = (write("entry.log", ENTRY), write("server.log", SERVER));
+    let mut words = vec!["explain", request, "--log", &entry, "--log", &server];
+    words.extend(options);
+    run(&words).await
+}
+
+#[tokio::test]
+async fn the_money_of_a_request_is_part_of_its_story() {
+    let told = explain("r1", &["--json"]).await.json();
+    let events: Vec<&str> = told
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|line| line["text"].as_str().unwrap().split(' ').next().unwrap())
+        .collect();
+    let expected = [
+        "event=admitted",
+        "event=money_reserved",
+        "event=reserved",
+        "event=stream_ended",
+        "event=money_settled",
+        "event=settled",
+    ];
+    assert_eq!(events, expected, "clocks are shifted and other requests left out");
+}
+
+#[tokio::test]
+async fn people_read_times_since_the_first_line() {
+    let told = explain("r1", &[]).await.stdout;
+    assert!(told.contains("390 ms"), "{told}");
+    assert!(!told.contains("reservation=cd"));
+}
+
+#[tokio::test]
+async fn an_unknown_request_is_an_error() {
+    assert_eq!(explain("r9", &[]).await.code, 1);
+}
+
+#[tokio::test]
+async fn a_missing_file_is_named() {
+    let told = run(&["explain", "r1", "--log", "/nowhere/entry.log"]).await;
+    assert_eq!(told.code, 1);
+    assert!(told.stderr.contains("/nowhere/entry.log"), "{}", told.stderr);
+}
--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -15,6 +15,7 @@
 pub mod feed;
 pub mod handler;
 pub mod listener;
+pub mod metrics;
 pub mod peers;
 pub mod refusal;
 pub mod settings;
--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -40,6 +40,16 @@
 }
 
 impl Failed {
+    /// Name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Failed::Unreachable => "unreachable",
+            Failed::TurnedAway => "turned_away",
+            Failed::Broken => "broken",
+            Failed::Silent => "silent",
+        }
+    }
+
     /// Whether the request certainly did not run.
     pub fn did_not_run(self) -> bool {
         matches!(self, Failed::Unreachable | Failed::TurnedAway)
--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -43,6 +43,8 @@
 /// Money that a request needs.
 #[derive(Clone, Debug)]
 pub struct Need {
+    /// Identity of the request, for the log.
+    pub request: String,
     pub budget: BudgetId,
     /// Tokens prepaid in all, and the version of the catalog that says so.
     pub prepaid: u64,
@@ -87,6 +89,8 @@
     holder: Holder,
     budget: BudgetId,
     id: ReservationId,
+    /// Identity of the request that the money is for.
+    request: String,
     /// Tokens used so far.
     pub used: u64,
 }
@@ -139,7 +143,18 @@
     }
 
     fn reserved(&self, holder: Holder, need: &Need, id: ReservationId) -> Reserved {
-        Reserved { client: self.clone(), holder, budget: need.budget.clone(), id, used: 0 }
+        let name = match &holder {
+            Holder::Server(server) => server.name.as_str(),
+            Holder::Own => "own",
+        };
+        log::info!(
+            "event=money_reserved request={} reservation={id:032x} budget={} holder={name} tokens={}",
+            need.request,
+            need.budget,
+            need.tokens
+        );
+        let (budget, request) = (need.budget.clone(), need.request.clone());
+        Reserved { client: self.clone(), holder, budget, id, request, used: 0 }
     }
 
     async fn ask_server(
@@ -160,7 +175,8 @@
             }
             Err(failure) => {
                 log::info!(
-                    "event=budget_server_failed server={} budget={} reason={failure:?}",
+                    "event=budget_server_failed request={} reservation={id:032x} server={} budget={} reason={failure:?}",
+                    need.request,
                     server.name,
                     need.budget
                 );
@@ -251,6 +267,13 @@
 
 impl Drop for Reserved {
     fn drop(&mut self) {
+        log::info!(
+            "event=money_settled request={} reservation={:032x} budget={} used={}",
+            self.request,
+            self.id,
+            self.budget,
+            self.used
+        );
         self.client.settle(&self.holder, &self.budget, self.id, self.used);
     }
 }
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -27,6 +27,7 @@
 
 use super::ceilings::Ceilings;
 use super::context::{Basics, reload_on_hangup};
+use super::metrics;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RELAY_PREFIX};
 use crate::http_pool::guard_stream;
@@ -118,6 +119,14 @@
     let ceilings = Ceilings::spawn(kv.clone(), basics.clock, Headroom::ByRate);
     let epoch = ceilings.epoch();
     log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
+    let metrics = match metrics::open(settings.metrics).await {
+        Ok(metrics) => metrics,
+        Err(err) => {
+            log::error!("event=stop reason=no_metrics {err}");
+            return 1;
+        }
+    };
+    metrics::observe_ceilings(&metrics.meter("budget-server"), &ceilings);
     let server = Arc::new(Server { ceilings: ceilings.clone(), store });
     let listener = match TcpListener::bind(settings.internal).await {
         Ok(listener) => listener,
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -75,23 +75,31 @@
         let (running, kind) = match answered {
             Ok(answered) => answered,
             Err(failed) => {
-                note_failure(&mut call, &mut tries, target, failed);
+                note_failure(entry, &mut call, &mut tries, target, failed);
                 continue;
             }
         };
         if kind == AnswerKind::Success && call.route.kind.is_stream() {
             match stream::begin(entry, &mut call, running, wait).await {
-                Ok(begun) => return stream::response(entry, call, tries, begun),
-                Err(failed) => note_failure(&mut call, &mut tries, target, failed),
+                Ok(begun) => {
+                    entry.metrics.first_event(call.arrived.elapsed());
+                    return stream::response(entry, call, tries, begun);
+                }
+                Err(failed) => note_failure(entry, &mut call, &mut tries, target, failed),
             }
             continue;
         }
         match attempt::read_whole(running, Instant::now() + wait).await {
-            Ok(whole) if kind == AnswerKind::Success => return answer(&call, &tries, whole),
+            Ok(whole) if kind == AnswerKind::Success => {
+                entry.metrics.tried("answered");
+                call.ended("answered");
+                return answer(&call, &tries, whole);
+            }
             Ok(whole) => {
                 tries.may_have_run += 1;
                 tries.last = None;
                 let status = whole.status.as_u16();
+                entry.metrics.tried("failed");
                 log::info!("event=target_failed request={} status={status}", call.head.attempt_id);
                 let is_final = !whole.status.is_server_error();
                 failure = Some(whole);
@@ -99,13 +107,15 @@
                     break;
                 }
             }
-            Err(failed) => note_failure(&mut call, &mut tries, target, failed),
+            Err(failed) => note_failure(entry, &mut call, &mut tries, target, failed),
         }
     }
     if let Some(whole) = failure {
+        call.ended("failed");
         return answer(&call, &tries, whole);
     }
-    refuse(&call, &tries)
+    call.ended("refused");
+    refuse(entry, &call, &tries)
 }
 
 /// Next target to try; `None` if the request has to be answered as it is.
@@ -132,9 +142,28 @@
         return None;
     }
     tries.tried.push(chosen);
+    log_choice(entry, call, chosen, tries.tried.len());
     Some(chosen)
 }
 
+fn log_choice(entry: &Entry, call: &Call, chosen: TargetKey, attempt: usize) {
+    let now = entry.now();
+    let table = entry.targets();
+    let Some(target) = table.get(chosen) else { return };
+    log::info!(
+        "event=placed request={} try={attempt} target={} data_center={} running={} unread_tokens={} \
+         failures={:.2} delay_ms={:.0} news_age_ms={}",
+        call.head.attempt_id,
+        target.registration.id,
+        target.registration.data_center,
+        target.running,
+        target.unread_tokens,
+        target.failures(now),
+        target.delay(now),
+        entry.news_age_ms()
+    );
+}
+
 /// Time for one try: all that is left, unless another target may be tried.
 fn patience(call: &Call, tries: &Tries) -> Duration {
     let left = call.time_left();
@@ -143,14 +172,22 @@
     if may_rerun { left.min(call.route.goal.mul_f64(SILENCE_GOALS)) } else { left }
 }
 
-fn note_failure(call: &mut Call, tries: &mut Tries, target: TargetKey, failed: Failed) {
+fn note_failure(
+    entry: &Entry,
+    call: &mut Call,
+    tries: &mut Tries,
+    target: TargetKey,
+    failed: Failed,
+) {
+    entry.metrics.tried(failed.label());
     if !failed.did_not_run() {
         call.charge_prompt();
     }
     tries.failed(failed);
     log::info!(
-        "event=try_failed request={} target={target:?} outcome={failed:?} tries={} left_ms={}",
+        "event=try_failed request={} target={target:?} outcome={} tries={} left_ms={}",
         call.head.attempt_id,
+        failed.label(),
         tries.tried.len(),
         call.time_left().as_millis()
     );
@@ -172,8 +209,9 @@
     resp
 }
 
-fn refuse(call: &Call, tries: &Tries) -> Response<AnswerBody> {
+fn refuse(entry: &Entry, call: &Call, tries: &Tries) -> Response<AnswerBody> {
     let refused = refusal_for(call, tries);
+    entry.metrics.refused(refused.code.number());
     log::info!(
         "event=refused request={} route={} code={} tries={} after_ms={} last={:?}",
         call.head.attempt_id,
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -1,7 +1,7 @@
 //! Entry for direct delivery: its shared state, its start and its stop.
 
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,7 @@
 use super::context::{Basics, reload_on_hangup};
 use super::feed::{self, FeedSink, Urgency};
 use super::listener::{self, Listeners};
+use super::metrics::{self, DirectMetrics};
 use super::peers::Peers;
 use super::settings::DirectSettings;
 use super::store_path::RelayedPath;
@@ -45,6 +46,9 @@
     pub clock: MonotonicClock,
     is_stopping: AtomicBool,
     has_targets: AtomicBool,
+    /// When the store last told of the targets, on the entry's clock.
+    news_at: AtomicU64,
+    pub metrics: DirectMetrics,
 }
 
 impl Entry {
@@ -68,6 +72,11 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// Time since the store last told of the targets, in milliseconds.
+    pub fn news_age_ms(&self) -> u64 {
+        self.now().since(Millis(self.news_at.load(Ordering::Relaxed)))
+    }
+
     /// Whether the balancer should send new connections.
     pub fn is_ready(&self) -> bool {
         let has_targets = self.has_targets.load(Ordering::Relaxed);
@@ -82,6 +91,15 @@
     let store = Arc::new(PlatformStore::open(store_path));
     let own = Ceilings::spawn(store.clone(), basics.clock, Headroom::None);
     log::warn!("event=start role=direct-entry host={} epoch={}", settings.name, own.epoch());
+    let metrics = match metrics::open(settings.metrics).await {
+        Ok(metrics) => metrics,
+        Err(err) => {
+            log::error!("event=stop reason=no_metrics {err}");
+            return 1;
+        }
+    };
+    let meter = metrics.meter("direct-entry");
+    metrics::observe_ceilings(&meter, &own);
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
         data_center: settings.data_center.clone(),
@@ -94,7 +112,10 @@
         clock: basics.clock,
         is_stopping: AtomicBool::new(false),
         has_targets: AtomicBool::new(false),
+        news_at: AtomicU64::new(0),
+        metrics: DirectMetrics::open(&meter),
     });
+    metrics::observe_entry(&meter, &entry);
     let listeners = match listener::spawn(&settings, entry.clone()).await {
         Ok(listeners) => listeners,
         Err(err) => {
@@ -234,8 +255,9 @@
         self.entry.targets().store_lost();
     }
 
-    fn regained(&self) {
+    fn answered(&self) {
         let now = self.entry.now();
+        self.entry.news_at.store(now.0, Ordering::Relaxed);
         self.entry.targets().store_regained(now);
     }
 }
--- a/daemon/src/direct/feed.rs
+++ b/daemon/src/direct/feed.rs
@@ -40,8 +40,8 @@
     /// The store does not answer.
     fn lost(&self) {}
 
-    /// The store answers again.
-    fn regained(&self) {}
+    /// The store has answered, with or without news.
+    fn answered(&self) {}
 }
 
 /// Starts to follow a prefix.
@@ -115,7 +115,7 @@
             log::warn!("event=dependency_regained dependency=store prefix={}", self.prefix);
             self.failures = 0;
         }
-        self.sink.regained();
+        self.sink.answered();
     }
 
     async fn failed(&mut self) {
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -61,9 +61,22 @@
     pub money: Option<Reserved>,
     /// Most tokens that one event of the answer holds.
     pub tokens_per_event: u64,
+    /// Whether its end was logged and counted.
+    is_ended: bool,
+    entry: Arc<Entry>,
 }
 
 impl Call {
+    /// Counts the end of the request, once.
+    pub fn ended(&mut self, outcome: &'static str) {
+        if std::mem::replace(&mut self.is_ended, true) {
+            return;
+        }
+        let metrics = &self.entry.metrics;
+        metrics.ended(self.route.kind, outcome, self.arrived.elapsed());
+        metrics.charged(self.money.as_ref().map_or(0, |money| money.used));
+    }
+
     /// Time that is left for the whole answer.
     pub fn time_left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
@@ -90,6 +103,21 @@
     }
 }
 
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            log::info!(
+                "event=caller_left request={} route={} after_ms={} left_ms={}",
+                self.head.attempt_id,
+                self.route.name,
+                self.arrived.elapsed().as_millis(),
+                self.time_left().as_millis()
+            );
+            self.ended("left");
+        }
+    }
+}
+
 /// Serves one request of a caller.
 pub async fn serve(entry: &Arc<Entry>, req: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = Instant::now();
@@ -108,13 +136,14 @@
                 refused.detail,
                 arrived.elapsed().as_millis()
             );
+            entry.metrics.refused(refused.code.number());
             refusal::response(&refused)
         }
     }
 }
 
 async fn admit(
-    entry: &Entry,
+    entry: &Arc<Entry>,
     head: CallerHead,
     parts: Parts,
     body: Incoming,
@@ -142,6 +171,15 @@
         Some(workspace) => reserve(entry, &catalog, &route, &head, workspace, until).await?,
         None => None,
     };
+    log::info!(
+        "event=admitted request={} route={} service={service} workspace={} version={} deadline_ms={} body_bytes={}",
+        head.attempt_id,
+        route.name,
+        workspace.as_ref().map_or("none", |workspace| workspace.name.as_str()),
+        catalog.version,
+        deadline.as_millis(),
+        body.len()
+    );
     Ok(Call {
         head,
         method: parts.method,
@@ -156,6 +194,8 @@
         until,
         money,
         tokens_per_event,
+        is_ended: false,
+        entry: entry.clone(),
     })
 }
 
@@ -201,6 +241,7 @@
     let lifetime = until.saturating_duration_since(Instant::now());
     let patience = (route.goal / MONEY_PATIENCE_DIVISOR).min(MONEY_PATIENCE).min(lifetime);
     let need = Need {
+        request: head.attempt_id.clone(),
         budget: BudgetId { workspace: workspace.name.clone(), name: BUDGET_NAME.to_owned() },
         prepaid,
         prepaid_version: catalog.version,
@@ -208,7 +249,16 @@
         patience,
         lifetime,
     };
-    match entry.budgets.reserve(&need).await {
+    let asked = Instant::now();
+    let answer = entry.budgets.reserve(&need).await;
+    let outcome = match &answer {
+        Ok(_) => "granted",
+        Err(NoMoney::Exhausted) => "exhausted",
+        Err(NoMoney::Short) => "short",
+        Err(NoMoney::Unavailable) => "unavailable",
+    };
+    entry.metrics.money(outcome, asked.elapsed());
+    match answer {
         Ok(reserved) => Ok(Some(reserved)),
         Err(NoMoney::Exhausted) => {
             let detail = format!("{} tokens do not fit into what is left", need.tokens);
--- /dev/null
+++ b/daemon/src/direct/metrics.rs
@@ -0,0 +1,198 @@
+//! Counters and latency histograms of the roles for direct delivery.
+//!
+//! Labels have few values: the kind of a call, an outcome, a result code. Routes,
+//! workspaces and targets are in the log, not here.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+use rosemarymoor_lib::dispatch::catalog::CallKind;
+use tokio::net::TcpListener;
+
+use super::ceilings::Ceilings;
+use super::entry::Entry;
+use super::refusal::whole_body;
+use crate::http_server::{HttpServerError, Metrics};
+
+/// Bounds of latency histograms, in milliseconds: around the objectives of calls
+/// (150), first events (500 to 1,000) and whole streams.
+const LATENCY_MS: &[f64] =
+    &[10.0, 30.0, 75.0, 150.0, 300.0, 500.0, 800.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0];
+
+/// Bounds of waits for money, in milliseconds.
+const MONEY_MS: &[f64] = &[1.0, 3.0, 10.0, 30.0, 100.0, 300.0, 1_000.0];
+
+/// Time that a scraper's connection may stay idle.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Instruments of an entry.
+pub struct DirectMetrics {
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    tries: Counter<u64>,
+    money_asked: Counter<u64>,
+    tokens_charged: Counter<u64>,
+    answer_ms: Histogram<f64>,
+    first_event_ms: Histogram<f64>,
+    money_ms: Histogram<f64>,
+}
+
+impl DirectMetrics {
+    /// Opens the instruments on a meter.
+    pub fn open(meter: &Meter) -> DirectMetrics {
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let histogram = |name: &'static str, bounds: &[f64]| {
+            meter.f64_histogram(name).with_boundaries(bounds.to_vec()).build()
+        };
+        DirectMetrics {
+            requests: counter("requests"),
+            refusals: counter("refusals"),
+            tries: counter("tries"),
+            money_asked: counter("money_asked"),
+            tokens_charged: counter("tokens_charged"),
+            answer_ms: histogram("answer_ms", LATENCY_MS),
+            first_event_ms: histogram("first_event_ms", LATENCY_MS),
+            money_ms: histogram("money_ms", MONEY_MS),
+        }
+    }
+
+    /// Counts the end of a request: `answered`, `failed`, `refused`, `broken` or `left`.
+    pub fn ended(&self, kind: CallKind, outcome: &'static str, took: Duration) {
+        let kind = kind_label(kind);
+        self.requests.add(1, &[kind.clone(), KeyValue::new("outcome", outcome)]);
+        if outcome == "answered" {
+            self.answer_ms.record(millis(took), &[kind]);
+        }
+    }
+
+    /// Counts a refusal by its result code.
+    pub fn refused(&self, code: u16) {
+        self.refusals.add(1, &[KeyValue::new("code", i64::from(code))]);
+    }
+
+    /// Counts a try at a target by its outcome.
+    pub fn tried(&self, outcome: &'static str) {
+        self.tries.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Notes the time to a stream's first event.
+    pub fn first_event(&self, took: Duration) {
+        self.first_event_ms.record(millis(took), &[]);
+    }
+
+    /// Notes an ask for money by its outcome.
+    pub fn money(&self, outcome: &'static str, took: Duration) {
+        self.money_asked.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.money_ms.record(millis(took), &[]);
+    }
+
+    /// Counts tokens charged to a request.
+    pub fn charged(&self, tokens: u64) {
+        self.tokens_charged.add(tokens, &[]);
+    }
+}
+
+fn kind_label(kind: CallKind) -> KeyValue {
+    let label = match kind {
+        CallKind::Safe => "safe",
+        CallKind::Unsafe => "unsafe",
+        CallKind::Stream { resumable: true } => "resumable-stream",
+        CallKind::Stream { resumable: false } => "stream",
+    };
+    KeyValue::new("kind", label)
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
+/// Shows what an entry believes: configuration, targets, age of its news.
+pub fn observe_entry(meter: &Meter, entry: &Arc<Entry>) {
+    let gauge = |name: &'static str, read: fn(&Entry) -> u64| {
+        let entry = Arc::downgrade(entry);
+        meter
+            .u64_observable_gauge(name)
+            .with_callback(move |observer| {
+                if let Some(entry) = entry.upgrade() {
+                    observer.observe(read(&entry), &[]);
+                }
+            })
+            .build();
+    };
+    gauge("catalog_version", |entry| {
+        entry.catalog.load().as_ref().map_or(0, |catalog| catalog.version)
+    });
+    gauge("targets_listed", |entry| entry.targets().iter().count() as u64);
+    gauge("entries_listed", |entry| entry.peers.entries());
+    gauge("news_age_ms", Entry::news_age_ms);
+    gauge("is_ready", |entry| u64::from(entry.is_ready()));
+}
+
+/// Shows the money that a holder has: granted, spent and reserved.
+pub fn observe_ceilings(meter: &Meter, ceilings: &Ceilings) {
+    let gauge = |name: &'static str, read: fn(&Ceilings) -> u64| {
+        let ceilings = ceilings.clone();
+        meter
+            .u64_observable_gauge(name)
+            .with_callback(move |observer| observer.observe(read(&ceilings), &[]))
+            .build();
+    };
+    gauge("budgets_held", |held| held.budgets().len() as u64);
+    gauge("tokens_granted", |held| held.budgets().iter().map(|held| held.ceiling).sum());
+    gauge("tokens_spent", |held| held.budgets().iter().map(|held| held.used).sum());
+    gauge("tokens_reserved", |held| held.budgets().iter().map(|held| held.reserved).sum());
+}
+
+/// Opens the metrics of a process and serves them, if it has an address for them.
+///
+/// A scraper must not keep a process from serving: a failure is logged only.
+pub async fn open(address: Option<SocketAddr>) -> Result<Metrics, HttpServerError> {
+    let metrics = Metrics::start()?;
+    let Some(address) = address else { return Ok(metrics) };
+    match TcpListener::bind(address).await {
+        Ok(listener) => {
+            tokio::spawn(serve(listener, metrics.clone()));
+        }
+        Err(err) => log::error!("event=metrics_unavailable address={address} reason={err}"),
+    }
+    Ok(metrics)
+}
+
+async fn serve(listener: TcpListener, metrics: Metrics) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(IDLE / 100).await;
+            continue;
+        };
+        let metrics = metrics.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |_| {
+                let text = metrics.render();
+                async move {
+                    let mut resp =
+                        Response::new(whole_body(text.clone().unwrap_or_default().into()));
+                    if text.is_none() {
+                        *resp.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                    }
+                    Ok::<_, Infallible>(resp)
+                }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(err) = served {
+                log::debug!("event=scraper_connection_ended reason={err}");
+            }
+        });
+    }
+}
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -148,6 +148,8 @@
             }
             Ok(None) => {
                 self.end("complete");
+                self.entry.metrics.tried("answered");
+                self.call.ended("answered");
                 if let Some(running) = self.running.take() {
                     running.exchange.lease.finish();
                 }
@@ -155,6 +157,8 @@
             }
             Err(failed) => {
                 self.end(if failed == Failed::Silent { "timed_out" } else { "broken" });
+                self.entry.metrics.tried(failed.label());
+                self.call.ended("broken");
                 self.running = None;
                 Some(Err(io::Error::other("the stream broke off")))
             }
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -64,7 +64,8 @@
         self.provider.meter(part)
     }
 
-    fn render(&self) -> Option<String> {
+    /// Text for the scraper; `None` if it cannot be encoded.
+    pub fn render(&self) -> Option<String> {
         TextEncoder::new().encode_to_string(&self.registry.gather()).ok()
     }
 }
--- a/daemon/src/line_log.rs
+++ b/daemon/src/line_log.rs
@@ -25,6 +25,9 @@
 /// Longest line in bytes.
 const MAX_LINE_BYTES: usize = 600;
 
+/// Bytes that one write takes at most, beside its last line.
+const MAX_BATCH_BYTES: usize = 64 * 1024;
+
 /// Longest wait for the writer at the end of the process.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -119,16 +122,24 @@
 
 fn write(lines: &Receiver<Message>) {
     let mut out = io::stdout().lock();
-    while let Ok(message) = lines.recv() {
-        // Nobody can be told of a failed write to the log.
-        match message {
-            Message::Line(line) => {
-                let _ = out.write_all(line.as_bytes());
+    let mut batch = String::new();
+    while let Ok(first) = lines.recv() {
+        let mut flushed = None;
+        // One write takes all lines that wait.
+        for message in std::iter::once(first).chain(lines.try_iter()) {
+            match message {
+                Message::Line(line) => batch.push_str(&line),
+                Message::Flush(done) => flushed = Some(done),
             }
-            Message::Flush(done) => {
-                let _ = out.flush();
-                let _ = done.try_send(());
+            if batch.len() >= MAX_BATCH_BYTES {
+                break;
             }
         }
+        // Nobody can be told of a failed write to the log.
+        let _ = out.write_all(batch.as_bytes()).and_then(|()| out.flush());
+        batch.clear();
+        if let Some(done) = flushed {
+            let _ = done.try_send(());
+        }
     }
 }
--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -236,6 +236,10 @@
                 let reservation = held.reservations.swap_remove(at);
                 held.reserved -= reservation.tokens;
                 held.used += used.min(reservation.tokens);
+                log::info!(
+                    "event=settled reservation={id:032x} budget={budget} reserved={} used={used}",
+                    reservation.tokens
+                );
                 held.advance(epoch, now, effects);
             }
             None => {
@@ -421,6 +425,14 @@
             self.reserved += tokens;
             let expires = now.plus(ask.lifetime_ms + SETTLE_GRACE_MS);
             self.reservations.push(Reservation { id: ask.id, tokens, expires });
+            log::info!(
+                "event=reserved reservation={:032x} budget={} tokens={tokens} used={} reserved={} ceiling={}",
+                ask.id,
+                self.budget,
+                self.used,
+                self.reserved,
+                self.ceiling
+            );
             effects.push(CeilingEffect::Answer { id: ask.id, reply: Reply::Granted });
         }
     }
