budget: a caller that gets nothing pays nothing; asks that were denied are logged

Change: the prompt is charged with the first event that goes to the caller; money_denied names reservation and holder; a failed try names its target.

--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
-use rosemarymoor_lib::budget::ceiling::{Reply, ReservationId};
+use rosemarymoor_lib::budget::ceiling::ReservationId;
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::id::BudgetId;
 use serde::Serialize;
@@ -120,11 +120,15 @@
         }
         let message = message(need);
         let id = message.id;
-        match self.own.ask(message.into()).await {
-            Reply::Granted => Ok(self.reserved(Holder::Own, need, id)),
-            Reply::Exhausted => Err(NoMoney::Exhausted),
-            Reply::Short => Err(NoMoney::Short),
-            Reply::Unavailable => Err(NoMoney::Unavailable),
+        let answer = ReserveAnswer::from(self.own.ask(message.into()).await);
+        if answer != ReserveAnswer::Granted {
+            log_refused_ask(need, id, "own", answer);
+        }
+        match answer {
+            ReserveAnswer::Granted => Ok(self.reserved(Holder::Own, need, id)),
+            ReserveAnswer::Exhausted => Err(NoMoney::Exhausted),
+            ReserveAnswer::Short => Err(NoMoney::Short),
+            ReserveAnswer::Unavailable => Err(NoMoney::Unavailable),
         }
     }
 
@@ -171,6 +175,9 @@
             Ok(body) => {
                 let answer = serde_json::from_slice(&body).ok()?;
                 abandoned.is_answered = true;
+                if answer != ReserveAnswer::Granted {
+                    log_refused_ask(need, id, &server.name, answer);
+                }
                 Some((id, answer))
             }
             Err(failure) => {
@@ -235,6 +242,16 @@
     }
 }
 
+fn log_refused_ask(need: &Need, id: ReservationId, holder: &str, answer: ReserveAnswer) {
+    log::info!(
+        "event=money_denied request={} reservation={id:032x} budget={} holder={holder} answer={answer:?} tokens={} prepaid_version={}",
+        need.request,
+        need.budget,
+        need.tokens,
+        need.prepaid_version
+    );
+}
+
 fn message(need: &Need) -> ReserveMessage {
     ReserveMessage {
         id: rand::random(),
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -75,7 +75,7 @@
         let (running, kind) = match answered {
             Ok(answered) => answered,
             Err(failed) => {
-                note_failure(entry, &mut call, &mut tries, target, failed);
+                note_failure(entry, &call, &mut tries, target, failed);
                 continue;
             }
         };
@@ -85,7 +85,7 @@
                     entry.metrics.first_event(call.arrived.elapsed());
                     return stream::response(entry, call, tries, begun);
                 }
-                Err(failed) => note_failure(entry, &mut call, &mut tries, target, failed),
+                Err(failed) => note_failure(entry, &call, &mut tries, target, failed),
             }
             continue;
         }
@@ -107,7 +107,7 @@
                     break;
                 }
             }
-            Err(failed) => note_failure(entry, &mut call, &mut tries, target, failed),
+            Err(failed) => note_failure(entry, &call, &mut tries, target, failed),
         }
     }
     if let Some(whole) = failure {
@@ -172,21 +172,14 @@
     if may_rerun { left.min(call.route.goal.mul_f64(SILENCE_GOALS)) } else { left }
 }
 
-fn note_failure(
-    entry: &Entry,
-    call: &mut Call,
-    tries: &mut Tries,
-    target: TargetKey,
-    failed: Failed,
-) {
+fn note_failure(entry: &Entry, call: &Call, tries: &mut Tries, target: TargetKey, failed: Failed) {
     entry.metrics.tried(failed.label());
-    if !failed.did_not_run() {
-        call.charge_prompt();
-    }
     tries.failed(failed);
+    let target = entry.targets().get(target).map(|target| target.registration.id.clone());
     log::info!(
-        "event=try_failed request={} target={target:?} outcome={} tries={} left_ms={}",
+        "event=try_failed request={} target={} outcome={} tries={} left_ms={}",
         call.head.attempt_id,
+        target.as_deref().unwrap_or("gone"),
         failed.label(),
         tries.tried.len(),
         call.time_left().as_millis()
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -89,13 +89,9 @@
         parts.get(shared).map(|part| part.id)
     }
 
-    /// Charges the prompt: the request ran or may have run.
-    pub fn charge_prompt(&mut self) {
-        let (Some(money), Some(tokens)) = (&mut self.money, self.head.tokens) else { return };
-        money.used = money.used.max(tokens.input);
-    }
-
-    /// Charges one event that goes to the caller.
+    /// Charges one event that goes to the caller, with the first one its prompt.
+    ///
+    /// A caller that gets nothing pays nothing.
     pub fn charge_event(&mut self) {
         let (Some(money), Some(tokens)) = (&mut self.money, self.head.tokens) else { return };
         let used = money.used.max(tokens.input) + self.tokens_per_event;
