choice, handler: a place costs 250 ms; callers come back as late as an outage has lasted

Change: PLACE_MS 150 -> 250; dispatch/comeback.rs tells the age of the outage, 0.5 to 2.5 s, spread; its test plays an outage of five seconds.

--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwapOption;
 use rosemarymoor_lib::budget::ceiling::Headroom;
 use rosemarymoor_lib::dispatch::catalog::Catalog;
+use rosemarymoor_lib::dispatch::comeback::Comeback;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
 use rosemarymoor_lib::dispatch::targets::TargetTable;
 use rosemarymoor_lib::kv_feed::{Changes, KeyChange, KvFeed, Listing};
@@ -40,6 +41,7 @@
     pub catalog: ArcSwapOption<Catalog>,
     targets: Mutex<TargetTable>,
     retries: Mutex<RetryBudget>,
+    money_comeback: Mutex<Comeback>,
     pub pool: HttpPool,
     pub budgets: BudgetClient,
     pub peers: Arc<Peers>,
@@ -62,6 +64,11 @@
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// When callers should come back whose money cannot be reached.
+    pub fn money_comeback(&self) -> MutexGuard<'_, Comeback> {
+        self.money_comeback.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Time on the entry's clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -106,6 +113,7 @@
         catalog: ArcSwapOption::empty(),
         targets: Mutex::new(TargetTable::default()),
         retries: Mutex::new(RetryBudget::open(settings.retries)),
+        money_comeback: Mutex::new(Comeback::default()),
         pool: basics.pool.clone(),
         budgets: BudgetClient::open(basics.pool.clone(), basics.peers.clone(), own),
         peers: basics.peers.clone(),
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -29,9 +29,6 @@
 /// Longest wait for money at one holder.
 const MONEY_PATIENCE: Duration = Duration::from_millis(250);
 
-/// When a caller should come back whose money cannot be reached now.
-const MONEY_RETRY_MS: u64 = 700;
-
 /// When a caller should come back whose money other holders have: they hand back
 /// what they do not need within this time.
 const SHORT_RETRY_MS: u64 = 1_800;
@@ -255,7 +252,10 @@
     };
     entry.metrics.money(outcome, asked.elapsed());
     match answer {
-        Ok(reserved) => Ok(Some(reserved)),
+        Ok(reserved) => {
+            entry.money_comeback().succeeded();
+            Ok(Some(reserved))
+        }
         Err(NoMoney::Exhausted) => {
             let detail = format!("{} tokens do not fit into what is left", need.tokens);
             Err(Refusal::new(ResultCode::BudgetExhausted, detail))
@@ -266,7 +266,9 @@
         }
         Err(NoMoney::Unavailable) => {
             let refusal = Refusal::new(ResultCode::BudgetUnavailable, "no holder has the money");
-            Err(refusal.retry_after(MONEY_RETRY_MS))
+            let draw = rank::key_of(&head.attempt_id);
+            let back_ms = entry.money_comeback().failed(entry.now(), draw);
+            Err(refusal.retry_after(back_ms))
         }
     }
 }
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -7,6 +7,7 @@
 
 pub mod catalog;
 pub mod choice;
+pub mod comeback;
 pub mod event_stream;
 pub mod rank;
 pub mod retry_budget;
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -15,7 +15,7 @@
 use crate::time::Millis;
 
 /// Wait that is worth one place nearer to the front of a part's order.
-const PLACE_MS: f64 = 150.0;
+const PLACE_MS: f64 = 250.0;
 
 /// Speed at which an engine reads a prompt, in tokens a millisecond.
 pub const READ_TOKENS_PER_MS: f64 = 60.0;
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -6,6 +6,7 @@
     Backend, CallKind, CallerKey, CallerLimits, Catalog, Route, Service, Workspace,
 };
 use rosemarymoor_lib::dispatch::choice::{self, Wanted};
+use rosemarymoor_lib::dispatch::comeback::Comeback;
 use rosemarymoor_lib::dispatch::event_stream::EventSplitter;
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::retry_budget::{FleetRetryLimits, RetryBudget};
@@ -341,3 +342,23 @@
     let ahead = (0..1_000).filter(|key| rank::weight(*key, "a") > rank::weight(*key, "b")).count();
     assert!((400..600).contains(&ahead), "{ahead}");
 }
+
+/// An outage of five seconds with a caller every 10 ms, each of whom comes back
+/// once: most of them come back after its end, and not all at one moment.
+#[test]
+fn callers_come_back_after_the_outage_and_apart() {
+    const OUTAGE_MS: u64 = 5_000;
+    let mut comeback = Comeback::default();
+    let mut returns = Vec::new();
+    for at in (0..OUTAGE_MS).step_by(10) {
+        let draw = rank::key_of(&at.to_string());
+        returns.push(at + comeback.failed(Millis(at), draw));
+    }
+    let after = returns.iter().filter(|at| **at >= OUTAGE_MS).count();
+    assert!(after * 2 > returns.len(), "{after} of {} come back after it", returns.len());
+    let in_slot = |slot: u64| returns.iter().filter(|at| **at / 100 == slot).count();
+    let most = (0..100).map(in_slot).max().unwrap();
+    assert!(most < returns.len() / 10, "{most} callers meet within 100 ms");
+    comeback.succeeded();
+    assert!(comeback.failed(Millis(60_000), 0) <= 700, "a fresh outage starts short");
+}
