--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -29,7 +29,7 @@
 
 /// Share of the free money that it takes when little is left: money that a death
 /// leaves behind then is refused to callers before the day is over.
-const SCARCE_SHARE: f64 = 0.005;
+const SCARCE_SHARE: f64 = 0.015;
 
 /// Shares of the prepaid tokens between which the headroom shrinks.
 const PLENTY: f64 = 0.6;
