http_pool: a caller that leaves takes its request back

Ruled out: a late send of the entry (it had sent at 13.7 s).

Change: connections are reset when they are given up, which takes back what the peer has not read. One type each for asks, replies and settlements, on the wire and in the engine; names of the platform out of lib and daemon.

--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -10,14 +10,12 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
-use rosemarymoor_lib::budget::ceiling::ReservationId;
+use rosemarymoor_lib::budget::ceiling::{Ask, Reply, ReservationId, Settlement};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::id::BudgetId;
 use serde::Serialize;
 
-use super::budget_server::{
-    RESERVE_PATH, ReserveAnswer, ReserveMessage, SETTLE_PATH, SettleMessage,
-};
+use super::budget_server::{RESERVE_PATH, SETTLE_PATH};
 use super::ceilings::Ceilings;
 use super::peers::{PeerEntry, Peers};
 use crate::http_pool::{HttpPool, SendFailure};
@@ -106,29 +104,29 @@
         let mut is_store_lost = false;
         for server in self.servers_of(&need.budget) {
             match self.ask_server(&server, need).await {
-                Some((id, ReserveAnswer::Granted)) => {
+                Some((id, Reply::Granted)) => {
                     return Ok(self.reserved(Holder::Server(server), need, id));
                 }
-                Some((_, ReserveAnswer::Exhausted)) => return Err(NoMoney::Exhausted),
-                Some((_, ReserveAnswer::Short)) => return Err(NoMoney::Short),
-                Some((_, ReserveAnswer::Unavailable)) => is_store_lost = true,
+                Some((_, Reply::Exhausted)) => return Err(NoMoney::Exhausted),
+                Some((_, Reply::Short)) => return Err(NoMoney::Short),
+                Some((_, Reply::Unavailable)) => is_store_lost = true,
                 None => {}
             }
         }
         if is_store_lost {
             return Err(NoMoney::Unavailable);
         }
-        let message = message(need);
-        let id = message.id;
-        let answer = ReserveAnswer::from(self.own.ask(message.into()).await);
-        if answer != ReserveAnswer::Granted {
+        let ask = ask(need);
+        let id = ask.id;
+        let answer = self.own.ask(ask).await;
+        if answer != Reply::Granted {
             log_refused_ask(need, id, "own", answer);
         }
         match answer {
-            ReserveAnswer::Granted => Ok(self.reserved(Holder::Own, need, id)),
-            ReserveAnswer::Exhausted => Err(NoMoney::Exhausted),
-            ReserveAnswer::Short => Err(NoMoney::Short),
-            ReserveAnswer::Unavailable => Err(NoMoney::Unavailable),
+            Reply::Granted => Ok(self.reserved(Holder::Own, need, id)),
+            Reply::Exhausted => Err(NoMoney::Exhausted),
+            Reply::Short => Err(NoMoney::Short),
+            Reply::Unavailable => Err(NoMoney::Unavailable),
         }
     }
 
@@ -161,21 +159,17 @@
         Reserved { client: self.clone(), holder, budget, id, request, used: 0 }
     }
 
-    async fn ask_server(
-        &self,
-        server: &PeerEntry,
-        need: &Need,
-    ) -> Option<(ReservationId, ReserveAnswer)> {
-        let message = message(need);
-        let id = message.id;
+    async fn ask_server(&self, server: &PeerEntry, need: &Need) -> Option<(ReservationId, Reply)> {
+        let ask = ask(need);
+        let id = ask.id;
         let mut abandoned = AbandonedAsk { client: self, server, need, id, is_answered: false };
         let timeout = need.patience + ANSWER_GRACE;
-        let answer = self.post(server, RESERVE_PATH, &message, timeout).await;
+        let answer = self.post(server, RESERVE_PATH, &ask, timeout).await;
         match answer {
             Ok(body) => {
                 let answer = serde_json::from_slice(&body).ok()?;
                 abandoned.is_answered = true;
-                if answer != ReserveAnswer::Granted {
+                if answer != Reply::Granted {
                     log_refused_ask(need, id, &server.name, answer);
                 }
                 Some((id, answer))
@@ -196,23 +190,23 @@
 
     fn settle(&self, holder: &Holder, budget: &BudgetId, id: ReservationId, used: u64) {
         match holder {
-            Holder::Own => self.own.settle(budget, id, used),
+            Holder::Own => self.own.settle(&Settlement { id, budget: budget.clone(), used }),
             Holder::Server(server) => {
-                let message = SettleMessage { id, budget: budget.clone(), used };
-                tokio::spawn(self.clone().deliver(server.clone(), message));
+                let settlement = Settlement { id, budget: budget.clone(), used };
+                tokio::spawn(self.clone().deliver(server.clone(), settlement));
             }
         }
     }
 
-    async fn deliver(self, server: PeerEntry, message: SettleMessage) {
-        let messages = [message];
+    async fn deliver(self, server: PeerEntry, settlement: Settlement) {
+        let settlements = [settlement];
         for attempt in 0..SETTLE_TRIES {
-            if self.post(&server, SETTLE_PATH, &messages, SETTLE_TIMEOUT).await.is_ok() {
+            if self.post(&server, SETTLE_PATH, &settlements, SETTLE_TIMEOUT).await.is_ok() {
                 return;
             }
             tokio::time::sleep(SETTLE_PAUSE * 2_u32.pow(attempt)).await;
         }
-        let [SettleMessage { id, budget, used }] = &messages;
+        let [Settlement { id, budget, used }] = &settlements;
         log::warn!(
             "event=settlement_lost server={} budget={budget} reservation={id:032x} used={used}",
             server.name
@@ -242,7 +236,7 @@
     }
 }
 
-fn log_refused_ask(need: &Need, id: ReservationId, holder: &str, answer: ReserveAnswer) {
+fn log_refused_ask(need: &Need, id: ReservationId, holder: &str, answer: Reply) {
     log::info!(
         "event=money_denied request={} reservation={id:032x} budget={} holder={holder} answer={answer:?} tokens={} prepaid_version={}",
         need.request,
@@ -252,8 +246,8 @@
     );
 }
 
-fn message(need: &Need) -> ReserveMessage {
-    ReserveMessage {
+fn ask(need: &Need) -> Ask {
+    Ask {
         id: rand::random(),
         budget: need.budget.clone(),
         prepaid: need.prepaid,
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -3,7 +3,8 @@
 //! It speaks HTTP on the fleet's internal address:
 //!
 //! - `POST /reserve` takes an [`Ask`](rosemarymoor_lib::budget::ceiling::Ask);
-//! - `POST /settle` takes settlements of several reservations;
+//! - `POST /settle` takes a list of
+//!   [`Settlement`](rosemarymoor_lib::budget::ceiling::Settlement);
 //! - everything under `/store` is a call to the platform's store, passed on as
 //!   it is; 502 says that the store did not answer.
 
@@ -19,10 +20,9 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use rosemarymoor_lib::budget::ceiling::{Ask, Headroom, Reply, ReservationId};
-use rosemarymoor_lib::id::BudgetId;
+use rosemarymoor_lib::budget::ceiling::{Ask, Headroom, Settlement};
 use rosemarymoor_platform::store::{PlatformStore, StoreCall, StoreCaller};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use tokio::net::TcpListener;
 
 use super::ceilings::Ceilings;
@@ -50,62 +50,6 @@
 /// Path under which reservations are ended.
 pub const SETTLE_PATH: &str = "/settle";
 
-/// Money asked for, as it travels between processes.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ReserveMessage {
-    pub id: ReservationId,
-    pub budget: BudgetId,
-    pub prepaid: u64,
-    pub prepaid_version: u64,
-    pub tokens: u64,
-    pub patience_ms: u64,
-    pub lifetime_ms: u64,
-}
-
-/// Answer to a [`ReserveMessage`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum ReserveAnswer {
-    Granted,
-    Exhausted,
-    Short,
-    Unavailable,
-}
-
-/// End of one reservation.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct SettleMessage {
-    pub id: ReservationId,
-    pub budget: BudgetId,
-    /// Tokens that were spent.
-    pub used: u64,
-}
-
-impl From<Reply> for ReserveAnswer {
-    fn from(reply: Reply) -> ReserveAnswer {
-        match reply {
-            Reply::Granted => ReserveAnswer::Granted,
-            Reply::Exhausted => ReserveAnswer::Exhausted,
-            Reply::Short => ReserveAnswer::Short,
-            Reply::Unavailable => ReserveAnswer::Unavailable,
-        }
-    }
-}
-
-impl From<ReserveMessage> for Ask {
-    fn from(message: ReserveMessage) -> Ask {
-        Ask {
-            id: message.id,
-            budget: message.budget,
-            prepaid: message.prepaid,
-            prepaid_version: message.prepaid_version,
-            tokens: message.tokens,
-            patience_ms: message.patience_ms,
-            lifetime_ms: message.lifetime_ms,
-        }
-    }
-}
-
 struct Server {
     ceilings: Ceilings,
     store: DirectPath,
@@ -193,20 +137,20 @@
     }
 
     async fn reserve(&self, body: &[u8]) -> Response<Full<Bytes>> {
-        let Ok(message) = decode::<ReserveMessage>(body) else {
+        let Ok(ask) = decode::<Ask>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let reply = ReserveAnswer::from(self.ceilings.ask(message.into()).await);
+        let reply = self.ceilings.ask(ask).await;
         let body = serde_json::to_vec(&reply).expect("an answer can be encoded");
         Response::new(Full::new(body.into()))
     }
 
     fn settle(&self, body: &[u8]) -> Response<Full<Bytes>> {
-        let Ok(settlements) = decode::<Vec<SettleMessage>>(body) else {
+        let Ok(settlements) = decode::<Vec<Settlement>>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
         for settlement in settlements {
-            self.ceilings.settle(&settlement.budget, settlement.id, settlement.used);
+            self.ceilings.settle(&settlement);
         }
         empty(StatusCode::OK)
     }
--- a/daemon/src/direct/ceilings.rs
+++ b/daemon/src/direct/ceilings.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use rosemarymoor_lib::budget::ceiling::{
-    Ask, CeilingEffect, CeilingSystem, Headroom, HeldBudget, Reply, ReservationId, account_key,
+    Ask, CeilingEffect, CeilingSystem, Headroom, HeldBudget, Reply, ReservationId, Settlement,
+    account_key,
 };
 use rosemarymoor_lib::id::{BudgetId, EpochId};
 use rosemarymoor_lib::kv_store::KvStore;
@@ -73,9 +74,9 @@
     }
 
     /// Ends a reservation with what was used.
-    pub fn settle(&self, budget: &BudgetId, id: ReservationId, used: u64) {
+    pub fn settle(&self, settlement: &Settlement) {
         let waits = self.apply(|state, now, effects| {
-            state.system.settle(budget, id, used, now, effects);
+            state.system.settle(settlement, now, effects);
         });
         if waits {
             self.shared.wake.notify_one();
@@ -185,6 +186,7 @@
             return;
         }
         self.ceilings.lock().replies.retain(|waiting| waiting.0 != self.id);
-        self.ceilings.settle(&self.budget, self.id, 0);
+        let settlement = Settlement { id: self.id, budget: self.budget.clone(), used: 0 };
+        self.ceilings.settle(&settlement);
     }
 }
--- a/daemon/src/direct/feed.rs
+++ b/daemon/src/direct/feed.rs
@@ -85,7 +85,7 @@
         match self.feed.list(self.prefix, LIST_TIMEOUT).await {
             Outcome::Done(listing) => {
                 self.answered();
-                self.seen = Some(listing.store_revision);
+                self.seen = Some(listing.revision_of_all);
                 self.sink.listed(listing);
             }
             Outcome::NotDone(_) | Outcome::Unknown => self.failed().await,
@@ -101,8 +101,8 @@
             }
             Outcome::Done(changes) => {
                 self.answered();
-                if let Changes::Seen { store_revision, .. } = &changes {
-                    self.seen = Some((*store_revision).max(seen));
+                if let Changes::Seen { revision_of_all, .. } = &changes {
+                    self.seen = Some((*revision_of_all).max(seen));
                 }
                 self.sink.changed(changes);
             }
--- a/daemon/src/direct/store_path.rs
+++ b/daemon/src/direct/store_path.rs
@@ -11,11 +11,12 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
-use rosemarymoor_platform::store::{CallFailure, StoreAnswer, StoreCall, StoreCaller, is_served};
+use rosemarymoor_platform::store::{
+    self, CallFailure, StoreAnswer, StoreCall, StoreCaller, is_served,
+};
 
 use super::peers::Peers;
 use crate::http_pool::{HttpPool, SendFailure};
@@ -38,9 +39,6 @@
 /// Largest answer of the store: a full page of items in text form.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
-/// Cheapest read, for probes.
-const PROBE_PATH: &str = "/kv-key?key=fleet&serializable=1";
-
 /// Straight way to the store.
 #[derive(Clone)]
 pub struct DirectPath {
@@ -142,12 +140,7 @@
         if !path.direct_down.load(Ordering::Relaxed) {
             continue;
         }
-        let call = StoreCall {
-            method: Method::GET,
-            path: PROBE_PATH.to_owned(),
-            body: Bytes::new(),
-            timeout: PROBE_TIMEOUT,
-        };
+        let call = store::probe(PROBE_TIMEOUT);
         let since = Instant::now();
         if path.direct.call(call).await.is_ok_and(|answer| is_served(answer.status)) {
             path.direct_down.store(false, Ordering::Relaxed);
--- a/daemon/src/http_pool.rs
+++ b/daemon/src/http_pool.rs
@@ -263,6 +263,9 @@
     };
     let stream = socket.connect(address).await?;
     guard_stream(&stream);
+    // A close takes back what the peer has not read yet: a request whose caller
+    // has left must not be delivered when a silent host wakes up.
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     Ok(stream)
 }
 
--- a/daemon/tests/test_direct_entry.rs
+++ b/daemon/tests/test_direct_entry.rs
@@ -313,6 +313,21 @@
     assert_eq!(target.abandoned(), ["r1"]);
 }
 
+/// Found on the users' bench (shires-orders, day hosts-in-trouble, seed
+/// 400936896090): a request that lay before a frozen host was delivered when the
+/// host woke, two seconds after its caller had left. A reset takes it back.
+#[tokio::test]
+async fn a_caller_that_leaves_takes_its_request_back() {
+    let target = target(|_| vec![Step::AwaitClose(Duration::from_secs(10))]).await;
+    let fleet = fleet(&target).await;
+    let mut caller = Caller::connect(fleet.callers).await.unwrap();
+    caller.send(&CallerRequest::post("/unsafe/1", "r1").bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    drop(caller);
+    tokio::time::sleep(Duration::from_millis(450)).await;
+    assert_eq!(target.reset(), ["r1"]);
+}
+
 fn stream_request(path: &str, id: &str) -> CallerRequest {
     CallerRequest {
         tokens: Some((1_000, 100)),
--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -13,6 +13,8 @@
 
 use std::collections::VecDeque;
 
+use serde::{Deserialize, Serialize};
+
 use super::ledger::{Account, Grant, Shard};
 use crate::id::{BudgetId, EpochId};
 use crate::kv_store::{NotDone, Outcome, Revision, Versioned};
@@ -69,7 +71,7 @@
 pub type ReservationId = u128;
 
 /// Money asked for before a request is sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     pub id: ReservationId,
     pub budget: BudgetId,
@@ -86,7 +88,8 @@
 }
 
 /// Answer to an [`Ask`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Reply {
     Granted,
     /// It certainly does not fit into what is left of the budget.
@@ -97,6 +100,15 @@
     Unavailable,
 }
 
+/// End of a reservation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settlement {
+    pub id: ReservationId,
+    pub budget: BudgetId,
+    /// Tokens that were spent.
+    pub used: u64,
+}
+
 /// How much a holder holds beyond what requests need now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Headroom {
@@ -216,15 +228,15 @@
         held.advance(epoch, now, effects);
     }
 
-    /// Ends a reservation: `used` tokens are spent, the rest is free again.
+    /// Ends a reservation: what was used is spent, the rest is free again.
     pub fn settle(
         &mut self,
-        budget: &BudgetId,
-        id: ReservationId,
-        used: u64,
+        settlement: &Settlement,
         now: Millis,
         effects: &mut Vec<CeilingEffect>,
     ) {
+        let Settlement { id, budget, used } = settlement;
+        let (id, used) = (*id, *used);
         let epoch = self.epoch;
         let held = self.open_budget(budget, now);
         if let Some(at) = held.waiting.iter().position(|waiting| waiting.ask.id == id) {
--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -3,7 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rosemarymoor_lib::budget::ceiling::{
-    Ask, CeilingEffect, CeilingSystem, Headroom, Reply, ReservationId, account_key,
+    Ask, CeilingEffect, CeilingSystem, Headroom, Reply, ReservationId, Settlement, account_key,
 };
 use rosemarymoor_lib::budget::{Grant, Shard};
 use rosemarymoor_lib::id::{BudgetId, EpochId};
@@ -86,7 +86,8 @@
     }
 
     fn settle(&mut self, id: ReservationId, used: u64, now: u64) {
-        self.system.settle(&budget(), id, used, Millis(now), &mut self.effects);
+        let settlement = Settlement { id, budget: budget(), used };
+        self.system.settle(&settlement, Millis(now), &mut self.effects);
         self.sort_effects();
     }
 
