--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -8,7 +8,6 @@
 //! - everything under `/store` is a call to the platform's store, passed on as
 //!   it is; 502 says that the store did not answer.
 
-use std::convert::Infallible;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,10 +15,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use rosemarymoor_lib::budget::ceiling::{Ask, Headroom, Settlement};
 use rosemarymoor_platform::store::{PlatformStore, StoreCall, StoreCaller};
 use serde::Deserialize;
@@ -30,7 +26,7 @@
 use super::metrics;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RELAY_PREFIX};
-use crate::http_pool::guard_stream;
+use crate::small_server;
 
 /// Longest time that a passed-on call may take, a watch's wait included.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(12_000);
@@ -80,7 +76,10 @@
         }
     };
     reload_on_hangup(path, |_| {});
-    tokio::spawn(accept(listener, server));
+    tokio::spawn(small_server::serve(listener, IDLE_TIMEOUT, move |req| {
+        let server = server.clone();
+        async move { server.serve(req).await }
+    }));
     basics.enlist(&settings, kv);
     basics.stop_requested().await;
     log::warn!("event=stopping role=budget-server host={}", settings.name);
@@ -89,35 +88,6 @@
     0
 }
 
-async fn accept(listener: TcpListener, server: Arc<Server>) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                log::warn!("event=accept_failed reason={err}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        guard_stream(&stream);
-        let server = server.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |req| {
-                let server = server.clone();
-                async move { Ok::<_, Infallible>(server.serve(req).await) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(err) = served {
-                log::debug!("event=peer_connection_ended reason={err}");
-            }
-        });
-    }
-}
-
 impl Server {
     async fn serve(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, body) = req.into_parts();
--- a/daemon/src/direct/listener.rs
+++ b/daemon/src/direct/listener.rs
@@ -23,7 +23,7 @@
 use super::handler;
 use super::refusal::{AnswerBody, whole_body};
 use super::settings::DirectSettings;
-use crate::http_pool::guard_stream;
+use crate::small_server;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -31,9 +31,6 @@
 /// Bytes of a connection's buffer beyond a request's head.
 const BUFFER_EXTRA: usize = 8 * 1024;
 
-/// Pause after a failed accept, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Time that a balancer's connection may stay idle.
 const READY_IDLE: Duration = Duration::from_secs(10);
 
@@ -59,7 +56,10 @@
     let ready = bind(ready)?;
     let callers = bind(callers)?;
     let (closing, closed) = watch::channel(false);
-    tokio::spawn(accept_checks(ready, entry.clone()));
+    let checked = entry.clone();
+    tokio::spawn(small_server::serve(ready, READY_IDLE, move |_| {
+        std::future::ready(check_answer(checked.is_ready()))
+    }));
     let accepting = tokio::spawn(accept_callers(callers, entry, closed));
     Ok(Listeners { accepting, closing })
 }
@@ -90,24 +90,9 @@
     open().context(BindSnafu { address })
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                guard_stream(&stream);
-                return stream;
-            }
-            Err(err) => {
-                log::warn!("event=accept_failed reason={err}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 async fn accept_callers(listener: TcpListener, entry: Arc<Entry>, closed: watch::Receiver<bool>) {
     loop {
-        let stream = accept(&listener).await;
+        let stream = small_server::accept(&listener).await;
         tokio::spawn(serve_caller(stream, entry.clone(), closed.clone()));
     }
 }
@@ -148,32 +133,10 @@
     let _ = closed.wait_for(|closed| *closed).await;
 }
 
-async fn accept_checks(listener: TcpListener, entry: Arc<Entry>) {
-    loop {
-        let stream = accept(&listener).await;
-        let entry = entry.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |_| {
-                let status = match entry.is_ready() {
-                    true => StatusCode::OK,
-                    false => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                async move { Ok::<_, Infallible>(check_answer(status)) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(READY_IDLE)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(err) = served {
-                log::debug!("event=check_connection_ended reason={err}");
-            }
-        });
-    }
-}
-
-fn check_answer(status: StatusCode) -> Response<AnswerBody> {
+fn check_answer(is_ready: bool) -> Response<AnswerBody> {
     let mut resp = Response::new(whole_body(Default::default()));
-    *resp.status_mut() = status;
+    if !is_ready {
+        *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
     resp
 }
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -3,15 +3,11 @@
 //! Labels have few values: the kind of a call, an outcome, a result code. Routes,
 //! workspaces and targets are in the log, not here.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use rosemarymoor_lib::dispatch::catalog::CallKind;
@@ -19,8 +15,9 @@
 
 use super::ceilings::Ceilings;
 use super::entry::Entry;
-use super::refusal::whole_body;
+use super::refusal::{AnswerBody, whole_body};
 use crate::http_server::{HttpServerError, Metrics};
+use crate::small_server;
 
 /// Bounds of latency histograms, in milliseconds: around the objectives of calls
 /// (150), first events (500 to 1,000) and whole streams.
@@ -159,40 +156,22 @@
     let Some(address) = address else { return Ok(metrics) };
     match TcpListener::bind(address).await {
         Ok(listener) => {
-            tokio::spawn(serve(listener, metrics.clone()));
+            let scraped_metrics = metrics.clone();
+            tokio::spawn(small_server::serve(listener, IDLE, move |_| {
+                std::future::ready(scraped(&scraped_metrics))
+            }));
         }
         Err(err) => log::error!("event=metrics_unavailable address={address} reason={err}"),
     }
     Ok(metrics)
 }
 
-async fn serve(listener: TcpListener, metrics: Metrics) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(IDLE / 100).await;
-            continue;
-        };
-        let metrics = metrics.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |_| {
-                let text = metrics.render();
-                async move {
-                    let mut resp =
-                        Response::new(whole_body(text.clone().unwrap_or_default().into()));
-                    if text.is_none() {
-                        *resp.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-                    }
-                    Ok::<_, Infallible>(resp)
-                }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(err) = served {
-                log::debug!("event=scraper_connection_ended reason={err}");
-            }
-        });
+fn scraped(metrics: &Metrics) -> Response<AnswerBody> {
+    let text = metrics.render();
+    let is_rendered = text.is_some();
+    let mut resp = Response::new(whole_body(text.unwrap_or_default().into()));
+    if !is_rendered {
+        *resp.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     }
+    resp
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod memory;
 pub mod settings;
 pub mod sidecar;
+pub mod small_server;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -9,6 +9,7 @@
 use rosemarymoor_daemon::{direct, entry, line_log, logging, sidecar};
 use rosemarymoor_lib::host_list::Role;
 use rosemarymoor_lib::ini::IniDocument;
+use tokio::runtime::Builder;
 
 const EXIT_BAD_ARGUMENTS: u8 = 2;
 const EXIT_NO_RUNTIME: u8 = 1;
@@ -73,37 +74,35 @@
 /// Runs a role for direct delivery on one thread: its hosts have one core at most.
 fn run_direct(settings: DirectSettings, path: PathBuf) -> ExitCode {
     line_log::start(settings.log_level);
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(err) => {
-            eprintln!("rosemarymoord: no runtime: {err}");
-            return ExitCode::from(EXIT_NO_RUNTIME);
-        }
-    };
-    let code = runtime.block_on(async move {
+    let code = run_on(Builder::new_current_thread(), async move {
         match settings.role {
             DirectRole::Entry => direct::entry::run(settings, path).await,
             DirectRole::BudgetServer => direct::budget_server::run(settings, path).await,
         }
     });
     line_log::flush();
-    ExitCode::from(u8::try_from(code).unwrap_or(EXIT_NO_RUNTIME))
+    code
 }
 
 fn run(settings: Settings) -> ExitCode {
     logging::start(settings.log_level);
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(err) => {
-            eprintln!("rosemarymoord: no runtime: {err}");
-            return ExitCode::from(EXIT_NO_RUNTIME);
-        }
-    };
-    let code = runtime.block_on(async move {
+    run_on(Builder::new_multi_thread(), async move {
         match settings.role {
             Role::Entry => entry::run(settings).await,
             Role::Sidecar => sidecar::run(settings).await,
         }
-    });
-    ExitCode::from(u8::try_from(code).unwrap_or(EXIT_NO_RUNTIME))
+    })
+}
+
+fn run_on(mut runtime: Builder, role: impl Future<Output = i32>) -> ExitCode {
+    match runtime.enable_all().build() {
+        Ok(runtime) => {
+            let code = runtime.block_on(role);
+            ExitCode::from(u8::try_from(code).unwrap_or(EXIT_NO_RUNTIME))
+        }
+        Err(err) => {
+            eprintln!("rosemarymoord: no runtime: {err}");
+            ExitCode::from(EXIT_NO_RUNTIME)
+        }
+    }
 }
--- /dev/null
+++ b/daemon/tests/test_direct_store.rs
@@ -0,0 +1,118 @@
+//! What an entry learns from the store, and how it starts anew and stops.
+
+use std::path::Path;
+use std::time::Duration;
+
+use rosemarymoor_platform_standins::caller::{Caller, CallerRequest};
+use rosemarymoor_platform_standins::fleet::{PREPAID, PlatformFleet, manifest};
+use rosemarymoor_platform_standins::scene::{call, events, fleet, ok, stream_request, target};
+use rosemarymoor_platform_standins::store::Trouble;
+use rustix::process::Signal;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
+
+#[tokio::test]
+async fn a_leaving_target_gets_no_new_work() {
+    let (one, two) = (target(ok).await, target(ok).await);
+    let targets = [("calls", &one), ("calls", &two)];
+    let fleet = PlatformFleet::open(Path::new(BINARY), &targets).await.unwrap();
+    fleet.register("t0", "calls", one.address(), "draining");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = one.received().len();
+    for at in 0..10 {
+        call(&fleet, &CallerRequest::get("/safe/1", &format!("r{at}"))).await;
+    }
+    assert_eq!((one.received().len(), two.received().len()), (before, 10));
+}
+
+#[tokio::test]
+async fn an_outage_of_the_store_refuses_nobody() {
+    let target = target(ok).await;
+    let fleet = fleet(BINARY, &target).await;
+    fleet.store.set_trouble(Trouble::Away);
+    fleet.store.remove("servers/t0");
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(call(&fleet, &CallerRequest::get("/safe/1", "r1")).await.status, 200);
+    assert_eq!(fleet.readiness().await, 200);
+    fleet.store.set_trouble(Trouble::None);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(call(&fleet, &CallerRequest::get("/safe/1", "r2")).await.status, 200);
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    assert_eq!(call(&fleet, &CallerRequest::get("/safe/1", "r3")).await.status, 503);
+}
+
+#[tokio::test]
+async fn a_garbage_registration_names_no_target() {
+    let target = target(ok).await;
+    let fleet = fleet(BINARY, &target).await;
+    fleet.store.put("servers/t9", &serde_json::json!(["garbage"]));
+    fleet.store.put("servers/t8", &serde_json::json!({"service": "calls", "state": 5}));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for at in 0..5 {
+        let answer = call(&fleet, &CallerRequest::get("/safe/1", &format!("r{at}"))).await;
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn a_newer_configuration_is_in_force_and_never_goes_back() {
+    let target = target(ok).await;
+    let fleet = fleet(BINARY, &target).await;
+    assert_eq!(call(&fleet, &CallerRequest::get("/old/1", "r1")).await.status, 200);
+    fleet.store.put("op/config", &manifest(10, PREPAID));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(call(&fleet, &CallerRequest::get("/old/1", "r2")).await.status, 404);
+    fleet.store.put("op/config", &manifest(9, PREPAID));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(call(&fleet, &CallerRequest::get("/old/1", "r3")).await.status, 404);
+}
+
+#[tokio::test]
+async fn lost_history_costs_no_change() {
+    let target = target(ok).await;
+    let fleet = fleet(BINARY, &target).await;
+    fleet.store.set_trouble(Trouble::Busy);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.store.put("op/config", &manifest(10, PREPAID));
+    fleet.store.forget_history();
+    fleet.store.set_trouble(Trouble::None);
+    tokio::time::sleep(Duration::from_millis(1_900)).await;
+    assert_eq!(call(&fleet, &CallerRequest::get("/old/1", "r1")).await.status, 404);
+}
+
+#[tokio::test]
+async fn a_stop_cuts_nothing_off() {
+    let target = target(|received| events(received, 0, 8, Duration::from_millis(400))).await;
+    let mut fleet = fleet(BINARY, &target).await;
+    let mut streaming = Caller::connect(fleet.callers).await.unwrap();
+    streaming.send(&stream_request("/stream/1", "r1").bytes()).await.unwrap();
+    assert!(streaming.read_until("piece 1").await);
+    let mut kept = Caller::connect(fleet.callers).await.unwrap();
+    kept.send(&stream_request("/stream/1", "r2").bytes()).await.unwrap();
+    assert!(kept.answer().await.unwrap().is_whole);
+    fleet.entry.signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(fleet.readiness().await, 503);
+    // A kept connection gets its answer, and hears that it is the last one.
+    let last = kept.call(&stream_request("/stream/1", "r3")).await.unwrap();
+    assert!(last.is_whole);
+    assert_eq!(last.header("connection"), Some("close"));
+    assert!(streaming.answer().await.unwrap().is_whole);
+    assert_eq!(fleet.entry.ended().await, Some(0));
+}
+
+#[tokio::test]
+async fn a_hangup_reloads_the_settings() {
+    let target = target(ok).await;
+    let mut fleet = fleet(BINARY, &target).await;
+    fleet.write_entry_settings(|text| text.replace("= info", "= debug")).unwrap();
+    fleet.entry.signal(Signal::HUP);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(fleet.entry.log().contains("event=reload outcome=taken log_level=DEBUG"));
+    fleet.write_entry_settings(|text| text.replace("direct-entry", "nobody")).unwrap();
+    fleet.entry.signal(Signal::HUP);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(fleet.entry.log().contains("event=reload outcome=kept_old"));
+    assert!(fleet.entry.is_running());
+    assert_eq!(call(&fleet, &CallerRequest::get("/safe/1", "r1")).await.status, 200);
+}
--- /dev/null
+++ b/daemon/tests/test_direct_streams.rs
@@ -0,0 +1,95 @@
+//! Streams of events through a real entry.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use rosemarymoor_platform_standins::caller::Caller;
+use rosemarymoor_platform_standins::fleet::PlatformFleet;
+use rosemarymoor_platform_standins::scene::{
+    all_events, call, events, fleet, script, stream_request, target,
+};
+use rosemarymoor_platform_standins::target::{Step, TargetStandIn, chunk};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
+
+#[tokio::test]
+async fn events_are_passed_on_as_they_come() {
+    let target = target(|received| events(received, 0, 3, Duration::from_millis(700))).await;
+    let fleet = fleet(BINARY, &target).await;
+    let mut caller = Caller::connect(fleet.callers).await.unwrap();
+    caller.send(&stream_request("/stream/1", "r1").bytes()).await.unwrap();
+    let begun = Instant::now();
+    assert!(caller.read_until("piece 1").await);
+    assert!(begun.elapsed() < Duration::from_millis(600), "the first event is not held");
+    let answer = caller.answer().await.unwrap();
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), all_events(3));
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_does_not_look_complete() {
+    let target = target(|received| {
+        let mut steps = events(received, 0, 2, Duration::ZERO);
+        steps.pop();
+        steps.push(Step::Send(chunk("id: 3\nda")));
+        steps.push(Step::Wait(Duration::from_millis(100)));
+        steps.push(Step::Reset);
+        steps
+    })
+    .await;
+    let fleet = fleet(BINARY, &target).await;
+    let answer = call(&fleet, &stream_request("/stream/1", "r1")).await;
+    assert!(!answer.is_whole);
+    assert_eq!(answer.text(), all_events(2), "half an event is not passed on");
+    assert_eq!(target.received().len(), 1, "it must not run twice");
+}
+
+#[tokio::test]
+async fn a_resumable_stream_goes_on_at_another_target() {
+    let count = Arc::new(AtomicU32::new(0));
+    let shared = script(move |received| match count.fetch_add(1, Ordering::Relaxed) {
+        0 => {
+            let mut steps = events(received, 0, 4, Duration::ZERO);
+            steps.pop();
+            steps.extend([Step::Wait(Duration::from_millis(100)), Step::Reset]);
+            steps
+        }
+        _ => {
+            let after = received.header("last-event-id").unwrap_or("0").parse().unwrap();
+            events(received, after, 9, Duration::ZERO)
+        }
+    });
+    let one = TargetStandIn::spawn(shared.clone()).await.unwrap();
+    let two = TargetStandIn::spawn(shared).await.unwrap();
+    let targets = [("models", &one), ("models", &two)];
+    let fleet = PlatformFleet::open(Path::new(BINARY), &targets).await.unwrap();
+    let answer = call(&fleet, &stream_request("/resume/1", "r1")).await;
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), all_events(9), "each event comes once and in order");
+    assert_eq!((one.received().len(), two.received().len()), (1, 1));
+    assert_eq!(answer.seal(), Some("seal-r1"));
+}
+
+#[tokio::test]
+async fn a_resumable_stream_that_falls_silent_goes_on_elsewhere() {
+    let count = Arc::new(AtomicU32::new(0));
+    let shared = script(move |received| match count.fetch_add(1, Ordering::Relaxed) {
+        0 => {
+            let mut steps = events(received, 0, 2, Duration::ZERO);
+            steps.pop();
+            steps.push(Step::AwaitClose(Duration::from_secs(10)));
+            steps
+        }
+        _ => events(received, 2, 5, Duration::ZERO),
+    });
+    let one = TargetStandIn::spawn(shared.clone()).await.unwrap();
+    let two = TargetStandIn::spawn(shared).await.unwrap();
+    let targets = [("models", &one), ("models", &two)];
+    let fleet = PlatformFleet::open(Path::new(BINARY), &targets).await.unwrap();
+    let answer = call(&fleet, &stream_request("/resume/1", "r1")).await;
+    assert_eq!((answer.is_whole, answer.text()), (true, all_events(5)));
+    let abandoned = [one.abandoned(), two.abandoned()].concat();
+    assert_eq!(abandoned, ["r1"], "the first run is stopped");
+}
