choice: a prompt's reading time grows faster than its tokens

Cause: long prompts were weighed by their tokens alone; quick requests were placed behind them (p99 of counter-answer 1.4 s against an aim of 0.5 s). Change: the expected wait counts pairs of tokens; its test puts a quick request beside a long prompt.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
-use rosemarymoor_lib::dispatch::choice::READ_TOKENS_PER_MS;
+use rosemarymoor_lib::dispatch::choice::reading_ms;
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 use rosemarymoor_platform::answer::{self, AnswerKind};
 use rosemarymoor_platform::request::{TargetHead, strip_connection_headers, target_headers};
@@ -75,8 +75,8 @@
     entry: Arc<Entry>,
     pub target: TargetKey,
     pub target_id: String,
-    /// Prompt tokens that are counted as not read yet.
-    unread_tokens: u64,
+    /// Time that its prompt was expected to take; counted until it is read.
+    unread_ms: f64,
     sent: Instant,
     is_prompt: bool,
 }
@@ -84,7 +84,7 @@
 impl Run {
     /// Notes the first sign of an answer.
     pub fn first_answer(&mut self) {
-        let expected = EXPECTED_MS + self.unread_tokens as f64 / READ_TOKENS_PER_MS;
+        let expected = EXPECTED_MS + self.unread_ms;
         let expected = if self.is_prompt { expected } else { EXPECTED_MS / 2.0 };
         let took = self.sent.elapsed().as_secs_f64() * 1_000.0;
         let delay_ms = (took - expected).max(0.0);
@@ -98,8 +98,8 @@
     }
 
     fn prompt_read(&mut self) {
-        let tokens = std::mem::take(&mut self.unread_tokens);
-        self.entry.targets().prompt_read(self.target, tokens);
+        let unread_ms = std::mem::take(&mut self.unread_ms);
+        self.entry.targets().prompt_read(self.target, unread_ms);
     }
 }
 
@@ -156,12 +156,14 @@
     let target_id = target.registration.id.clone();
     let is_unread =
         |part: &&rosemarymoor_platform::request::PromptPart| !target.keeps_part(part.id, now);
-    let unread_tokens = call.head.prompt.iter().filter(is_unread).map(|part| part.tokens).sum();
+    let prompt = &call.head.prompt;
+    let new = prompt.iter().filter(is_unread).map(|part| part.tokens).sum();
+    let unread_ms = reading_ms(new, prompt.iter().map(|part| part.tokens).sum());
     let parts: Vec<u64> = call.head.prompt.iter().map(|part| part.id).collect();
-    table.start(key, unread_tokens, &parts, now);
+    table.start(key, unread_ms, &parts, now);
     let is_prompt = !call.head.prompt.is_empty();
     let sent = Instant::now();
-    let run = Run { entry: entry.clone(), target: key, target_id, unread_tokens, sent, is_prompt };
+    let run = Run { entry: entry.clone(), target: key, target_id, unread_ms, sent, is_prompt };
     Some((run, address))
 }
 
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -151,13 +151,13 @@
     let table = entry.targets();
     let Some(target) = table.get(chosen) else { return };
     log::info!(
-        "event=placed request={} try={attempt} target={} data_center={} running={} unread_tokens={} \
+        "event=placed request={} try={attempt} target={} data_center={} running={} unread_ms={:.0} \
          failures={:.2} delay_ms={:.0} news_age_ms={}",
         call.head.attempt_id,
         target.registration.id,
         target.registration.data_center,
         target.running,
-        target.unread_tokens,
+        target.unread_ms,
         target.failures(now),
         target.delay(now),
         entry.news_age_ms()
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -18,7 +18,10 @@
 const PLACE_MS: f64 = 250.0;
 
 /// Speed at which an engine reads a prompt, in tokens a millisecond.
-pub const READ_TOKENS_PER_MS: f64 = 60.0;
+const READ_TOKENS_PER_MS: f64 = 60.0;
+
+/// Time for each million pairs of a new token and one before it, in milliseconds.
+const READ_PAIRS_MS_PER_M: f64 = 0.5;
 
 /// Time for which each running request slows the others, in milliseconds.
 const RUNNING_MS: f64 = 6.0;
@@ -69,15 +72,23 @@
     best.map(|(_, key)| key)
 }
 
+/// Time that an engine takes to read the new tokens of a prompt, in milliseconds.
+///
+/// It grows faster than the prompt: each token is set against all before it.
+pub fn reading_ms(new_tokens: u64, all_tokens: u64) -> f64 {
+    let (new, all) = (new_tokens as f64, all_tokens as f64);
+    let pairs = new * (all - new / 2.0);
+    new / READ_TOKENS_PER_MS + pairs / 1e6 * READ_PAIRS_MS_PER_M
+}
+
 fn expected_wait(target: &Target, place: usize, wanted: Wanted<'_>, now: Millis) -> f64 {
     let mut wait = target.failures(now) * FAILURE_MS + target.delay(now);
     if target.is_resting(now) {
         wait += RESTING_MS;
     }
     if wanted.prompt.is_some() {
-        let seen_by_all = target.unread_tokens as f64 * unseen_factor(wanted.entries);
         wait += place as f64 * PLACE_MS;
-        wait += seen_by_all / READ_TOKENS_PER_MS;
+        wait += target.unread_ms * unseen_factor(wanted.entries);
         wait += f64::from(target.running) * RUNNING_MS;
         return wait;
     }
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -56,8 +56,8 @@
     pub registration: Registration,
     /// Requests of this entry that it runs.
     pub running: u32,
-    /// Prompt tokens of this entry that it has yet to read.
-    pub unread_tokens: u64,
+    /// Time that it will take to read this entry's waiting prompts, in milliseconds.
+    pub unread_ms: f64,
     /// Smoothed time beyond what was expected, in milliseconds.
     pub delay_ms: f64,
     delay_at: Millis,
@@ -77,7 +77,7 @@
             key,
             registration,
             running: 0,
-            unread_tokens: 0,
+            unread_ms: 0.0,
             delay_ms: 0.0,
             delay_at: Millis(0),
             failure_share: 0.0,
@@ -234,11 +234,11 @@
         }
     }
 
-    /// Counts a request that is sent, with the prompt tokens that are to be read.
-    pub fn start(&mut self, key: TargetKey, unread_tokens: u64, parts: &[u64], now: Millis) {
+    /// Counts a request that is sent, with the time that its prompt will take.
+    pub fn start(&mut self, key: TargetKey, unread_ms: f64, parts: &[u64], now: Millis) {
         let Some(target) = self.get_mut(key) else { return };
         target.running += 1;
-        target.unread_tokens += unread_tokens;
+        target.unread_ms += unread_ms;
         for part in parts {
             match target.seen_parts.binary_search_by_key(part, |seen| seen.0) {
                 Ok(at) => target.seen_parts[at].1 = now,
@@ -252,9 +252,9 @@
     }
 
     /// Counts a prompt as read: its first event has come, or it has ended.
-    pub fn prompt_read(&mut self, key: TargetKey, unread_tokens: u64) {
+    pub fn prompt_read(&mut self, key: TargetKey, unread_ms: f64) {
         if let Some(target) = self.get_mut(key) {
-            target.unread_tokens = target.unread_tokens.saturating_sub(unread_tokens);
+            target.unread_ms = (target.unread_ms - unread_ms).max(0.0);
         }
     }
 
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -230,11 +230,11 @@
 fn a_target_reborn_under_its_id_starts_anew() {
     let mut table = table(1);
     let key = table.iter().next().unwrap().key;
-    table.start(key, 500, &[7], NOW);
+    table.start(key, 500.0, &[7], NOW);
     table.register(Registration { born: 2, ..registration("t0") });
     let reborn = table.iter().next().unwrap();
     assert_ne!(reborn.key, key);
-    assert_eq!((reborn.running, reborn.unread_tokens), (0, 0));
+    assert_eq!((reborn.running, reborn.unread_ms), (0, 0.0));
     assert!(!reborn.keeps_part(7, NOW));
 }
 
@@ -242,12 +242,12 @@
 fn work_is_counted_while_it_runs() {
     let mut table = table(1);
     let key = table.iter().next().unwrap().key;
-    table.start(key, 500, &[], NOW);
-    assert_eq!(table.get(key).unwrap().unread_tokens, 500);
-    table.prompt_read(key, 500);
+    table.start(key, 500.0, &[], NOW);
+    assert_eq!(table.get(key).unwrap().unread_ms, 500.0);
+    table.prompt_read(key, 500.0);
     table.end(key);
     let target = table.get(key).unwrap();
-    assert_eq!((target.running, target.unread_tokens), (0, 0));
+    assert_eq!((target.running, target.unread_ms), (0, 0.0));
 }
 
 fn wanted(prompt: Option<u64>, draw: u64) -> Wanted<'static> {
@@ -289,7 +289,7 @@
     let mut used = Vec::new();
     for _ in 0..30 {
         let key = choose(&table, Some(1), 0);
-        table.start(key, 17_000, &[1], NOW);
+        table.start(key, choice::reading_ms(17_000, 17_000), &[1], NOW);
         used.push(key);
     }
     used.sort_unstable();
@@ -302,7 +302,7 @@
     let mut table = table(4);
     for draw in 0..40 {
         let key = choose(&table, None, draw);
-        table.start(key, 0, &[], NOW);
+        table.start(key, 0.0, &[], NOW);
     }
     assert!(table.iter().all(|target| target.running == 10));
 }
@@ -362,3 +362,17 @@
     comeback.succeeded();
     assert!(comeback.failed(Millis(60_000), 0) <= 700, "a fresh outage starts short");
 }
+
+/// A quick question beside a very long prompt: it goes to the next place, for
+/// which three times the tokens of an ordinary prompt take five times as long.
+#[test]
+fn a_long_prompt_weighs_more_than_its_tokens() {
+    let (short, long) = (choice::reading_ms(17_000, 17_000), choice::reading_ms(51_000, 51_000));
+    assert!(long > short * 4.0, "{long} against {short}");
+    let cached = choice::reading_ms(3_700, 17_000);
+    assert!(cached < short / 2.0, "{cached} against {short}");
+    let mut table = table(4);
+    let first = choose(&table, Some(1), 0);
+    table.start(first, long, &[2], NOW);
+    assert_ne!(choose(&table, Some(1), 0), first);
+}
