--- a/daemon/src/direct/feed.rs
+++ b/daemon/src/direct/feed.rs
@@ -9,7 +9,7 @@
 
 /// Wait of one watch. A connection that has fallen silent is noticed after it,
 /// within the time that the platform's rules give a host to find its feet.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Wait of a watch whose news are in no hurry.
 const SLOW_WATCH_WAIT: Duration = Duration::from_millis(10_000);
