context, feed: news of the fleet's list gather; a restart writes nothing

Cause: at a start of 63 processes each entry's watch of the list returned for nearly each of them, and each process made three calls (4 a start). Change: a pause of 0.7 s after each answer of a slow watch; a process that finds its own entry leaves it until the first renewal.

--- a/daemon/src/direct/context.rs
+++ b/daemon/src/direct/context.rs
@@ -52,13 +52,12 @@
             internal: settings.internal,
         };
         let key = peer_key(role, &settings.name);
+        let mut renewal = false;
         tokio::spawn(async move {
             loop {
-                let pause = if list_once(kv.as_ref(), &key, &entry).await {
-                    PEER_RENEWAL
-                } else {
-                    PEER_RETRY
-                };
+                let is_listed = list_once(kv.as_ref(), &key, &entry, renewal).await;
+                renewal |= is_listed;
+                let pause = if is_listed { PEER_RENEWAL } else { PEER_RETRY };
                 tokio::time::sleep(pause).await;
             }
         });
@@ -110,11 +109,18 @@
     });
 }
 
-async fn list_once(kv: &dyn KvStore, key: &str, entry: &PeerEntry) -> bool {
-    let Outcome::Done(lease) = kv.open_lease(PEER_TTL, STORE_TIMEOUT).await else { return false };
+/// Writes the entry under a fresh lease; answers whether it is listed.
+///
+/// A process that starts again finds its entry there, whose lease lasts until the
+/// first renewal, and writes nothing: after a loss of power all start at one time.
+async fn list_once(kv: &dyn KvStore, key: &str, entry: &PeerEntry, renewal: bool) -> bool {
     let Outcome::Done(found) = kv.get(key, STORE_TIMEOUT).await else { return false };
-    let revision = found.map_or_else(Default::default, |found| found.revision);
     let value = serde_json::to_vec(entry).expect("an entry can be encoded");
+    if !renewal && found.as_ref().is_some_and(|found| found.value == value) {
+        return true;
+    }
+    let revision = found.map_or_else(Default::default, |found| found.revision);
+    let Outcome::Done(lease) = kv.open_lease(PEER_TTL, STORE_TIMEOUT).await else { return false };
     let written = kv.compare_and_swap(key, revision, value, Some(lease), STORE_TIMEOUT).await;
     matches!(written, Outcome::Done(_))
 }
--- a/daemon/src/direct/feed.rs
+++ b/daemon/src/direct/feed.rs
@@ -11,8 +11,10 @@
 /// within the time that the platform's rules give a host to find its feet.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Wait of a watch whose news are in no hurry.
+/// Wait of a watch whose news are in no hurry, and the pause after each of its
+/// answers, in which further news gather: many processes start at one time.
 const SLOW_WATCH_WAIT: Duration = Duration::from_millis(10_000);
+const SLOW_PAUSE: Duration = Duration::from_millis(700);
 
 /// Time in which a list has to be answered.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -59,6 +61,9 @@
         let mut follower = Follower { feed, prefix, wait, sink, seen: None, failures: 0 };
         loop {
             follower.step().await;
+            if urgency == Urgency::Slow {
+                tokio::time::sleep(SLOW_PAUSE).await;
+            }
         }
     });
 }
