store_path: budget servers are not asked while none reaches the store

Cause: in an outage of the whole store each failed call of an entry cost it up to four, over three budget servers. Change: after none of them reached it, entries ask only straight for 0.6 s.

--- a/daemon/src/direct/store_path.rs
+++ b/daemon/src/direct/store_path.rs
@@ -6,8 +6,8 @@
 //! way works again.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
@@ -36,6 +36,10 @@
 /// Budget servers that one call tries.
 const MAX_RELAYS: usize = 3;
 
+/// Time for which no budget server is asked after none of them reached the store:
+/// it is away for everybody then, and each try would cost it a call.
+const RELAYS_REST: Duration = Duration::from_millis(600);
+
 /// Largest answer of the store: a full page of items in text form.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -67,6 +71,8 @@
     peers: Arc<Peers>,
     direct_down: AtomicBool,
     next_relay: AtomicU64,
+    /// Until when no budget server is asked.
+    relays_rest: Mutex<Option<Instant>>,
 }
 
 impl RelayedPath {
@@ -78,6 +84,7 @@
             peers,
             direct_down: AtomicBool::new(false),
             next_relay: AtomicU64::new(0),
+            relays_rest: Mutex::new(None),
         });
         tokio::spawn(probe(Arc::downgrade(&path)));
         path
@@ -89,6 +96,30 @@
         }
     }
 
+    fn regain_direct(&self) {
+        if self.direct_down.swap(false, Ordering::Relaxed) {
+            log::warn!("event=dependency_regained dependency=store_direct");
+        }
+    }
+
+    fn relays_rest(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.relays_rest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn are_relays_resting(&self) -> bool {
+        self.relays_rest().is_some_and(|until| Instant::now() < until)
+    }
+
+    async fn call_direct(&self, call: &StoreCall) -> Result<StoreAnswer, CallFailure> {
+        let answer = self.direct.call(call.clone()).await;
+        match &answer {
+            Ok(answer) if is_served(answer.status) => self.regain_direct(),
+            Ok(answer) => self.lose_direct(&format!("status_{}", answer.status)),
+            Err(failure) => self.lose_direct(&format!("{failure:?}")),
+        }
+        answer
+    }
+
     async fn call_relays(&self, call: &StoreCall) -> Result<StoreAnswer, CallFailure> {
         let servers = self.peers.budget_servers();
         let first = self.next_relay.load(Ordering::Relaxed) as usize;
@@ -110,6 +141,7 @@
             }
             self.next_relay.fetch_add(1, Ordering::Relaxed);
         }
+        *self.relays_rest() = Some(Instant::now() + RELAYS_REST);
         refusal
     }
 }
@@ -117,16 +149,16 @@
 #[async_trait]
 impl StoreCaller for RelayedPath {
     async fn call(&self, call: StoreCall) -> Result<StoreAnswer, CallFailure> {
-        if !self.direct_down.load(Ordering::Relaxed) {
-            match self.direct.call(call.clone()).await {
-                Ok(answer) if is_served(answer.status) => return Ok(answer),
-                Ok(answer) => self.lose_direct(&format!("status_{}", answer.status)),
-                Err(failure) => {
-                    self.lose_direct(&format!("{failure:?}"));
-                    if failure == CallFailure::NoAnswer && call.method != Method::GET {
-                        return Err(failure);
-                    }
-                }
+        let are_relays_resting = self.are_relays_resting();
+        if are_relays_resting || !self.direct_down.load(Ordering::Relaxed) {
+            let answer = self.call_direct(&call).await;
+            let is_read = call.method == Method::GET;
+            let is_final = match &answer {
+                Ok(answer) => is_served(answer.status),
+                Err(failure) => *failure == CallFailure::NoAnswer && !is_read,
+            };
+            if is_final || are_relays_resting {
+                return answer;
             }
         }
         self.call_relays(&call).await
@@ -141,12 +173,8 @@
             continue;
         }
         let call = store::probe(PROBE_TIMEOUT);
-        let since = Instant::now();
-        if path.direct.call(call).await.is_ok_and(|answer| is_served(answer.status)) {
-            path.direct_down.store(false, Ordering::Relaxed);
-            let ms = since.elapsed().as_millis();
-            log::warn!("event=dependency_regained dependency=store_direct probe_ms={ms}");
-        }
+        // Whatever comes of it is noted by the call.
+        let _ = path.call_direct(&call).await;
     }
 }
 
