daemon: imports and comments that would stop a newcomer

Cause: full paths within expressions, a constant's comment that said the opposite of it. Change: names imported, comments mended; no decision changes.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -1,5 +1,6 @@
 //! One try of a request at one target.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,7 +12,9 @@
 use rosemarymoor_lib::dispatch::choice::reading_ms;
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 use rosemarymoor_platform::answer::{self, AnswerKind};
-use rosemarymoor_platform::request::{TargetHead, strip_connection_headers, target_headers};
+use rosemarymoor_platform::request::{
+    PromptPart, TargetHead, strip_connection_headers, target_headers,
+};
 
 use super::entry::Entry;
 use super::handler::Call;
@@ -148,20 +151,19 @@
     judge(call, exchange, run)
 }
 
-fn start(entry: &Arc<Entry>, call: &Call, key: TargetKey) -> Option<(Run, std::net::SocketAddr)> {
+fn start(entry: &Arc<Entry>, call: &Call, key: TargetKey) -> Option<(Run, SocketAddr)> {
     let now = entry.now();
     let mut table = entry.targets();
     let target = table.get(key)?;
     let address = target.registration.address;
     let target_id = target.registration.id.clone();
-    let is_unread =
-        |part: &&rosemarymoor_platform::request::PromptPart| !target.keeps_part(part.id, now);
     let prompt = &call.head.prompt;
+    let is_unread = |part: &&PromptPart| !target.keeps_part(part.id, now);
     let new = prompt.iter().filter(is_unread).map(|part| part.tokens).sum();
     let unread_ms = reading_ms(new, prompt.iter().map(|part| part.tokens).sum());
-    let parts: Vec<u64> = call.head.prompt.iter().map(|part| part.id).collect();
+    let parts: Vec<u64> = prompt.iter().map(|part| part.id).collect();
     table.start(key, unread_ms, &parts, now);
-    let is_prompt = !call.head.prompt.is_empty();
+    let is_prompt = !prompt.is_empty();
     let sent = Instant::now();
     let run = Run { entry: entry.clone(), target: key, target_id, unread_ms, sent, is_prompt };
     Some((run, address))
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -16,10 +16,10 @@
 use super::refusal::{self, AnswerBody, whole_body};
 use super::stream;
 
-/// Tries that certainly did not run, for each request.
+/// Tries of one request that certainly did not run, before it is refused.
 const MAX_TURNED_AWAY: u32 = 4;
 
-/// Part of the objective after which an idempotent call is tried elsewhere.
+/// Latency objectives that pass before an idempotent call is tried elsewhere.
 const SILENCE_GOALS: f64 = 2.0;
 
 /// Time below which no other target is tried.
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -12,6 +12,7 @@
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
 use rosemarymoor_lib::dispatch::targets::TargetTable;
 use rosemarymoor_lib::kv_feed::{Changes, KeyChange, KvFeed, Listing};
+use rosemarymoor_lib::kv_store::Versioned;
 use rosemarymoor_lib::time::{Millis, MonotonicClock};
 use rosemarymoor_platform::store::PlatformStore;
 use rosemarymoor_platform::{catalog, keys, registration};
@@ -240,7 +241,7 @@
 
 impl FeedSink for TargetSink {
     fn listed(&self, listing: Listing) {
-        let decode = |(key, found): &(String, rosemarymoor_lib::kv_store::Versioned)| {
+        let decode = |(key, found): &(String, Versioned)| {
             registration::decode(keys::registered_id(key)?, &found.value)
         };
         let registrations: Vec<_> = listing.items.iter().filter_map(decode).collect();
