daemon: what the read-through found written twice, done twice or dead

Cause: reading the whole change once more. The problem document of a refusal stood in entry/problem.rs and again in direct/refusal.rs; the check of unknown sections in settings.rs and again in direct/settings.rs; role names in two tables; a request for money sorted the budget servers by a look-up that locked and scanned the list at each comparison; the head of each answer was cloned; drop_expired of the pool was never called, so that places of addresses that are gone stayed; FeedSink was marked async without an async method; two tests began with the same seven lines.

Change: each stands once; servers are ranked under one lock; the head is read where it lies; the pool drops places of gone addresses when it opens a new one. The tests keep their assertions and hold the fleet until then. Seen by callers: the problem document's type is the product's URN instead of about:blank. No decision, bound or setting changes.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HeaderMap;
-use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 use rosemarymoor_lib::dispatch::choice::reading_ms;
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
@@ -61,7 +60,6 @@
 
 /// Answer whose head has arrived.
 pub struct Running {
-    pub head: Parts,
     pub exchange: Exchange,
     pub run: Run,
 }
@@ -170,10 +168,10 @@
 }
 
 fn judge(call: &Call, exchange: Exchange, run: Run) -> Result<(Running, AnswerKind), Failed> {
-    let head = exchange.head.clone();
+    let head = &exchange.head;
     let kind = answer::kind(head.status, &head.headers, &call.head.attempt_id);
     match kind {
-        AnswerKind::Success | AnswerKind::Failure => Ok((Running { head, exchange, run }, kind)),
+        AnswerKind::Success | AnswerKind::Failure => Ok((Running { exchange, run }, kind)),
         AnswerKind::NotRun => {
             run.observe(Observation::Full);
             tokio::spawn(drain(exchange));
@@ -200,8 +198,8 @@
 
 /// Reads an answer to its end.
 pub async fn read_whole(running: Running, until: Instant) -> Result<Whole, Failed> {
-    let Running { head, exchange, mut run } = running;
-    let body = Limited::new(exchange.body, MAX_ANSWER_BYTES).collect();
+    let Running { exchange: Exchange { head, body, lease }, mut run } = running;
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
     let body = match tokio::time::timeout_at(until.into(), body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => {
@@ -210,7 +208,7 @@
         }
         Err(_) => return Err(Failed::Silent),
     };
-    exchange.lease.finish();
+    lease.finish();
     if head.status.is_server_error() {
         run.observe(Observation::Failed);
     } else {
--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -102,7 +102,8 @@
     /// Reserves the worst case of a request.
     pub async fn reserve(&self, need: &Need) -> Result<Reserved, NoMoney> {
         let mut is_store_lost = false;
-        for server in self.servers_of(&need.budget) {
+        let key = rank::key_of(&need.budget.workspace);
+        for server in self.peers.ranked_budget_servers(key).into_iter().take(MAX_SERVERS) {
             match self.ask_server(&server, need).await {
                 Some((id, Reply::Granted)) => {
                     return Ok(self.reserved(Holder::Server(server), need, id));
@@ -135,15 +136,6 @@
         self.own.close().await;
     }
 
-    fn servers_of(&self, budget: &BudgetId) -> Vec<PeerEntry> {
-        let mut servers = self.peers.budget_servers();
-        rank::order(rank::key_of(&budget.workspace), &mut servers, |server| server.name.as_str());
-        let is_resting = |server: &PeerEntry| self.peers.is_resting(server.internal);
-        servers.sort_by_key(is_resting);
-        servers.truncate(MAX_SERVERS);
-        servers
-    }
-
     fn reserved(&self, holder: Holder, need: &Need, id: ReservationId) -> Reserved {
         let name = match &holder {
             Holder::Server(server) => server.name.as_str(),
--- a/daemon/src/direct/context.rs
+++ b/daemon/src/direct/context.rs
@@ -10,7 +10,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::feed::{self, FeedSink, Urgency};
-use super::peers::{PEER_PREFIX, PeerEntry, Peers, peer_key, role_name};
+use super::peers::{PEER_PREFIX, PeerEntry, Peers, peer_key};
 use super::settings::DirectSettings;
 use crate::http_pool::HttpPool;
 
@@ -43,7 +43,7 @@
 
     /// Starts to keep this process in the fleet's own list.
     pub fn enlist(&self, settings: &DirectSettings, kv: Arc<dyn KvStore>) {
-        let role = role_name(settings.role);
+        let role = settings.role.name();
         let entry = PeerEntry {
             name: settings.name.clone(),
             role: role.to_owned(),
--- a/daemon/src/direct/feed.rs
+++ b/daemon/src/direct/feed.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use rosemarymoor_lib::kv_feed::{Changes, KvFeed, Listing};
 use rosemarymoor_lib::kv_store::{Outcome, Revision};
 
@@ -31,7 +30,6 @@
 }
 
 /// Takes what a feed brings.
-#[async_trait]
 pub trait FeedSink: Send + Sync + 'static {
     /// The whole list under the prefix, as read at one time.
     fn listed(&self, listing: Listing);
--- a/daemon/src/direct/peers.rs
+++ b/daemon/src/direct/peers.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::kv_feed::{Changes, KeyChange, Listing};
 use rosemarymoor_lib::time::{Millis, MonotonicClock};
 use serde::{Deserialize, Serialize};
@@ -77,19 +78,23 @@
 
     /// Budget servers; those that did not answer lately come last.
     pub fn budget_servers(&self) -> Vec<PeerEntry> {
-        let now = self.clock.now();
-        let name = role_name(DirectRole::BudgetServer);
-        let peers = self.lock();
-        let of_role = || peers.iter().filter(|peer| peer.entry.role == name);
-        let rested = of_role().filter(|peer| now >= peer.rest_until);
-        let resting = of_role().filter(|peer| now < peer.rest_until);
-        rested.chain(resting).map(|peer| peer.entry.clone()).collect()
+        self.sorted_servers(|_| {})
+    }
+
+    /// Budget servers as all entries rank them for a key; those that did not answer
+    /// lately come last.
+    pub fn ranked_budget_servers(&self, key: u64) -> Vec<PeerEntry> {
+        self.sorted_servers(|servers| rank::order(key, servers, |peer| peer.entry.name.as_str()))
     }
 
-    /// Whether a process failed to answer lately.
-    pub fn is_resting(&self, address: SocketAddr) -> bool {
+    fn sorted_servers(&self, order: impl FnOnce(&mut [&Peer])) -> Vec<PeerEntry> {
         let now = self.clock.now();
-        self.lock().iter().any(|peer| peer.entry.internal == address && now < peer.rest_until)
+        let name = DirectRole::BudgetServer.name();
+        let peers = self.lock();
+        let mut servers: Vec<&Peer> = peers.iter().filter(|peer| peer.entry.role == name).collect();
+        order(&mut servers);
+        servers.sort_by_key(|peer| now < peer.rest_until);
+        servers.into_iter().map(|peer| peer.entry.clone()).collect()
     }
 
     /// Notes that a process did not answer.
@@ -102,7 +107,7 @@
 
     /// Number of entries, at least one.
     pub fn entries(&self) -> u64 {
-        let name = role_name(DirectRole::Entry);
+        let name = DirectRole::Entry.name();
         let entries = self.lock().iter().filter(|peer| peer.entry.role == name).count();
         entries.max(1) as u64
     }
@@ -112,14 +117,6 @@
     }
 }
 
-/// Name of a role in the settings and in the list.
-pub fn role_name(role: DirectRole) -> &'static str {
-    match role {
-        DirectRole::Entry => "direct-entry",
-        DirectRole::BudgetServer => "budget-server",
-    }
-}
-
 fn put(peers: &mut Vec<Peer>, key: &str, value: &[u8]) {
     let entry: PeerEntry = match serde_json::from_slice(value) {
         Ok(entry) => entry,
--- a/daemon/src/direct/refusal.rs
+++ b/daemon/src/direct/refusal.rs
@@ -8,7 +8,8 @@
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use rosemarymoor_lib::result_code::Refusal;
-use serde::Serialize;
+
+use crate::entry::problem;
 
 const REFUSAL_HEADER: HeaderName = HeaderName::from_static("rosemarymoor-refusal");
 const MS_PER_S: f64 = 1_000.0;
@@ -16,32 +17,10 @@
 /// Body of an answer to a caller; an error in it breaks the connection off.
 pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
 
-#[derive(Serialize)]
-struct Problem<'a> {
-    #[serde(rename = "type")]
-    kind_uri: &'static str,
-    status: u16,
-    code: u16,
-    kind: String,
-    title: &'static str,
-    detail: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    retry_after_ms: Option<u64>,
-}
-
 /// Problem document of a refusal.
 pub fn response(refusal: &Refusal) -> Response<AnswerBody> {
     let code = refusal.code;
-    let problem = Problem {
-        kind_uri: "about:blank",
-        status: code.status(),
-        code: code.number(),
-        kind: code.kind().to_string(),
-        title: code.title(),
-        detail: &refusal.detail,
-        retry_after_ms: refusal.retry_after_ms,
-    };
-    let body = serde_json::to_vec(&problem).expect("a problem document can be encoded");
+    let body = problem::document(refusal, None);
     let mut resp = Response::new(whole_body(body.into()));
     *resp.status_mut() = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = resp.headers_mut();
--- a/daemon/src/direct/settings.rs
+++ b/daemon/src/direct/settings.rs
@@ -10,7 +10,7 @@
     IniDocument, IniError, IniErrors, IniSection, Position, SectionReader,
 };
 
-use crate::settings::{LOG_LEVELS, SettingsError};
+use crate::settings::{LOG_LEVELS, SettingsError, refuse_unknown_sections};
 
 /// Role of a process for direct delivery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,9 +21,21 @@
     BudgetServer,
 }
 
+impl DirectRole {
+    /// Name in the settings and in the fleet's own list.
+    pub const fn name(self) -> &'static str {
+        match self {
+            DirectRole::Entry => "direct-entry",
+            DirectRole::BudgetServer => "budget-server",
+        }
+    }
+}
+
 /// Names of the roles in the settings.
-pub const DIRECT_ROLES: &[(&str, DirectRole)] =
-    &[("direct-entry", DirectRole::Entry), ("budget-server", DirectRole::BudgetServer)];
+pub const DIRECT_ROLES: &[(&str, DirectRole)] = &[
+    (DirectRole::Entry.name(), DirectRole::Entry),
+    (DirectRole::BudgetServer.name(), DirectRole::BudgetServer),
+];
 
 /// Settings of one process for direct delivery.
 #[derive(Clone, Debug)]
@@ -77,15 +89,7 @@
     /// Checks settings that are already parsed.
     pub fn from_document(document: &IniDocument) -> Result<DirectSettings, SettingsError> {
         let mut errors = Vec::new();
-        for section in &document.sections {
-            if !SECTIONS.contains(&section.name.as_str()) {
-                errors.push(IniError::UnknownSection {
-                    at: section.at.clone(),
-                    section: section.name.clone(),
-                    known: SECTIONS.iter().map(|name| (*name).to_owned()).collect(),
-                });
-            }
-        }
+        refuse_unknown_sections(document, SECTIONS, &mut errors);
         match read(document, &mut errors) {
             Some(settings) if errors.is_empty() => Ok(settings),
             _ => Err(SettingsError { errors: IniErrors(errors) }),
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -91,8 +91,8 @@
     begun: Begun,
 ) -> Response<AnswerBody> {
     let Begun { running, splitter, first } = begun;
-    let mut headers = running.head.headers.clone();
-    let status = running.head.status;
+    let mut headers = running.exchange.head.headers.clone();
+    let status = running.exchange.head.status;
     strip_connection_headers(&mut headers);
     let relay = Relay {
         entry: entry.clone(),
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -19,7 +19,7 @@
 mod key_index;
 mod metrics;
 mod peer;
-mod problem;
+pub(crate) mod problem;
 mod process;
 mod repeatable;
 mod sse;
--- a/daemon/src/http_pool.rs
+++ b/daemon/src/http_pool.rs
@@ -73,6 +73,20 @@
     idle: Vec<(SocketAddr, Vec<Idle>)>,
 }
 
+impl Peers {
+    /// Opens a place for an address, and drops those of addresses that are gone;
+    /// answers its index.
+    fn open(&mut self, address: SocketAddr) -> usize {
+        for (_, idle) in &mut self.idle {
+            idle.retain(Idle::is_usable);
+        }
+        self.idle.retain(|(_, idle)| !idle.is_empty());
+        let at = self.idle.partition_point(|peer| peer.0 < address);
+        self.idle.insert(at, (address, Vec::new()));
+        at
+    }
+}
+
 /// Pool of kept connections; clones share it.
 #[derive(Clone, Default)]
 pub struct HttpPool {
@@ -157,14 +171,6 @@
         Ok((exchange.head.status, exchange.head.headers, body))
     }
 
-    /// Drops connections that have been idle for too long.
-    pub fn drop_expired(&self) {
-        for (_, idle) in &mut self.lock().idle {
-            idle.retain(Idle::is_usable);
-        }
-        self.lock().idle.retain(|(_, idle)| !idle.is_empty());
-    }
-
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut peers = self.lock();
         let at = peers.idle.binary_search_by_key(&address, |peer| peer.0).ok()?;
@@ -179,10 +185,7 @@
         let mut peers = self.lock();
         let at = match peers.idle.binary_search_by_key(&address, |peer| peer.0) {
             Ok(at) => at,
-            Err(at) => {
-                peers.idle.insert(at, (address, Vec::new()));
-                at
-            }
+            Err(_) => peers.open(address),
         };
         let idle = &mut peers.idle[at].1;
         if idle.len() >= MAX_IDLE {
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -95,7 +95,7 @@
     /// Checks settings that are already parsed.
     pub fn from_document(document: &IniDocument) -> Result<Settings, SettingsError> {
         let mut errors = Vec::new();
-        refuse_unknown_sections(document, &mut errors);
+        refuse_unknown_sections(document, SECTIONS, &mut errors);
         let settings = read(document, &mut errors);
         match settings {
             Some(settings) if errors.is_empty() => Ok(settings),
@@ -104,15 +104,20 @@
     }
 }
 
-fn refuse_unknown_sections(document: &IniDocument, errors: &mut Vec<IniError>) {
+/// Notes each section that is not among the `known` ones.
+pub(crate) fn refuse_unknown_sections(
+    document: &IniDocument,
+    known: &[&str],
+    errors: &mut Vec<IniError>,
+) {
     for section in &document.sections {
-        if SECTIONS.contains(&section.name.as_str()) {
+        if known.contains(&section.name.as_str()) {
             continue;
         }
         errors.push(IniError::UnknownSection {
             at: section.at.clone(),
             section: section.name.clone(),
-            known: SECTIONS.iter().map(|name| (*name).to_owned()).collect(),
+            known: known.iter().map(|name| (*name).to_owned()).collect(),
         });
     }
 }
--- a/daemon/tests/test_direct_entry.rs
+++ b/daemon/tests/test_direct_entry.rs
@@ -256,8 +256,9 @@
     assert_eq!(target.abandoned(), ["r1"], "the target learns that nobody waits");
 }
 
-#[tokio::test]
-async fn a_caller_that_leaves_frees_its_target() {
+/// Target whose caller, `r1`, left while it waited for the answer, and the fleet,
+/// whose end would close the connection as well.
+async fn left_midway() -> (PlatformFleet, TargetStandIn) {
     let target = target(|_| vec![Step::AwaitClose(Duration::from_secs(10))]).await;
     let fleet = fleet(BINARY, &target).await;
     let mut caller = Caller::connect(fleet.callers).await.unwrap();
@@ -265,6 +266,12 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     drop(caller);
     tokio::time::sleep(Duration::from_millis(450)).await;
+    (fleet, target)
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_its_target() {
+    let (_fleet, target) = left_midway().await;
     assert_eq!(target.abandoned(), ["r1"]);
 }
 
@@ -273,12 +280,6 @@
 /// host woke, two seconds after its caller had left. A reset takes it back.
 #[tokio::test]
 async fn a_caller_that_leaves_takes_its_request_back() {
-    let target = target(|_| vec![Step::AwaitClose(Duration::from_secs(10))]).await;
-    let fleet = fleet(BINARY, &target).await;
-    let mut caller = Caller::connect(fleet.callers).await.unwrap();
-    caller.send(&CallerRequest::post("/unsafe/1", "r1").bytes()).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    drop(caller);
-    tokio::time::sleep(Duration::from_millis(450)).await;
+    let (_fleet, target) = left_midway().await;
     assert_eq!(target.reset(), ["r1"]);
 }
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -67,7 +67,7 @@
     rest_until: Millis,
     /// Prompt parts that this entry sent to it, with the time; sorted by part.
     seen_parts: Vec<(u64, Millis)>,
-    /// When its registration vanished while the store was in trouble.
+    /// Whether its registration vanished while the store was in trouble.
     vanished: bool,
 }
 
