daemon: one HTTP server for both interfaces, so that a slow first byte is cut

Cause: rocket 0.5 peeks at the first 14 bytes of every body (form method override) before any handler and without a timeout.

Change: the product's own interface and the checks of every role are served by the hyper server that the platform's callers already had.

test_http_server.rs is adapted to the new calls; its two cases check what they did and one path more, two cases are new (close beside a running answer, a head that never ends).

--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -19,14 +19,13 @@
 use rosemarymoor_lib::budget::ceiling::{Ask, Headroom, Settlement};
 use rosemarymoor_platform::store::{PlatformStore, StoreCall, StoreCaller};
 use serde::Deserialize;
-use tokio::net::TcpListener;
 
 use super::ceilings::Ceilings;
 use super::context::{Basics, reload_on_hangup};
 use super::metrics;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RELAY_PREFIX};
-use crate::small_server;
+use crate::http_server::{self, ConnectionLimits, HttpServer};
 
 /// Longest time that a passed-on call may take, a watch's wait included.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(12_000);
@@ -59,7 +58,7 @@
     let ceilings = Ceilings::spawn(kv.clone(), basics.clock, Headroom::ByRate);
     let epoch = ceilings.epoch();
     log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
-    let metrics = match metrics::open(settings.metrics).await {
+    let metrics = match metrics::open(settings.metrics) {
         Ok(metrics) => metrics,
         Err(err) => {
             log::error!("event=stop reason=no_metrics {err}");
@@ -68,7 +67,7 @@
     };
     metrics::observe_ceilings(&metrics.meter("budget-server"), &ceilings);
     let server = Arc::new(Server { ceilings: ceilings.clone(), store });
-    let listener = match TcpListener::bind(settings.internal).await {
+    let listener = match http_server::bind(settings.internal) {
         Ok(listener) => listener,
         Err(err) => {
             log::error!("event=stop reason=bind_failed address={} {err}", settings.internal);
@@ -76,10 +75,14 @@
         }
     };
     reload_on_hangup(path, |_| {});
-    tokio::spawn(small_server::serve(listener, IDLE_TIMEOUT, move |req| {
-        let server = server.clone();
-        async move { server.serve(req).await }
-    }));
+    HttpServer::spawn(
+        listener,
+        || ConnectionLimits::idle(IDLE_TIMEOUT),
+        move |req| {
+            let server = server.clone();
+            async move { server.serve(req).await }
+        },
+    );
     basics.enlist(&settings, kv);
     basics.stop_requested().await;
     log::warn!("event=stopping role=budget-server host={}", settings.name);
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -13,8 +13,9 @@
 use super::attempt::{self, Failed, Whole};
 use super::entry::Entry;
 use super::handler::Call;
-use super::refusal::{self, AnswerBody, whole_body};
+use super::refusal;
 use super::stream;
+use crate::http_server::{AnswerBody, whole_body};
 
 /// Tries of one request that certainly did not run, before it is refused.
 const MAX_TURNED_AWAY: u32 = 4;
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -21,12 +21,13 @@
 use super::ceilings::Ceilings;
 use super::context::{Basics, reload_on_hangup};
 use super::feed::{self, FeedSink, Urgency};
-use super::listener::{self, Listeners};
+use super::listener;
 use super::metrics::{self, DirectMetrics};
 use super::peers::Peers;
 use super::settings::DirectSettings;
 use super::store_path::RelayedPath;
 use crate::http_pool::HttpPool;
+use crate::http_server::HttpServer;
 
 /// Time after a request to stop in which new connections are still served: the
 /// balancer needs two failed readiness checks, one a second, to send no more.
@@ -99,7 +100,7 @@
     let store = Arc::new(PlatformStore::open(store_path));
     let own = Ceilings::spawn(store.clone(), basics.clock, Headroom::None);
     log::warn!("event=start role=direct-entry host={} epoch={}", settings.name, own.epoch());
-    let metrics = match metrics::open(settings.metrics).await {
+    let metrics = match metrics::open(settings.metrics) {
         Ok(metrics) => metrics,
         Err(err) => {
             log::error!("event=stop reason=no_metrics {err}");
@@ -125,8 +126,8 @@
         metrics: DirectMetrics::open(&meter),
     });
     metrics::observe_entry(&meter, &entry);
-    let listeners = match listener::spawn(&settings, entry.clone()).await {
-        Ok(listeners) => listeners,
+    let callers = match listener::spawn(&settings, entry.clone()) {
+        Ok(callers) => callers,
         Err(err) => {
             log::error!("event=stop reason=bind_failed {err}");
             return 1;
@@ -138,7 +139,7 @@
     basics.follow_peers(store.clone());
     basics.enlist(&settings, store);
     basics.stop_requested().await;
-    stop(&entry, listeners, settings.grace).await;
+    stop(&entry, callers, settings.grace).await;
     0
 }
 
@@ -149,13 +150,13 @@
     feed::spawn(store, keys::REGISTRATIONS, Urgency::Prompt, targets);
 }
 
-async fn stop(entry: &Entry, listeners: Listeners, grace: Duration) {
+async fn stop(entry: &Entry, callers: HttpServer, grace: Duration) {
     let begun = Instant::now();
     entry.is_stopping.store(true, Ordering::Relaxed);
     log::warn!("event=stopping role=direct-entry host={}", entry.name);
     tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2)).await;
     let limit = grace.saturating_sub(EXIT_RESERVE).saturating_sub(begun.elapsed());
-    let open = listeners.close(limit).await;
+    let open = callers.close(limit).await;
     entry.budgets.close().await;
     let ms = begun.elapsed().as_millis();
     log::warn!(
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -18,7 +18,8 @@
 use super::budget_client::{Need, NoMoney, Reserved};
 use super::deliver;
 use super::entry::Entry;
-use super::refusal::{self, AnswerBody};
+use super::refusal;
+use crate::http_server::AnswerBody;
 
 /// Name of the one budget that a workspace has on the platform.
 const BUDGET_NAME: &str = "prepaid";
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -7,17 +7,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::{Response, StatusCode};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use rosemarymoor_lib::dispatch::catalog::CallKind;
-use tokio::net::TcpListener;
 
 use super::ceilings::Ceilings;
 use super::entry::Entry;
-use super::refusal::{AnswerBody, whole_body};
-use crate::http_server::{HttpServerError, Metrics};
-use crate::small_server;
+use crate::health::{Metrics, MetricsError};
+use crate::http_server::{self, ConnectionLimits, HttpServer};
 
 /// Bounds of latency histograms, in milliseconds: around the objectives of calls
 /// (150), first events (500 to 1,000) and whole streams.
@@ -151,27 +148,19 @@
 /// Opens the metrics of a process and serves them, if it has an address for them.
 ///
 /// A scraper must not keep a process from serving: a failure is logged only.
-pub async fn open(address: Option<SocketAddr>) -> Result<Metrics, HttpServerError> {
+pub fn open(address: Option<SocketAddr>) -> Result<Metrics, MetricsError> {
     let metrics = Metrics::start()?;
     let Some(address) = address else { return Ok(metrics) };
-    match TcpListener::bind(address).await {
+    match http_server::bind(address) {
         Ok(listener) => {
-            let scraped_metrics = metrics.clone();
-            tokio::spawn(small_server::serve(listener, IDLE, move |_| {
-                std::future::ready(scraped(&scraped_metrics))
-            }));
+            let scraped = metrics.clone();
+            HttpServer::spawn(
+                listener,
+                || ConnectionLimits::idle(IDLE),
+                move |_| std::future::ready(scraped.scrape()),
+            );
         }
         Err(err) => log::error!("event=metrics_unavailable address={address} reason={err}"),
     }
     Ok(metrics)
 }
-
-fn scraped(metrics: &Metrics) -> Response<AnswerBody> {
-    let text = metrics.render();
-    let is_rendered = text.is_some();
-    let mut resp = Response::new(whole_body(text.unwrap_or_default().into()));
-    if !is_rendered {
-        *resp.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-    }
-    resp
-}
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -22,7 +22,7 @@
 use super::deliver::{Tries, next_target};
 use super::entry::Entry;
 use super::handler::Call;
-use super::refusal::AnswerBody;
+use crate::http_server::AnswerBody;
 
 /// Silence within a resumable stream after which it is resumed elsewhere.
 const SILENCE: Duration = Duration::from_millis(1_000);
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -24,6 +24,8 @@
 mod repeatable;
 mod sse;
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,7 +40,8 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use crate::http_server::{self, HttpServer, HttpServerError, Metrics, Probe};
+use crate::health::{Health, Metrics, MetricsError, Probe};
+use crate::http_server::{self, ConnectionLimits, HttpServer};
 use crate::settings::Settings;
 
 use drain::Drain;
@@ -49,6 +52,9 @@
 use process::EntryProcess;
 
 const METER: &str = "entry";
+/// Time that a caller's connection may stay idle.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
 const EXIT_START_FAILED: i32 = 1;
 
 /// Why an entry does not start.
@@ -58,8 +64,10 @@
     Key { source: FleetKeyError },
     #[snafu(display("no QUIC endpoint"))]
     Transport { source: TransportError },
-    #[snafu(display("no HTTP server"))]
-    Http { source: HttpServerError },
+    #[snafu(display("no metrics"))]
+    Metrics { source: MetricsError },
+    #[snafu(display("no HTTP server at {address}"))]
+    Http { address: SocketAddr, source: io::Error },
     #[snafu(display("no key-value service"))]
     Store { source: KvHttpError },
     #[snafu(display("`{policy}` is no grant policy"))]
@@ -155,12 +163,23 @@
 impl RunningEntry {
     /// Serves callers and peers.
     pub async fn spawn(settings: Settings, parts: Parts) -> Result<RunningEntry, EntryError> {
-        let metrics = Metrics::start().context(HttpSnafu)?;
+        let metrics = Metrics::start().context(MetricsSnafu)?;
         let address = settings.http;
         let config = parts.config.clone();
         let entry = Arc::new(Entry::new(settings, parts, &metrics));
-        let rocket = http_server::build(address, entry.clone(), metrics);
-        let http = HttpServer::spawn(http::mount(rocket, &entry)).await.context(HttpSnafu)?;
+        let listener = http_server::bind(address).context(HttpSnafu { address })?;
+        let health = Health::new(entry.clone(), metrics);
+        let callers = entry.clone();
+        let idle = || ConnectionLimits::idle(KEEP_ALIVE);
+        let http = HttpServer::spawn(listener, idle, move |req| {
+            let (entry, health) = (callers.clone(), health.clone());
+            async move {
+                match health.answer(&req) {
+                    Some(resp) => resp,
+                    None => http::serve(entry, req).await,
+                }
+            }
+        });
         let peer: Arc<dyn PeerHandler> = Arc::new(EntryPeer::new(entry.clone()));
         let handler = match config {
             Some(node) => Arc::new(ConfigPeerHandler::new(node, peer)),
@@ -184,7 +203,7 @@
         let limit = Duration::from_millis(self.entry.settings.drain_ms);
         let idle = self.entry.drain.wait_idle(limit).await;
         self.entry.gate.close().await;
-        self.http.stop().await;
+        self.http.close(http_server::LAST_BYTES).await;
         self.entry.transport.close().await;
         self.peers.abort();
         log::info!("decision=stop cut_off={}", self.entry.drain.running());
--- a/daemon/src/entry/problem.rs
+++ b/daemon/src/entry/problem.rs
@@ -1,18 +1,20 @@
 //! Refusals as RFC 9457 problem documents.
 
-use std::io::Cursor;
-
-use rocket::http::{ContentType, Header, Status};
-use rocket::response::Response;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, Response, StatusCode};
 use rosemarymoor_lib::id::RequestId;
 use rosemarymoor_lib::result_code::{Refusal, ResultCode};
 use serde::Serialize;
 
+use crate::http_server::{AnswerBody, whole_body};
+
 /// Header that names a refusal's kind.
-pub const REFUSAL_HEADER: &str = "Rosemarymoor-Refusal";
+const REFUSAL_HEADER: HeaderName = HeaderName::from_static("rosemarymoor-refusal");
 
 /// Header that carries the request's identity.
-pub const REQUEST_HEADER: &str = "Rosemarymoor-Request";
+pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("rosemarymoor-request");
+
+const PROBLEM_JSON: HeaderValue = HeaderValue::from_static("application/problem+json");
 
 const TYPE_BASE: &str = "urn:rosemarymoor:result-code:";
 
@@ -45,21 +47,33 @@
     serde_json::to_string(&problem).expect("a problem document always serialises")
 }
 
-/// HTTP response of a refusal.
-pub fn response(refusal: &Refusal, request: Option<RequestId>) -> Response<'static> {
+/// HTTP answer of a refusal; its `Retry-After` is in whole seconds.
+pub fn response(refusal: &Refusal, request: Option<RequestId>) -> Response<AnswerBody> {
     let body = document(refusal, request);
-    let mut response = Response::new();
-    response.set_status(Status::new(refusal.code.status()));
-    response.set_header(ContentType::new("application", "problem+json"));
-    response.set_header(Header::new(REFUSAL_HEADER, refusal.code.kind().to_string()));
+    let mut resp = Response::new(whole_body(body.into()));
+    let status = StatusCode::from_u16(refusal.code.status());
+    *resp.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = resp.headers_mut();
+    headers.insert(CONTENT_TYPE, PROBLEM_JSON);
+    set(headers, REFUSAL_HEADER, &refusal.code.kind().to_string());
     if let Some(request) = request {
-        response.set_header(Header::new(REQUEST_HEADER, request.to_string()));
+        set(headers, REQUEST_HEADER, &request.to_string());
     }
     if let Some(ms) = refusal.retry_after_ms {
-        response.set_header(Header::new("Retry-After", ms.div_ceil(1_000).max(1).to_string()));
+        let seconds = ms.div_ceil(1_000).max(1);
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    resp
+}
+
+/// Sets a header whose text the process wrote itself.
+pub fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    match HeaderValue::from_str(text) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(err) => log::error!("event=header_left_out name={name} reason={err}"),
     }
-    response.set_sized_body(body.len(), Cursor::new(body));
-    response
 }
 
 /// Refusal for a request that ended without a reply, which only a fault causes.
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -1,170 +1,166 @@
-//! HTTP server of a process: health, readiness, metrics and further routes.
-//!
-//! Rocket is configured here alone: it reads no file and no environment, and
-//! leaves signals to the process, which drains before it stops the server.
+//! HTTP servers of a process: connections, limits and their orderly end.
 
+use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-
-use opentelemetry::metrics::{Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
-use rocket::config::{LogLevel, Shutdown as ShutdownConfig};
-use rocket::fairing::AdHoc;
-use rocket::http::{ContentType, Status};
-use rocket::{Build, Config, Rocket, Shutdown, State, get, routes};
-use snafu::{ResultExt, Snafu};
-use tokio::sync::oneshot;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-/// Time in which the last bytes of finished responses reach their callers.
-///
-/// Rocket waits it out whenever an idle connection is open, so that it must not
-/// be the drain's limit; the drain comes before it.
-const GRACE_SECONDS: u32 = 3;
-const MERCY_SECONDS: u32 = 2;
-const KEEP_ALIVE_SECONDS: u32 = 30;
-
-/// Why the HTTP server does not run.
-#[derive(Debug, Snafu)]
-pub enum HttpServerError {
-    #[snafu(display("the metrics exporter cannot start"))]
-    Metrics { source: opentelemetry_sdk::error::OTelSdkError },
-    #[snafu(display("the HTTP server cannot start: {detail}"))]
-    Launch { detail: String },
-}
-
-/// Health of the process, for the balancer and for operators.
-pub trait Probe: Send + Sync + 'static {
-    /// Whether the process takes new work.
-    fn is_ready(&self) -> bool;
-}
+use crate::http_pool::guard_stream;
 
-/// Metrics of the process and their scrape registry.
-#[derive(Clone)]
-pub struct Metrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
-}
-
-impl Metrics {
-    /// Starts collecting.
-    pub fn start() -> Result<Metrics, HttpServerError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .context(MetricsSnafu)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        Ok(Metrics { registry, provider })
-    }
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
-    /// Meter for instruments of one part of the process.
-    pub fn meter(&self, part: &'static str) -> Meter {
-        self.provider.meter(part)
-    }
+/// Pause after a failed accept, as when descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-    /// Text for the scraper; `None` if it cannot be encoded.
-    pub fn render(&self) -> Option<String> {
-        TextEncoder::new().encode_to_string(&self.registry.gather()).ok()
-    }
-}
+/// Time in which the last bytes of finished answers reach their callers.
+///
+/// Drains come before it and have limits of their own.
+pub const LAST_BYTES: Duration = Duration::from_secs(5);
 
-/// Rocket with the common routes, to which a role mounts its own.
-pub fn build(address: SocketAddr, probe: Arc<dyn Probe>, metrics: Metrics) -> Rocket<Build> {
-    rocket::custom(config(address))
-        .manage(probe)
-        .manage(metrics)
-        .mount("/", routes![health, ready, scrape])
-}
+/// Body of an answer; an error in it breaks the connection off.
+pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
 
-fn config(address: SocketAddr) -> Config {
-    let mut cfg = Config {
-        address: address.ip(),
-        port: address.port(),
-        ip_header: None,
-        keep_alive: KEEP_ALIVE_SECONDS,
-        log_level: LogLevel::Off,
-        cli_colors: false,
-        ..Config::release_default()
-    };
-    cfg.shutdown = ShutdownConfig {
-        ctrlc: false,
-        signals: Default::default(),
-        grace: GRACE_SECONDS,
-        mercy: MERCY_SECONDS,
-        force: false,
-        ..ShutdownConfig::default()
-    };
-    cfg
+/// Body that is there as a whole.
+pub fn whole_body(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
-#[get("/health")]
-fn health() -> &'static str {
-    "ok\n"
+/// Limits of one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Time in which the next request's head must arrive.
+    pub idle: Duration,
+    /// Size of the buffer, which bounds a request's head; hyper's own if `None`.
+    pub buffer_bytes: Option<usize>,
 }
 
-#[get("/ready")]
-fn ready(probe: &State<Arc<dyn Probe>>) -> (Status, &'static str) {
-    if probe.is_ready() {
-        (Status::Ok, "ready\n")
-    } else {
-        (Status::ServiceUnavailable, "not ready\n")
+impl ConnectionLimits {
+    /// Limits that only close idle connections.
+    pub fn idle(idle: Duration) -> ConnectionLimits {
+        ConnectionLimits { idle, buffer_bytes: None }
     }
 }
 
-#[get("/metrics")]
-fn scrape(metrics: &State<Metrics>) -> (Status, (ContentType, String)) {
-    match metrics.render() {
-        Some(text) => (Status::Ok, (ContentType::Plain, text)),
-        None => (Status::InternalServerError, (ContentType::Plain, String::new())),
-    }
+/// Binds an address that may still have connections of an earlier process.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
-/// Running HTTP server.
+/// Running HTTP server; dropping it leaves it running.
 pub struct HttpServer {
-    shutdown: Shutdown,
-    task: JoinHandle<()>,
+    accepting: JoinHandle<()>,
+    closing: watch::Sender<bool>,
 }
 
 impl HttpServer {
-    /// Starts the server and answers once its address is bound.
-    pub async fn spawn(rocket: Rocket<Build>) -> Result<HttpServer, HttpServerError> {
-        let (bound_tx, bound_rx) = oneshot::channel();
-        let rocket = rocket
-            .attach(signal_liftoff(bound_tx))
-            .ignite()
-            .await
-            .map_err(|err| HttpServerError::Launch { detail: err.to_string() })?;
-        let shutdown = rocket.shutdown();
-        let (failed_tx, failed_rx) = oneshot::channel();
-        let task = tokio::spawn(async move {
-            if let Err(err) = rocket.launch().await {
-                let _ = failed_tx.send(err.to_string());
+    /// Serves connections; `limits` is asked for each new one.
+    pub fn spawn<L, H, F, B>(listener: TcpListener, limits: L, handle: H) -> HttpServer
+    where
+        L: Fn() -> ConnectionLimits + Send + 'static,
+        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body + Send + 'static,
+        B::Data: Send,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let (closing, closed) = watch::channel(false);
+        let handle = Arc::new(handle);
+        let accepting = tokio::spawn(async move {
+            loop {
+                let stream = accept(&listener).await;
+                let serving = serve(stream, limits(), handle.clone(), closed.clone());
+                tokio::spawn(serving);
             }
         });
-        tokio::select! {
-            Ok(()) = bound_rx => Ok(HttpServer { shutdown, task }),
-            Ok(detail) = failed_rx => LaunchSnafu { detail }.fail(),
-            else => LaunchSnafu { detail: "the server stopped" }.fail(),
-        }
+        HttpServer { accepting, closing }
     }
 
-    /// Takes no new connection and waits until open responses have ended.
-    pub async fn stop(self) {
-        self.shutdown.notify();
-        let _ = self.task.await;
+    /// Takes no new connection and waits until the open ones have ended.
+    ///
+    /// Answers the number of connections that were open at the limit.
+    pub async fn close(self, limit: Duration) -> usize {
+        self.accepting.abort();
+        self.closing.send_replace(true);
+        let _ = tokio::time::timeout(limit, self.closing.closed()).await;
+        // One receiver belongs to the accepting task until it is dropped.
+        self.closing.receiver_count()
     }
 }
 
-fn signal_liftoff(tx: oneshot::Sender<()>) -> AdHoc {
-    let tx = Mutex::new(Some(tx));
-    AdHoc::on_liftoff("bound", move |_| {
-        let tx = tx.lock().ok().and_then(|mut tx| tx.take());
-        Box::pin(async move {
-            if let Some(tx) = tx {
-                let _ = tx.send(());
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                guard_stream(&stream);
+                return stream;
             }
-        })
-    })
+            Err(err) => {
+                log::warn!("event=accept_failed reason={err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve<H, F, B>(
+    stream: TcpStream,
+    limits: ConnectionLimits,
+    handle: Arc<H>,
+    mut closed: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let service = service_fn(move |req| {
+        let answer = handle(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut http = http1::Builder::new();
+    // hyper counts an idle connection as one whose next head is awaited.
+    http.timer(TokioTimer::new()).header_read_timeout(limits.idle);
+    if let Some(bytes) = limits.buffer_bytes {
+        http.max_buf_size(bytes);
+    }
+    let connection = http.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = told_to_close(&mut closed) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(err) = ended {
+        log::debug!("event=connection_served_ended reason={err}");
+    }
+}
+
+async fn told_to_close(closed: &mut watch::Receiver<bool>) {
+    // An error says that the server was dropped and runs on.
+    if closed.wait_for(|closed| *closed).await.is_err() {
+        std::future::pending().await
+    }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod direct;
 pub mod entry;
+pub mod health;
 pub mod http_pool;
 pub mod http_server;
 pub mod line_log;
@@ -9,4 +10,3 @@
 pub mod memory;
 pub mod settings;
 pub mod sidecar;
-pub mod small_server;
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -14,8 +14,12 @@
 mod stream;
 mod watch;
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use hyper::{Response, StatusCode};
 use rosemarymoor_lib::config::{ConfigHandle, ConfigPeerHandler, ConfigSpread, SpreadParams};
 use rosemarymoor_lib::fleet_key::{FleetKey, FleetKeyError};
 use rosemarymoor_lib::kv_http::{KvHttp, KvHttpError};
@@ -24,13 +28,17 @@
 use rosemarymoor_lib::transport::{Transport, TransportError};
 use snafu::{OptionExt, ResultExt, Snafu};
 
-use crate::http_server::{self, HttpServer, HttpServerError, Metrics};
+use crate::health::{Health, Metrics, MetricsError, text_answer};
+use crate::http_server::{self, AnswerBody, ConnectionLimits, HttpServer};
 use crate::settings::{Settings, TargetSettings};
 
 use context::{Parts, Sidecar};
 use peer::SidecarPeer;
 use poison_spread::PoisonSpread;
 
+/// Time that a scraper's connection may stay idle.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
 /// Why a sidecar does not start.
 #[derive(Debug, Snafu)]
 enum SidecarError {
@@ -42,8 +50,10 @@
     Transport { source: TransportError },
     #[snafu(display("the key-value service cannot be used"))]
     Store { source: KvHttpError },
-    #[snafu(display("the HTTP server cannot start"))]
-    Http { source: HttpServerError },
+    #[snafu(display("metrics cannot be collected"))]
+    Metrics { source: MetricsError },
+    #[snafu(display("the HTTP server cannot start at {address}"))]
+    Http { address: SocketAddr, source: io::Error },
     #[snafu(display("signals cannot be received"))]
     Signals { source: std::io::Error },
 }
@@ -74,13 +84,12 @@
         transport: transport.clone(),
         handle: cfg.clone(),
     });
-    let metrics = Metrics::start().context(HttpSnafu)?;
+    let metrics = Metrics::start().context(MetricsSnafu)?;
     let parts = Parts { target: Arc::new(HttpTarget::open(&target.url)), cfg, kv, spread };
     let cx = Sidecar::open(settings.clone(), target, parts, &metrics);
     watch::learn(&cx).await;
     let watchers = watch::spawn(cx.clone(), config.node());
-    let rocket = http_server::build(settings.http, cx.clone(), metrics);
-    let http = HttpServer::spawn(rocket).await.context(HttpSnafu)?;
+    let http = serve_health(settings.http, Health::new(cx.clone(), metrics))?;
     let signals = shutdown::spawn_signals(cx.clone()).context(SignalsSnafu)?;
     let peer = Arc::new(SidecarPeer::new(cx.clone()));
     let handler = Arc::new(ConfigPeerHandler::new(config.node(), peer));
@@ -91,8 +100,21 @@
     cx.spread.flush().await;
     drop(watchers);
     transport.close().await;
-    http.stop().await;
+    http.close(http_server::LAST_BYTES).await;
     serving.abort();
     log::info!("event=stop role=sidecar name={}", settings.name);
     Ok(())
 }
+
+fn serve_health(address: SocketAddr, health: Health) -> Result<HttpServer, SidecarError> {
+    let listener = http_server::bind(address).context(HttpSnafu { address })?;
+    let idle = || ConnectionLimits::idle(KEEP_ALIVE);
+    Ok(HttpServer::spawn(listener, idle, move |req| {
+        let answer = health.answer(&req);
+        std::future::ready(answer.unwrap_or_else(not_found))
+    }))
+}
+
+fn not_found() -> Response<AnswerBody> {
+    text_answer(StatusCode::NOT_FOUND, "nothing is served at this path\n".to_owned())
+}
--- a/daemon/src/sidecar/context.rs
+++ b/daemon/src/sidecar/context.rs
@@ -21,7 +21,7 @@
 use super::gate::GateHandle;
 use super::orders::Orders;
 use super::poison_spread::PoisonSpread;
-use crate::http_server::{Metrics, Probe};
+use crate::health::{Metrics, Probe};
 use crate::settings::{Settings, TargetSettings};
 
 /// Counters of a sidecar.
--- a/daemon/tests/test_http_server.rs
+++ b/daemon/tests/test_http_server.rs
@@ -3,9 +3,20 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
-use rosemarymoor_daemon::http_server::{self, HttpServer, Metrics, Probe};
+use hyper::StatusCode;
+use rosemarymoor_daemon::health::{Health, Metrics, Probe, text_answer};
+use rosemarymoor_daemon::http_server::{self, ConnectionLimits, HttpServer};
 use rosemarymoor_lib::http_client::{self, ConnectionReuse};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Time that a slow answer takes, and the idle time of an impatient server.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 
 struct Switch(AtomicBool);
 
@@ -19,6 +30,17 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+fn spawn(address: SocketAddr, health: Health) -> std::io::Result<HttpServer> {
+    let listener = http_server::bind(address)?;
+    let idle = || ConnectionLimits::idle(IDLE);
+    Ok(HttpServer::spawn(listener, idle, move |req| {
+        let answer = health.answer(&req);
+        std::future::ready(
+            answer.unwrap_or_else(|| text_answer(StatusCode::NOT_FOUND, String::new())),
+        )
+    }))
+}
+
 async fn get(address: SocketAddr, path: &str) -> (u16, String) {
     let client = http_client::open(ConnectionReuse::Never);
     let response = client.get(format!("http://{address}{path}")).send().await.unwrap();
@@ -31,8 +53,7 @@
     let probe = Arc::new(Switch(AtomicBool::new(true)));
     let metrics = Metrics::start().unwrap();
     metrics.meter("test").u64_counter("decisions").build().add(3, &[]);
-    let rocket = http_server::build(address, probe.clone(), metrics);
-    let server = HttpServer::spawn(rocket).await.unwrap();
+    let server = spawn(address, Health::new(probe.clone(), metrics)).unwrap();
     assert_eq!(get(address, "/health").await, (200, "ok\n".to_owned()));
     assert_eq!(get(address, "/ready").await.0, 200);
     probe.0.store(false, Ordering::Relaxed);
@@ -40,7 +61,8 @@
     let (status, text) = get(address, "/metrics").await;
     assert_eq!(status, 200);
     assert!(text.contains("decisions_total"), "{text}");
-    server.stop().await;
+    assert_eq!(get(address, "/other").await.0, 404);
+    assert_eq!(server.close(http_server::LAST_BYTES).await, 0);
     let client = http_client::open(ConnectionReuse::Never);
     assert!(client.get(format!("http://{address}/health")).send().await.is_err());
 }
@@ -50,6 +72,45 @@
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = taken.local_addr().unwrap();
     let probe = Arc::new(Switch(AtomicBool::new(true)));
-    let rocket = http_server::build(address, probe, Metrics::start().unwrap());
-    assert!(HttpServer::spawn(rocket).await.is_err());
+    assert!(spawn(address, Health::new(probe, Metrics::start().unwrap())).is_err());
+}
+
+#[tokio::test]
+async fn an_answer_that_is_under_way_outlives_the_close_and_an_idle_connection_does_not() {
+    let address = free_address();
+    let listener = http_server::bind(address).unwrap();
+    let begun = Arc::new(Notify::new());
+    let told = begun.clone();
+    let idle = || ConnectionLimits::idle(IDLE);
+    let server = HttpServer::spawn(listener, idle, move |_| {
+        let told = told.clone();
+        async move {
+            told.notify_one();
+            tokio::time::sleep(ANSWER_TIME).await;
+            text_answer(StatusCode::OK, "late\n".to_owned())
+        }
+    });
+    let mut silent = TcpStream::connect(address).await.unwrap();
+    let asked = tokio::spawn(async move { get(address, "/slow").await });
+    begun.notified().await;
+    assert_eq!(server.close(http_server::LAST_BYTES).await, 0);
+    assert_eq!(asked.await.unwrap(), (200, "late\n".to_owned()));
+    let mut rest = Vec::new();
+    silent.read_to_end(&mut rest).await.unwrap();
+    assert!(rest.is_empty(), "{rest:?}");
+}
+
+#[tokio::test]
+async fn a_connection_that_sends_no_head_is_closed_after_its_idle_time() {
+    let address = free_address();
+    let listener = http_server::bind(address).unwrap();
+    let idle = || ConnectionLimits::idle(ANSWER_TIME);
+    HttpServer::spawn(listener, idle, |_| {
+        std::future::ready(text_answer(StatusCode::OK, String::new()))
+    });
+    let mut silent = TcpStream::connect(address).await.unwrap();
+    silent.write_all(b"GET / HTTP/1.1\r\nHost: half").await.unwrap();
+    let mut rest = Vec::new();
+    let closed = tokio::time::timeout(IDLE, silent.read_to_end(&mut rest)).await;
+    assert!(closed.is_ok(), "the connection stays open");
 }
