daemon: metrics by route and of store calls; refusals are left out of the log last

Lines had two budgets only, by level, and refusals are INFO lines, so that a flood of admissions crowded them out; lines left out also used up the budget of the more urgent ones.

Change: three budgets of a second (500 ordinary, 700 with lines of target `failure`, 800 with warnings), and a line left out counts against none. requests_total gains `route` (100 names, then `other`); store_calls_total and store_call_ms by operation; tokens_in_doubt from reservations that expired.

--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -13,6 +13,7 @@
 use rosemarymoor_lib::budget::ceiling::{Ask, Reply, ReservationId, Settlement};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::id::BudgetId;
+use rosemarymoor_lib::result_code::FAILURE_LOG;
 use serde::Serialize;
 
 use super::budget_server::{RESERVE_PATH, SETTLE_PATH};
@@ -168,6 +169,7 @@
             }
             Err(failure) => {
                 log::info!(
+                    target: FAILURE_LOG,
                     "event=budget_server_failed request={} reservation={id:032x} server={} budget={} reason={failure:?}",
                     need.request,
                     server.name,
@@ -230,6 +232,7 @@
 
 fn log_refused_ask(need: &Need, id: ReservationId, holder: &str, answer: Reply) {
     log::info!(
+        target: FAILURE_LOG,
         "event=money_denied request={} reservation={id:032x} budget={} holder={holder} answer={answer:?} tokens={} prepaid_version={}",
         need.request,
         need.budget,
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -22,7 +22,7 @@
 
 use super::ceilings::Ceilings;
 use super::context::{Basics, reload_on_hangup};
-use super::metrics;
+use super::metrics::{self, StoreMetrics};
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RELAY_PREFIX};
 use crate::http_server::{self, ConnectionLimits, HttpServer};
@@ -53,11 +53,6 @@
 /// Runs a budget server until it is told to stop; answers the exit code.
 pub async fn run(settings: DirectSettings, path: PathBuf) -> i32 {
     let basics = Basics::open();
-    let store = DirectPath::open(basics.pool.clone(), settings.store);
-    let kv = Arc::new(PlatformStore::open(Arc::new(store.clone())));
-    let ceilings = Ceilings::spawn(kv.clone(), basics.clock, Headroom::ByRate);
-    let epoch = ceilings.epoch();
-    log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
     let metrics = match metrics::open(settings.metrics) {
         Ok(metrics) => metrics,
         Err(err) => {
@@ -65,7 +60,13 @@
             return 1;
         }
     };
-    metrics::observe_ceilings(&metrics.meter("budget-server"), &ceilings);
+    let meter = metrics.meter("budget-server");
+    let store = DirectPath::open(basics.pool.clone(), settings.store, StoreMetrics::open(&meter));
+    let kv = Arc::new(PlatformStore::open(Arc::new(store.clone())));
+    let ceilings = Ceilings::spawn(kv.clone(), basics.clock, Headroom::ByRate);
+    let epoch = ceilings.epoch();
+    log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
+    metrics::observe_ceilings(&meter, &ceilings);
     let server = Arc::new(Server { ceilings: ceilings.clone(), store });
     let listener = match http_server::bind(settings.internal) {
         Ok(listener) => listener,
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -7,7 +7,7 @@
 use rosemarymoor_lib::dispatch::choice::{self, Wanted};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::targets::TargetKey;
-use rosemarymoor_lib::result_code::{Refusal, ResultCode};
+use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
 use rosemarymoor_platform::answer::AnswerKind;
 
 use super::attempt::{self, Failed, Whole};
@@ -178,6 +178,7 @@
     tries.failed(failed);
     let target = entry.targets().get(target).map(|target| target.registration.id.clone());
     log::info!(
+        target: FAILURE_LOG,
         "event=try_failed request={} target={} outcome={} tries={} left_ms={}",
         call.head.attempt_id,
         target.as_deref().unwrap_or("gone"),
@@ -207,6 +208,7 @@
     let refused = refusal_for(call, tries);
     entry.metrics.refused(refused.code.number());
     log::info!(
+        target: FAILURE_LOG,
         "event=refused request={} route={} code={} tries={} after_ms={} last={:?}",
         call.head.attempt_id,
         call.route.name,
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -22,10 +22,10 @@
 use super::context::{Basics, reload_on_hangup};
 use super::feed::{self, FeedSink, Urgency};
 use super::listener;
-use super::metrics::{self, DirectMetrics};
+use super::metrics::{self, DirectMetrics, StoreMetrics};
 use super::peers::Peers;
 use super::settings::DirectSettings;
-use super::store_path::RelayedPath;
+use super::store_path::{DirectPath, RelayedPath};
 use crate::http_pool::HttpPool;
 use crate::http_server::HttpServer;
 
@@ -96,10 +96,6 @@
 /// Runs an entry until it is told to stop; answers the exit code.
 pub async fn run(settings: DirectSettings, path: PathBuf) -> i32 {
     let basics = Basics::open();
-    let store_path = RelayedPath::spawn(basics.pool.clone(), settings.store, basics.peers.clone());
-    let store = Arc::new(PlatformStore::open(store_path));
-    let own = Ceilings::spawn(store.clone(), basics.clock, Headroom::None);
-    log::warn!("event=start role=direct-entry host={} epoch={}", settings.name, own.epoch());
     let metrics = match metrics::open(settings.metrics) {
         Ok(metrics) => metrics,
         Err(err) => {
@@ -108,6 +104,10 @@
         }
     };
     let meter = metrics.meter("direct-entry");
+    let direct = DirectPath::open(basics.pool.clone(), settings.store, StoreMetrics::open(&meter));
+    let store = Arc::new(PlatformStore::open(RelayedPath::spawn(direct, basics.peers.clone())));
+    let own = Ceilings::spawn(store.clone(), basics.clock, Headroom::None);
+    log::warn!("event=start role=direct-entry host={} epoch={}", settings.name, own.epoch());
     metrics::observe_ceilings(&meter, &own);
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -12,7 +12,7 @@
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::id::BudgetId;
-use rosemarymoor_lib::result_code::{Refusal, ResultCode};
+use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
 use rosemarymoor_platform::request::{self, CallerHead, HeadFault};
 
 use super::budget_client::{Need, NoMoney, Reserved};
@@ -71,7 +71,7 @@
             return;
         }
         let metrics = &self.entry.metrics;
-        metrics.ended(self.route.kind, outcome, self.arrived.elapsed());
+        metrics.ended(&self.route, outcome, self.arrived.elapsed());
         metrics.charged(self.money.as_ref().map_or(0, |money| money.used));
     }
 
@@ -125,6 +125,7 @@
         Ok(call) => deliver::deliver(entry, call).await,
         Err(refused) => {
             log::info!(
+                target: FAILURE_LOG,
                 "event=refused request={attempt_id} code={} detail={:?} after_ms={}",
                 refused.code.number(),
                 refused.detail,
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -1,15 +1,17 @@
 //! Counters and latency histograms of the roles for direct delivery.
 //!
-//! Labels have few values: the kind of a call, an outcome, a result code. Routes,
-//! workspaces and targets are in the log, not here.
+//! Labels have few values: the kind of a call, its route up to [`MAX_ROUTES`], an
+//! outcome, a result code. Workspaces and targets are in the log, not here.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
-use rosemarymoor_lib::dispatch::catalog::CallKind;
+use rosemarymoor_lib::dispatch::catalog::{CallKind, Route};
+
+use rosemarymoor_platform::store::{CallFailure, StoreAnswer, is_served};
 
 use super::ceilings::Ceilings;
 use super::entry::Entry;
@@ -24,6 +26,15 @@
 /// Bounds of waits for money, in milliseconds.
 const MONEY_MS: &[f64] = &[1.0, 3.0, 10.0, 30.0, 100.0, 300.0, 1_000.0];
 
+/// Bounds of the store's answers, in milliseconds; a watch may wait for seconds.
+const STORE_MS: &[f64] = &[1.0, 3.0, 10.0, 30.0, 100.0, 300.0, 1_000.0, 3_000.0];
+
+/// Routes that get a label of their own; further ones share one.
+pub const MAX_ROUTES: usize = 100;
+
+/// Label of the routes beyond [`MAX_ROUTES`].
+const OTHER_ROUTES: &str = "other";
+
 /// Time that a scraper's connection may stay idle.
 const IDLE: Duration = Duration::from_secs(10);
 
@@ -37,6 +48,8 @@
     answer_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
     money_ms: Histogram<f64>,
+    /// Names of the routes that have a label, sorted.
+    routes: Mutex<Vec<String>>,
 }
 
 impl DirectMetrics {
@@ -55,18 +68,32 @@
             answer_ms: histogram("answer_ms", LATENCY_MS),
             first_event_ms: histogram("first_event_ms", LATENCY_MS),
             money_ms: histogram("money_ms", MONEY_MS),
+            routes: Mutex::new(Vec::new()),
         }
     }
 
     /// Counts the end of a request: `answered`, `failed`, `refused`, `broken` or `left`.
-    pub fn ended(&self, kind: CallKind, outcome: &'static str, took: Duration) {
-        let kind = kind_label(kind);
-        self.requests.add(1, &[kind.clone(), KeyValue::new("outcome", outcome)]);
+    pub fn ended(&self, route: &Route, outcome: &'static str, took: Duration) {
+        let kind = kind_label(route.kind);
+        let route = KeyValue::new("route", self.route_label(&route.name));
+        self.requests.add(1, &[kind.clone(), route, KeyValue::new("outcome", outcome)]);
         if outcome == "answered" {
             self.answer_ms.record(millis(took), &[kind]);
         }
     }
 
+    fn route_label(&self, name: &str) -> String {
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        match routes.binary_search_by(|known| known.as_str().cmp(name)) {
+            Ok(_) => name.to_owned(),
+            Err(at) if routes.len() < MAX_ROUTES => {
+                routes.insert(at, name.to_owned());
+                name.to_owned()
+            }
+            Err(_) => OTHER_ROUTES.to_owned(),
+        }
+    }
+
     /// Counts a refusal by its result code.
     pub fn refused(&self, code: u16) {
         self.refusals.add(1, &[KeyValue::new("code", i64::from(code))]);
@@ -143,6 +170,40 @@
     gauge("tokens_granted", |held| held.budgets().iter().map(|held| held.ceiling).sum());
     gauge("tokens_spent", |held| held.budgets().iter().map(|held| held.used).sum());
     gauge("tokens_reserved", |held| held.budgets().iter().map(|held| held.reserved).sum());
+    gauge("tokens_in_doubt", |held| held.budgets().iter().map(|held| held.in_doubt).sum());
+}
+
+/// Instruments of a process's calls to the platform's store.
+#[derive(Clone)]
+pub struct StoreMetrics {
+    calls: Counter<u64>,
+    call_ms: Histogram<f64>,
+}
+
+impl StoreMetrics {
+    /// Opens the instruments on a meter.
+    pub fn open(meter: &Meter) -> StoreMetrics {
+        let call_ms = meter.f64_histogram("store_call_ms").with_boundaries(STORE_MS.to_vec());
+        StoreMetrics { calls: meter.u64_counter("store_calls").build(), call_ms: call_ms.build() }
+    }
+
+    /// Counts a call that went straight to the store.
+    pub fn called(
+        &self,
+        operation: &'static str,
+        answer: &Result<StoreAnswer, CallFailure>,
+        took: Duration,
+    ) {
+        let outcome = match answer {
+            Ok(answer) if is_served(answer.status) => "served",
+            Ok(_) => "turned_away",
+            Err(CallFailure::NotSent) => "not_sent",
+            Err(CallFailure::NoAnswer) => "no_answer",
+        };
+        let operation = KeyValue::new("operation", operation);
+        self.calls.add(1, &[operation.clone(), KeyValue::new("outcome", outcome)]);
+        self.call_ms.record(millis(took), &[operation]);
+    }
 }
 
 /// Opens the metrics of a process and serves them, if it has an address for them.
--- a/daemon/src/direct/store_path.rs
+++ b/daemon/src/direct/store_path.rs
@@ -18,6 +18,7 @@
     self, CallFailure, StoreAnswer, StoreCall, StoreCaller, is_served,
 };
 
+use super::metrics::StoreMetrics;
 use super::peers::Peers;
 use crate::http_pool::{HttpPool, SendFailure};
 
@@ -48,19 +49,23 @@
 pub struct DirectPath {
     pool: HttpPool,
     store: SocketAddr,
+    metrics: StoreMetrics,
 }
 
 impl DirectPath {
     /// Opens the way; connects on first use.
-    pub fn open(pool: HttpPool, store: SocketAddr) -> DirectPath {
-        DirectPath { pool, store }
+    pub fn open(pool: HttpPool, store: SocketAddr, metrics: StoreMetrics) -> DirectPath {
+        DirectPath { pool, store, metrics }
     }
 }
 
 #[async_trait]
 impl StoreCaller for DirectPath {
     async fn call(&self, call: StoreCall) -> Result<StoreAnswer, CallFailure> {
-        send(&self.pool, self.store, &call, &call.path).await
+        let begun = Instant::now();
+        let answer = send(&self.pool, self.store, &call, &call.path).await;
+        self.metrics.called(call.operation(), &answer, begun.elapsed());
+        answer
     }
 }
 
@@ -77,10 +82,10 @@
 
 impl RelayedPath {
     /// Opens the way and the task that probes the straight one.
-    pub fn spawn(pool: HttpPool, store: SocketAddr, peers: Arc<Peers>) -> Arc<RelayedPath> {
+    pub fn spawn(direct: DirectPath, peers: Arc<Peers>) -> Arc<RelayedPath> {
         let path = Arc::new(RelayedPath {
-            direct: DirectPath::open(pool.clone(), store),
-            pool,
+            pool: direct.pool.clone(),
+            direct,
             peers,
             direct_down: AtomicBool::new(false),
             next_relay: AtomicU64::new(0),
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -15,6 +15,7 @@
 use hyper::body::Frame;
 use rosemarymoor_lib::dispatch::event_stream::{Event, EventSplitter};
 use rosemarymoor_lib::dispatch::targets::Observation;
+use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_platform::answer::AnswerKind;
 use rosemarymoor_platform::request::strip_connection_headers;
 
@@ -24,6 +25,9 @@
 use super::handler::Call;
 use crate::http_server::AnswerBody;
 
+/// Outcome of a stream whose last event has come, in the log.
+const COMPLETE: &str = "complete";
+
 /// Silence within a resumable stream after which it is resumed elsewhere.
 const SILENCE: Duration = Duration::from_millis(1_000);
 
@@ -142,7 +146,7 @@
                 Some(Ok(Frame::data(event.bytes)))
             }
             Ok(None) => {
-                self.end("complete");
+                self.end(COMPLETE);
                 self.entry.metrics.tried("answered");
                 self.call.ended("answered");
                 if let Some(running) = self.running.take() {
@@ -232,7 +236,9 @@
 
     fn end(&mut self, outcome: &str) {
         self.is_done = true;
+        let target = if outcome == COMPLETE { module_path!() } else { FAILURE_LOG };
         log::info!(
+            target: target,
             "event=stream_ended request={} route={} outcome={outcome} events={} tries={} took_ms={} version={}",
             self.call.head.attempt_id,
             self.call.route.name,
--- a/daemon/src/health.rs
+++ b/daemon/src/health.rs
@@ -50,14 +50,17 @@
         self.provider.meter(part)
     }
 
+    /// Text for the scraper; `None`, and a log line, if it cannot be encoded.
+    pub fn text(&self) -> Option<String> {
+        let text = TextEncoder::new().encode_to_string(&self.registry.gather());
+        text.inspect_err(|err| log::error!("event=metrics_unavailable reason={err}")).ok()
+    }
+
     /// Text for the scraper, as an answer.
     pub fn scrape(&self) -> Response<AnswerBody> {
-        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
-            Ok(text) => text_answer(StatusCode::OK, text),
-            Err(err) => {
-                log::error!("event=metrics_unavailable reason={err}");
-                text_answer(StatusCode::INTERNAL_SERVER_ERROR, String::new())
-            }
+        match self.text() {
+            Some(text) => text_answer(StatusCode::OK, text),
+            None => text_answer(StatusCode::INTERNAL_SERVER_ERROR, String::new()),
         }
     }
 }
--- a/daemon/src/line_log.rs
+++ b/daemon/src/line_log.rs
@@ -2,8 +2,9 @@
 //!
 //! A line is `time level module key=value …`. Lines go through a bounded queue
 //! to a thread of their own. When the queue is full, or a second has had its
-//! budget of ordinary lines, lines are left out and counted; warnings and errors
-//! have a larger budget, so that they are the last to be left out.
+//! budget of lines, lines are left out and counted. Refusals and failures of
+//! requests have a larger budget than ordinary lines, warnings and errors a larger
+//! one still, so that what explains a complaint is kept longest.
 
 use std::io::{self, Write};
 use std::sync::OnceLock;
@@ -12,6 +13,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
+use rosemarymoor_lib::result_code::FAILURE_LOG;
 
 /// Lines that wait for the writer.
 const QUEUE_LINES: usize = 2_048;
@@ -19,7 +21,11 @@
 /// Ordinary lines that are written in one second.
 const LINES_PER_S: u64 = 500;
 
-/// Lines of any level that are written in one second.
+/// Lines that are written in one second when the last ones tell of requests that
+/// were not served.
+const LINES_WITH_FAILURES_PER_S: u64 = 700;
+
+/// Lines of any kind that are written in one second.
 const MOST_LINES_PER_S: u64 = 800;
 
 /// Longest line in bytes.
@@ -31,6 +37,61 @@
 /// Longest wait for the writer at the end of the process.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How soon a line is left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    Ordinary,
+    /// Tells of a request that was refused or failed.
+    Failure,
+    /// Warning or error of the process.
+    Warning,
+}
+
+impl Urgency {
+    /// Urgency of a line by its level and target.
+    pub fn of(metadata: &Metadata<'_>) -> Urgency {
+        if metadata.level() <= Level::Warn {
+            Urgency::Warning
+        } else if metadata.target() == FAILURE_LOG {
+            Urgency::Failure
+        } else {
+            Urgency::Ordinary
+        }
+    }
+
+    /// Lines of a second, of all kinds, after which lines of this one are left out.
+    pub fn lines_per_s(self) -> u64 {
+        match self {
+            Urgency::Ordinary => LINES_PER_S,
+            Urgency::Failure => LINES_WITH_FAILURES_PER_S,
+            Urgency::Warning => MOST_LINES_PER_S,
+        }
+    }
+}
+
+/// Lines of the present second.
+#[derive(Debug, Default)]
+pub struct LineBudget {
+    second: AtomicU64,
+    lines: AtomicU64,
+}
+
+impl LineBudget {
+    /// Counts a line; answers whether it may be written.
+    ///
+    /// Lines that are left out do not use up the budget of more urgent ones.
+    pub fn take(&self, second: u64, urgency: Urgency) -> bool {
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        let most = urgency.lines_per_s();
+        let taken = self.lines.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |lines| {
+            (lines < most).then_some(lines + 1)
+        });
+        taken.is_ok()
+    }
+}
+
 enum Message {
     Line(String),
     Flush(SyncSender<()>),
@@ -38,9 +99,7 @@
 
 struct LineLog {
     queue: SyncSender<Message>,
-    /// Second of the present budget, and lines that it has had.
-    second: AtomicU64,
-    lines: AtomicU64,
+    budget: LineBudget,
     left_out: AtomicU64,
 }
 
@@ -55,12 +114,7 @@
     let (queue, lines) = sync_channel(QUEUE_LINES);
     let writer = std::thread::Builder::new().name("log".to_owned()).spawn(move || write(&lines));
     writer.expect("a process can start a thread for its log");
-    let line_log = LineLog {
-        queue,
-        second: AtomicU64::new(0),
-        lines: AtomicU64::new(0),
-        left_out: AtomicU64::new(0),
-    };
+    let line_log = LineLog { queue, budget: LineBudget::default(), left_out: AtomicU64::new(0) };
     let line_log = LOG.get_or_init(|| line_log);
     log::set_logger(line_log).expect("logging is started once");
     log::set_max_level(level);
@@ -85,7 +139,7 @@
             return;
         }
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        if !self.takes_line(since_epoch.as_secs(), record.level()) {
+        if !self.budget.take(since_epoch.as_secs(), Urgency::of(record.metadata())) {
             self.left_out.fetch_add(1, Ordering::Relaxed);
             return;
         }
@@ -110,16 +164,6 @@
     fn flush(&self) {}
 }
 
-impl LineLog {
-    fn takes_line(&self, second: u64, level: Level) -> bool {
-        if self.second.swap(second, Ordering::Relaxed) != second {
-            self.lines.store(0, Ordering::Relaxed);
-        }
-        let lines = self.lines.fetch_add(1, Ordering::Relaxed);
-        lines < if level <= Level::Warn { MOST_LINES_PER_S } else { LINES_PER_S }
-    }
-}
-
 fn write(lines: &Receiver<Message>) {
     let mut out = io::stdout().lock();
     let mut batch = String::new();
--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -105,6 +105,8 @@
     pub ceiling: u64,
     pub used: u64,
     pub reserved: u64,
+    /// Tokens counted as spent because their settlement never came.
+    pub in_doubt: u64,
     pub waiting: usize,
 }
 
--- a/lib/src/budget/ceiling/held.rs
+++ b/lib/src/budget/ceiling/held.rs
@@ -6,6 +6,7 @@
 use crate::budget::ledger::{Account, Grant, Shard};
 use crate::id::{BudgetId, EpochId};
 use crate::kv_store::{NotDone, Outcome, Revision, Versioned};
+use crate::result_code::FAILURE_LOG;
 use crate::time::Millis;
 
 /// Time of usual spending that the headroom covers at most, in milliseconds.
@@ -76,6 +77,8 @@
     ceiling: u64,
     used: u64,
     reserved: u64,
+    /// Part of `used` that no settlement has confirmed.
+    in_doubt: u64,
     reservations: Vec<Reservation>,
     waiting: VecDeque<Waiting>,
     pending: Option<Pending>,
@@ -112,6 +115,7 @@
             ceiling: 0,
             used: 0,
             reserved: 0,
+            in_doubt: 0,
             reservations: Vec::new(),
             waiting: VecDeque::new(),
             pending: None,
@@ -215,6 +219,7 @@
             ceiling: self.ceiling,
             used: self.used,
             reserved: self.reserved,
+            in_doubt: self.in_doubt,
             waiting: self.waiting.len(),
         }
     }
@@ -303,6 +308,7 @@
             None => (0, 0),
         };
         log::info!(
+            target: FAILURE_LOG,
             "event=money_refused reservation={:032x} budget={} reply={reply:?} tokens={} prepaid={} \
              prepaid_version={} used={} reserved={} ceiling={} others_granted={granted} \
              others_settled={settled} account_seen={}",
@@ -485,6 +491,7 @@
         }
         self.reserved -= expired;
         self.used += expired;
+        self.in_doubt += expired;
     }
 
     fn is_settled(&self) -> bool {
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -5,6 +5,9 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+/// Log target of lines that tell of a request that was not served as asked.
+pub const FAILURE_LOG: &str = "rosemarymoor::failure";
+
 /// What a refusal says about whether the request ran.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -226,6 +226,7 @@
     holder.run(&mut store, 1);
     holder.tick(10_000);
     assert_eq!(holder.used(), 1_000);
+    assert_eq!(holder.system.budgets()[0].in_doubt, 1_000);
 }
 
 #[test]
