--- a/bench/src/measures.rs
+++ b/bench/src/measures.rs
@@ -7,6 +7,7 @@
 mod mix;
 mod routing;
 mod slopes;
+mod soak;
 mod streams;
 mod timeline;
 
@@ -27,6 +28,7 @@
         "config" => config::run(options).await,
         "slopes" => slopes::run(options).await,
         "streams" => streams::run(options).await,
+        "soak" => soak::run(options).await,
         "budgets" => budgets::run(options).await,
         other => Err(io::Error::other(format!("no measure `{other}`"))),
     }
--- a/bench/src/options.rs
+++ b/bench/src/options.rs
@@ -32,6 +32,7 @@
     ("routing", &["none", "slow-target", "stale-load", "leaving", "surge"]),
     ("config", &["none", "node-kill", "store-outage", "race", "lost-answers"]),
     ("slopes", &["none"]),
+    ("soak", &["none"]),
 ];
 
 /// What to measure and how.
@@ -39,17 +40,22 @@
 pub struct Options {
     #[options(help = "print this help")]
     help: bool,
-    #[options(free, help = "measure: demo, budgets, actions, streams, routing, config or slopes")]
+    #[options(
+        free,
+        help = "measure: demo, budgets, actions, streams, routing, config, slopes or soak"
+    )]
     pub measure: String,
     #[options(no_short, meta = "N", default = "1", help = "seed of load and faults")]
     pub seed: u64,
+    #[options(no_short, meta = "N", default = "1", help = "seeds to play, soak only")]
+    pub seeds: u64,
     #[options(no_short, meta = "S", help = "length of the load, in seconds")]
     pub seconds: Option<u64>,
     #[options(no_short, meta = "F", default = "none", help = "fault to cause")]
     pub fault: String,
     #[options(no_short, meta = "N", help = "entries")]
     pub entries: Option<usize>,
-    #[options(no_short, meta = "N", help = "sidecars before engines")]
+    #[options(no_short, meta = "N", help = "sidecars before engines; for soak budget servers")]
     pub sidecars: Option<usize>,
     #[options(no_short, meta = "N", help = "budgets")]
     pub budgets: Option<usize>,
--- a/lib/testutils/src/fault_proxy.rs
+++ b/lib/testutils/src/fault_proxy.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -25,8 +26,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LinkState {
     pub cut: bool,
+    /// Whether only the target's bytes are held back; TCP links alone know it.
+    pub deaf: bool,
     /// One-way delay.
     pub delay: Duration,
+    /// Number of times that all TCP connections were reset.
+    pub resets: u64,
 }
 
 /// What a link's tasks share.
@@ -44,6 +49,17 @@
     async fn until_healed(&mut self) -> bool {
         self.state.wait_for(|state| !state.cut).await.is_ok()
     }
+
+    /// Waits until bytes may pass, those of the target if `back`.
+    async fn until_open(&mut self, back: bool) -> bool {
+        self.state.wait_for(|state| !(state.cut || back && state.deaf)).await.is_ok()
+    }
+
+    /// Waits until all connections are reset.
+    async fn until_reset(&mut self) {
+        let seen = self.state.borrow().resets;
+        let _ = self.state.wait_for(|state| state.resets != seen).await;
+    }
 }
 
 /// One forwarded address; it stops when it is dropped.
@@ -95,6 +111,16 @@
         self.state.send_modify(|state| state.cut = cut);
     }
 
+    /// Holds the target's bytes back, or lets them pass again.
+    pub fn set_deaf(&self, deaf: bool) {
+        self.state.send_modify(|state| state.deaf = deaf);
+    }
+
+    /// Resets all TCP connections.
+    pub fn reset(&self) {
+        self.state.send_modify(|state| state.resets += 1);
+    }
+
     /// Changes the one-way delay.
     pub fn set_delay(&self, delay: Duration) {
         self.state.send_modify(|state| state.delay = delay);
@@ -126,16 +152,21 @@
     };
     let _ = socket.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
+    let Ok(kept) = socket.as_fd().try_clone_to_owned() else { return };
     let (down_rx, down_tx) = socket.into_split();
     let (up_rx, up_tx) = upstream.into_split();
     // A connection that ends on one side ends on both.
     tokio::select! {
-        () = pump(down_rx, up_tx, wire.clone()) => {}
-        () = pump(up_rx, down_tx, wire) => {}
+        () = pump(down_rx, up_tx, wire.clone(), false) => {}
+        () = pump(up_rx, down_tx, wire.clone(), true) => {}
+        () = wire.until_reset() => {
+            // With the option set, the last close sends a reset.
+            let _ = rustix::net::sockopt::set_socket_linger(&kept, Some(Duration::ZERO));
+        }
     }
 }
 
-async fn pump(mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, mut wire: Wire) {
+async fn pump(mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, mut wire: Wire, back: bool) {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let length = match rx.read(&mut buf).await {
@@ -146,7 +177,7 @@
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
-        if !wire.until_healed().await {
+        if !wire.until_open(back).await {
             return;
         }
         wire.count(length);
