budget, store path: a store that is away is asked seldom, and nobody waits for it

Callers waited up to 250 ms at each of two holders for an answer that could not come.

Change: a holder knows from its own calls over all budgets that the store is away (two in a row), probes it every 400 ms only, and refuses at once what its ceiling does not cover. An entry whose two holders have both lost the store asks only the first one for 400 ms. Relays rest 0.4 to 1.6 s after none of them got through; the slow feed backs off to 3.2 s.

--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -4,8 +4,8 @@
 //! one holder knows exactly what is left of it. Any other holder is as safe: an
 //! entry goes on to the next server, and at last to ceilings of its own.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -25,6 +25,10 @@
 /// one that does not answer or does not reach the store.
 const MAX_SERVERS: usize = 2;
 
+/// Time for which only the first server is asked after all of them have lost the
+/// store: it may have headroom, the others have none.
+const STORE_REST: Duration = Duration::from_millis(400);
+
 /// Time for a connection to a budget server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -80,6 +84,8 @@
     pool: HttpPool,
     peers: Arc<Peers>,
     own: Ceilings,
+    /// Until when the store is taken to be away from all servers.
+    store_rest: Arc<Mutex<Option<Instant>>>,
 }
 
 /// Money reserved for one request; dropping it settles what was noted as used.
@@ -97,25 +103,29 @@
 impl BudgetClient {
     /// Opens the way over budget servers and own ceilings.
     pub fn open(pool: HttpPool, peers: Arc<Peers>, own: Ceilings) -> BudgetClient {
-        BudgetClient { pool, peers, own }
+        BudgetClient { pool, peers, own, store_rest: Arc::default() }
     }
 
     /// Reserves the worst case of a request.
     pub async fn reserve(&self, need: &Need) -> Result<Reserved, NoMoney> {
-        let mut is_store_lost = false;
+        let mut losses = 0;
         let key = rank::key_of(&need.budget.workspace);
-        for server in self.peers.ranked_budget_servers(key).into_iter().take(MAX_SERVERS) {
+        let most = if self.is_store_resting() { 1 } else { MAX_SERVERS };
+        for server in self.peers.ranked_budget_servers(key).into_iter().take(most) {
             match self.ask_server(&server, need).await {
                 Some((id, Reply::Granted)) => {
                     return Ok(self.reserved(Holder::Server(server), need, id));
                 }
                 Some((_, Reply::Exhausted)) => return Err(NoMoney::Exhausted),
                 Some((_, Reply::Short)) => return Err(NoMoney::Short),
-                Some((_, Reply::Unavailable)) => is_store_lost = true,
+                Some((_, Reply::Unavailable)) => losses += 1,
                 None => {}
             }
         }
-        if is_store_lost {
+        if losses == MAX_SERVERS {
+            *self.store_rest() = Some(Instant::now() + STORE_REST);
+        }
+        if losses > 0 {
             return Err(NoMoney::Unavailable);
         }
         let ask = ask(need);
@@ -132,6 +142,14 @@
         }
     }
 
+    fn store_rest(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.store_rest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_store_resting(&self) -> bool {
+        self.store_rest().is_some_and(|until| Instant::now() < until)
+    }
+
     /// Hands own money back; for a graceful stop.
     pub async fn close(&self) {
         self.own.close().await;
--- a/daemon/src/direct/feed.rs
+++ b/daemon/src/direct/feed.rs
@@ -21,6 +21,7 @@
 /// Pause after a failed call, doubled up to the longest one.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_SLOW_PAUSE: Duration = Duration::from_millis(3_200);
 
 /// How urgent the news of a prefix are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,11 +53,12 @@
     sink: Arc<dyn FeedSink>,
 ) {
     tokio::spawn(async move {
-        let wait = match urgency {
-            Urgency::Prompt => WATCH_WAIT,
-            Urgency::Slow => SLOW_WATCH_WAIT,
+        let (wait, longest_pause) = match urgency {
+            Urgency::Prompt => (WATCH_WAIT, LONGEST_PAUSE),
+            Urgency::Slow => (SLOW_WATCH_WAIT, LONGEST_SLOW_PAUSE),
         };
-        let mut follower = Follower { feed, prefix, wait, sink, seen: None, failures: 0 };
+        let mut follower =
+            Follower { feed, prefix, wait, longest_pause, sink, seen: None, failures: 0 };
         loop {
             follower.step().await;
             if urgency == Urgency::Slow {
@@ -70,6 +72,7 @@
     feed: Arc<dyn KvFeed>,
     prefix: &'static str,
     wait: Duration,
+    longest_pause: Duration,
     sink: Arc<dyn FeedSink>,
     /// Revision up to which everything is known; `None` before the first list.
     seen: Option<Revision>,
@@ -126,8 +129,8 @@
             log::warn!("event=dependency_lost dependency=store prefix={}", self.prefix);
         }
         self.sink.lost();
-        let pause = SHORTEST_PAUSE * 2_u32.pow(self.failures.min(4));
+        let pause = SHORTEST_PAUSE * 2_u32.pow(self.failures.min(6));
         self.failures += 1;
-        tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
+        tokio::time::sleep(pause.min(self.longest_pause)).await;
     }
 }
--- a/daemon/src/direct/store_path.rs
+++ b/daemon/src/direct/store_path.rs
@@ -38,8 +38,10 @@
 const MAX_RELAYS: usize = 3;
 
 /// Time for which no budget server is asked after none of them reached the store:
-/// it is away for everybody then, and each try would cost it a call.
-const RELAYS_REST: Duration = Duration::from_millis(600);
+/// it is away for everybody then, and each try would cost it a call. It doubles up
+/// to the longest one while none of them does.
+const RELAYS_REST: Duration = Duration::from_millis(400);
+const LONGEST_RELAYS_REST: Duration = Duration::from_millis(1_600);
 
 /// Largest answer of the store: a full page of items in text form.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -76,8 +78,16 @@
     peers: Arc<Peers>,
     direct_down: AtomicBool,
     next_relay: AtomicU64,
-    /// Until when no budget server is asked.
-    relays_rest: Mutex<Option<Instant>>,
+    relays_rest: Mutex<RelaysRest>,
+}
+
+/// Rest of the budget servers as relays.
+#[derive(Clone, Copy, Debug, Default)]
+struct RelaysRest {
+    /// Until when none is asked.
+    until: Option<Instant>,
+    /// Calls in a row that none of them could pass on.
+    failures: u32,
 }
 
 impl RelayedPath {
@@ -89,7 +99,7 @@
             peers,
             direct_down: AtomicBool::new(false),
             next_relay: AtomicU64::new(0),
-            relays_rest: Mutex::new(None),
+            relays_rest: Mutex::default(),
         });
         tokio::spawn(probe(Arc::downgrade(&path)));
         path
@@ -107,12 +117,19 @@
         }
     }
 
-    fn relays_rest(&self) -> MutexGuard<'_, Option<Instant>> {
+    fn relays_rest(&self) -> MutexGuard<'_, RelaysRest> {
         self.relays_rest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn are_relays_resting(&self) -> bool {
-        self.relays_rest().is_some_and(|until| Instant::now() < until)
+        self.relays_rest().until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn rest_relays(&self) {
+        let mut rest = self.relays_rest();
+        let pause = RELAYS_REST * 2_u32.pow(rest.failures.min(4));
+        rest.until = Some(Instant::now() + pause.min(LONGEST_RELAYS_REST));
+        rest.failures += 1;
     }
 
     async fn call_direct(&self, call: &StoreCall) -> Result<StoreAnswer, CallFailure> {
@@ -135,7 +152,10 @@
             let path = format!("{RELAY_PREFIX}{}", call.path);
             match send(&self.pool, server.internal, call, &path).await {
                 Ok(answer) if answer.status == StatusCode::BAD_GATEWAY.as_u16() => {}
-                Ok(answer) if is_served(answer.status) => return Ok(answer),
+                Ok(answer) if is_served(answer.status) => {
+                    self.relays_rest().failures = 0;
+                    return Ok(answer);
+                }
                 Ok(answer) => refusal = Ok(answer),
                 Err(CallFailure::NoAnswer) if !is_read => {
                     self.next_relay.fetch_add(1, Ordering::Relaxed);
@@ -146,7 +166,7 @@
             }
             self.next_relay.fetch_add(1, Ordering::Relaxed);
         }
-        *self.relays_rest() = Some(Instant::now() + RELAYS_REST);
+        self.rest_relays();
         refusal
     }
 }
--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -12,12 +12,14 @@
 //! is pure; it answers every event with effects.
 
 mod held;
+mod store_health;
 
 use serde::{Deserialize, Serialize};
 
 use self::held::Held;
+use self::store_health::StoreHealth;
 use crate::id::{BudgetId, EpochId};
-use crate::kv_store::{Outcome, Revision, Versioned};
+use crate::kv_store::{NotDone, Outcome, Revision, Versioned};
 use crate::time::Millis;
 
 /// Time for which settlements of unknown reservations are remembered.
@@ -91,6 +93,7 @@
 pub struct CeilingSystem {
     epoch: EpochId,
     headroom: Headroom,
+    store: StoreHealth,
     /// Sorted by budget.
     held: Vec<Held>,
     /// Settlements that came before their reservation, or after its end.
@@ -113,7 +116,13 @@
 impl CeilingSystem {
     /// Opens a holder that holds nothing yet.
     pub fn open(epoch: EpochId, headroom: Headroom) -> CeilingSystem {
-        CeilingSystem { epoch, headroom, held: Vec::new(), tombstones: Vec::new() }
+        CeilingSystem {
+            epoch,
+            headroom,
+            store: StoreHealth::default(),
+            held: Vec::new(),
+            tombstones: Vec::new(),
+        }
     }
 
     /// Epoch that names this holder's grants.
@@ -128,10 +137,9 @@
             effects.push(CeilingEffect::Answer { id: ask.id, reply: Reply::Unavailable });
             return;
         }
-        let epoch = self.epoch;
-        let held = self.open_budget(&ask.budget, now);
-        held.enqueue(ask, now);
-        held.advance(epoch, now, effects);
+        let at = self.open_budget(&ask.budget, now);
+        self.held[at].enqueue(ask, now);
+        self.held[at].advance(self.epoch, &mut self.store, now, effects);
     }
 
     /// Ends a reservation: what was used is spent, the rest is free again.
@@ -143,10 +151,9 @@
     ) {
         let Settlement { id, budget, used } = settlement;
         let (id, used) = (*id, *used);
-        let epoch = self.epoch;
-        let held = self.open_budget(budget, now);
-        if held.settle(id, used, effects) {
-            held.advance(epoch, now, effects);
+        let at = self.open_budget(budget, now);
+        if self.held[at].settle(id, used, effects) {
+            self.held[at].advance(self.epoch, &mut self.store, now, effects);
         } else {
             self.tombstones.retain(|(_, at)| now.since(*at) < TOMBSTONE_MS);
             self.tombstones.push((id, now));
@@ -161,10 +168,10 @@
         now: Millis,
         effects: &mut Vec<CeilingEffect>,
     ) {
-        let epoch = self.epoch;
-        let held = self.open_budget(budget, now);
-        held.read_done(epoch, outcome, now);
-        held.advance(epoch, now, effects);
+        self.note_answer(&outcome, now);
+        let at = self.open_budget(budget, now);
+        self.held[at].read_done(self.epoch, outcome, now);
+        self.held[at].advance(self.epoch, &mut self.store, now, effects);
     }
 
     /// Takes the answer to [`CeilingEffect::Write`].
@@ -175,19 +182,18 @@
         now: Millis,
         effects: &mut Vec<CeilingEffect>,
     ) {
-        let epoch = self.epoch;
-        let held = self.open_budget(budget, now);
-        held.write_done(outcome, now);
-        held.advance(epoch, now, effects);
+        self.note_answer(&outcome, now);
+        let at = self.open_budget(budget, now);
+        self.held[at].write_done(outcome, now);
+        self.held[at].advance(self.epoch, &mut self.store, now, effects);
     }
 
     /// Does what has become due; answers when to call again.
     pub fn tick(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) -> Option<Millis> {
-        let epoch = self.epoch;
         let mut next: Option<Millis> = None;
         for held in &mut self.held {
             held.expire_reservations(now);
-            held.advance(epoch, now, effects);
+            held.advance(self.epoch, &mut self.store, now, effects);
             if let Some(due) = held.due(now) {
                 next = Some(next.map_or(due, |next| next.min(due)));
             }
@@ -197,10 +203,9 @@
 
     /// Hands all headroom back; for a graceful stop.
     pub fn close(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) {
-        let epoch = self.epoch;
         for held in &mut self.held {
             held.close();
-            held.advance(epoch, now, effects);
+            held.advance(self.epoch, &mut self.store, now, effects);
         }
     }
 
@@ -214,14 +219,21 @@
         self.held.iter().map(Held::summary).collect()
     }
 
-    fn open_budget(&mut self, budget: &BudgetId, now: Millis) -> &mut Held {
-        let at = match self.held.binary_search_by(|held| held.budget.cmp(budget)) {
+    fn note_answer<T>(&mut self, outcome: &Outcome<T>, now: Millis) {
+        match outcome {
+            Outcome::NotDone(NotDone::Unavailable) | Outcome::Unknown => self.store.failed(now),
+            Outcome::Done(_) | Outcome::NotDone(_) => self.store.answered(),
+        }
+    }
+
+    /// Place of a budget among those held.
+    fn open_budget(&mut self, budget: &BudgetId, now: Millis) -> usize {
+        match self.held.binary_search_by(|held| held.budget.cmp(budget)) {
             Ok(at) => at,
             Err(at) => {
                 self.held.insert(at, Held::new(budget.clone(), self.headroom, now));
                 at
             }
-        };
-        &mut self.held[at]
+        }
     }
 }
--- a/lib/src/budget/ceiling/held.rs
+++ b/lib/src/budget/ceiling/held.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::store_health::StoreHealth;
 use super::{Ask, CeilingEffect, Headroom, HeldBudget, Reply, ReservationId};
 use crate::budget::ledger::{Account, Grant, Shard};
 use crate::id::{BudgetId, EpochId};
@@ -266,12 +267,17 @@
     pub(super) fn advance(
         &mut self,
         epoch: EpochId,
+        store: &mut StoreHealth,
         now: Millis,
         effects: &mut Vec<CeilingEffect>,
     ) {
         self.serve(now, effects);
-        self.refuse_hopeless(epoch, now, effects);
-        self.ask_store(epoch, now, effects);
+        self.refuse_hopeless(epoch, store, now, effects);
+        let calls = effects.len();
+        self.ask_store(epoch, store, now, effects);
+        if effects.len() > calls {
+            store.called(now);
+        }
     }
 
     fn serve(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) {
@@ -297,11 +303,17 @@
     }
 
     /// Refuses what waited too long, and what the account shows not to fit.
-    fn refuse_hopeless(&mut self, epoch: EpochId, now: Millis, effects: &mut Vec<CeilingEffect>) {
+    fn refuse_hopeless(
+        &mut self,
+        epoch: EpochId,
+        store: &StoreHealth,
+        now: Millis,
+        effects: &mut Vec<CeilingEffect>,
+    ) {
         let mut kept = VecDeque::new();
         let mut promised = 0;
         while let Some(waiting) = self.waiting.pop_front() {
-            let reply = self.verdict(epoch, &waiting, promised, now);
+            let reply = self.verdict(epoch, store, &waiting, promised, now);
             match reply {
                 None => {
                     promised += waiting.ask.tokens;
@@ -339,12 +351,22 @@
     }
 
     /// Refusal of a waiting request; `None` while it may still be granted.
-    fn verdict(&self, epoch: EpochId, waiting: &Waiting, ahead: u64, now: Millis) -> Option<Reply> {
+    fn verdict(
+        &self,
+        epoch: EpochId,
+        store: &StoreHealth,
+        waiting: &Waiting,
+        ahead: u64,
+        now: Millis,
+    ) -> Option<Reply> {
         let tokens = waiting.ask.tokens;
         if self.certainly_exhausted(epoch, tokens) {
             return Some(Reply::Exhausted);
         }
-        if now >= waiting.until {
+        // Nothing is on its way that could help, and nothing will be asked soon.
+        let is_resting = store.is_resting(now) || store.is_away() && now < self.retry_at;
+        let is_vain = self.pending.is_none() && is_resting;
+        if now >= waiting.until || is_vain {
             return Some(Reply::Unavailable);
         }
         let (_, account) = self.seen.as_ref()?;
@@ -364,8 +386,14 @@
         others_totals(account, epoch).1 + self.committed() + tokens > self.prepaid
     }
 
-    fn ask_store(&mut self, epoch: EpochId, now: Millis, effects: &mut Vec<CeilingEffect>) {
-        if self.pending.is_some() || now < self.retry_at {
+    fn ask_store(
+        &mut self,
+        epoch: EpochId,
+        store: &StoreHealth,
+        now: Millis,
+        effects: &mut Vec<CeilingEffect>,
+    ) {
+        if self.pending.is_some() || now < self.retry_at || store.is_resting(now) {
             return;
         }
         let Some((revision, account)) = self.seen.clone() else {
--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -498,3 +498,40 @@
     let needed = LASTS_MS / PAUSE_MS * TOKENS;
     assert!(headroom >= needed, "{headroom} tokens last no {LASTS_MS} ms, {needed} would");
 }
+
+#[test]
+fn while_the_store_is_away_asks_beyond_the_ceiling_are_refused_at_once_and_probe_seldom() {
+    const AWAY_MS: u64 = 4_000;
+    let mut holder = Holder::open(1, Headroom::None);
+    let mut calls = 0;
+    let mut held_up = 0;
+    for now in (0..AWAY_MS).step_by(20) {
+        holder.ask(ask(u128::from(now), 100), now);
+        held_up += u32::from(holder.reply(u128::from(now)).is_none());
+        while let Some(effect) = holder.effects.pop() {
+            assert!(matches!(effect, CeilingEffect::Read { .. }));
+            calls += 1;
+            holder.read_done(Outcome::NotDone(NotDone::Unavailable), now);
+        }
+    }
+    assert!(calls <= 2 + AWAY_MS / 400 + 1, "{calls} calls to a store that is away");
+    assert!(held_up <= 20, "{held_up} asks waited for a store that is away");
+
+    let mut store = ModelStore::default();
+    let back = AWAY_MS + 500;
+    holder.ask(ask(9_999, 100), back);
+    holder.run(&mut store, back);
+    assert_eq!(holder.reply(9_999), Some(Reply::Granted));
+}
+
+#[test]
+fn one_lost_answer_does_not_make_a_holder_refuse() {
+    let mut holder = Holder::open(1, Headroom::None);
+    let mut store = ModelStore::default();
+    holder.ask(ask(1, 100), 0);
+    holder.effects.clear();
+    holder.read_done(Outcome::Unknown, 10);
+    holder.tick(100);
+    holder.run(&mut store, 100);
+    assert_eq!(holder.reply(1), Some(Reply::Granted));
+}
