store path: entries that are cut off spread over the budget servers

All entries listed the relays in the same order and began with the first.

Change: each entry ranks the budget servers by its own name.

Test: entries_that_are_cut_off_spread_over_the_budget_servers (16 entries over 4 relays; before, one relay took all).

--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -105,7 +105,8 @@
     };
     let meter = metrics.meter("direct-entry");
     let direct = DirectPath::open(basics.pool.clone(), settings.store, StoreMetrics::open(&meter));
-    let store = Arc::new(PlatformStore::open(RelayedPath::spawn(direct, basics.peers.clone())));
+    let store_path = RelayedPath::spawn(direct, basics.peers.clone(), &settings.name);
+    let store = Arc::new(PlatformStore::open(store_path));
     let own = Ceilings::spawn(store.clone(), basics.clock, Headroom::None);
     log::warn!("event=start role=direct-entry host={} epoch={}", settings.name, own.epoch());
     metrics::observe_ceilings(&meter, &own);
--- a/daemon/src/direct/peers.rs
+++ b/daemon/src/direct/peers.rs
@@ -76,23 +76,14 @@
         }
     }
 
-    /// Budget servers; those that did not answer lately come last.
-    pub fn budget_servers(&self) -> Vec<PeerEntry> {
-        self.sorted_servers(|_| {})
-    }
-
     /// Budget servers as all entries rank them for a key; those that did not answer
     /// lately come last.
     pub fn ranked_budget_servers(&self, key: u64) -> Vec<PeerEntry> {
-        self.sorted_servers(|servers| rank::order(key, servers, |peer| peer.entry.name.as_str()))
-    }
-
-    fn sorted_servers(&self, order: impl FnOnce(&mut [&Peer])) -> Vec<PeerEntry> {
         let now = self.clock.now();
         let name = DirectRole::BudgetServer.name();
         let peers = self.lock();
         let mut servers: Vec<&Peer> = peers.iter().filter(|peer| peer.entry.role == name).collect();
-        order(&mut servers);
+        rank::order(key, &mut servers, |peer| peer.entry.name.as_str());
         servers.sort_by_key(|peer| now < peer.rest_until);
         servers.into_iter().map(|peer| peer.entry.clone()).collect()
     }
--- a/daemon/src/direct/store_path.rs
+++ b/daemon/src/direct/store_path.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
+use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_platform::store::{
     self, CallFailure, StoreAnswer, StoreCall, StoreCaller, is_served,
 };
@@ -77,6 +78,8 @@
     pool: HttpPool,
     peers: Arc<Peers>,
     direct_down: AtomicBool,
+    /// Ranks the budget servers for this process, so that processes spread over them.
+    key: u64,
     next_relay: AtomicU64,
     relays_rest: Mutex<RelaysRest>,
 }
@@ -92,12 +95,13 @@
 
 impl RelayedPath {
     /// Opens the way and the task that probes the straight one.
-    pub fn spawn(direct: DirectPath, peers: Arc<Peers>) -> Arc<RelayedPath> {
+    pub fn spawn(direct: DirectPath, peers: Arc<Peers>, name: &str) -> Arc<RelayedPath> {
         let path = Arc::new(RelayedPath {
             pool: direct.pool.clone(),
             direct,
             peers,
             direct_down: AtomicBool::new(false),
+            key: rank::key_of(name),
             next_relay: AtomicU64::new(0),
             relays_rest: Mutex::default(),
         });
@@ -143,7 +147,7 @@
     }
 
     async fn call_relays(&self, call: &StoreCall) -> Result<StoreAnswer, CallFailure> {
-        let servers = self.peers.budget_servers();
+        let servers = self.peers.ranked_budget_servers(self.key);
         let first = self.next_relay.load(Ordering::Relaxed) as usize;
         let is_read = call.method == Method::GET;
         let mut refusal = Err(CallFailure::NotSent);
