feed: news gather for 0.2 s after each answer that had some

Change: after an answer with changes a feed waits 200 ms before it watches on, so that changes that come together cost one call.

--- a/daemon/src/direct/feed.rs
+++ b/daemon/src/direct/feed.rs
@@ -10,9 +10,12 @@
 /// within the time that the platform's rules give a host to find its feet.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Wait of a watch whose news are in no hurry, and the pause after each of its
-/// answers, in which further news gather: many processes start at one time.
+/// Wait of a watch whose news are in no hurry.
 const SLOW_WATCH_WAIT: Duration = Duration::from_millis(10_000);
+
+/// Pause after an answer with news, in which further news gather: many targets and
+/// processes start, leave or fail at one time.
+const PAUSE: Duration = Duration::from_millis(200);
 const SLOW_PAUSE: Duration = Duration::from_millis(700);
 
 /// Time in which a list has to be answered.
@@ -53,17 +56,14 @@
     sink: Arc<dyn FeedSink>,
 ) {
     tokio::spawn(async move {
-        let (wait, longest_pause) = match urgency {
-            Urgency::Prompt => (WATCH_WAIT, LONGEST_PAUSE),
-            Urgency::Slow => (SLOW_WATCH_WAIT, LONGEST_SLOW_PAUSE),
+        let (wait, pause, longest_pause) = match urgency {
+            Urgency::Prompt => (WATCH_WAIT, PAUSE, LONGEST_PAUSE),
+            Urgency::Slow => (SLOW_WATCH_WAIT, SLOW_PAUSE, LONGEST_SLOW_PAUSE),
         };
         let mut follower =
-            Follower { feed, prefix, wait, longest_pause, sink, seen: None, failures: 0 };
+            Follower { feed, prefix, wait, pause, longest_pause, sink, seen: None, failures: 0 };
         loop {
             follower.step().await;
-            if urgency == Urgency::Slow {
-                tokio::time::sleep(SLOW_PAUSE).await;
-            }
         }
     });
 }
@@ -72,6 +72,7 @@
     feed: Arc<dyn KvFeed>,
     prefix: &'static str,
     wait: Duration,
+    pause: Duration,
     longest_pause: Duration,
     sink: Arc<dyn FeedSink>,
     /// Revision up to which everything is known; `None` before the first list.
@@ -107,10 +108,15 @@
             }
             Outcome::Done(changes) => {
                 self.answered();
-                if let Changes::Seen { revision_of_all, .. } = &changes {
+                let mut has_news = false;
+                if let Changes::Seen { revision_of_all, changes } = &changes {
                     self.seen = Some((*revision_of_all).max(seen));
+                    has_news = !changes.is_empty();
                 }
                 self.sink.changed(changes);
+                if has_news {
+                    tokio::time::sleep(self.pause).await;
+                }
             }
             Outcome::NotDone(_) | Outcome::Unknown => self.failed().await,
         }
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -33,7 +33,7 @@
 const INPUT: u64 = 200;
 
 /// Most events of a stream.
-const MOST_EVENTS: u64 = 20;
+const MOST_EVENTS: u64 = 60;
 
 /// Requests of the calm part.
 const CALM_REQUESTS: u64 = 60;
