budget: headroom from the first request on, and raised while two thirds are left

A holder took half a second of a budget's requests to believe in a rate, and raised headroom only when less than 35 % of it was left, so that it covered 2.8 to 8 s of an outage.

Change: the first requests are spread over at least 100 ms (500 before), and headroom is raised when less than 65 % is left: 5.2 to 8 s. The share of the budget that one holder takes stays bounded as it was.

--- a/lib/src/budget/ceiling/held.rs
+++ b/lib/src/budget/ceiling/held.rs
@@ -31,7 +31,7 @@
 const SURPLUS_FACTOR: u64 = 2;
 
 /// Headroom is raised in advance when less than this share of it is left.
-const LOW_SHARE: f64 = 0.35;
+const LOW_SHARE: f64 = 0.65;
 
 /// Least time between two writes that no request waits for, in milliseconds.
 const IDLE_WRITE_MS: u64 = 500;
@@ -43,8 +43,9 @@
 const RATE_WINDOW_MS: f64 = 4_000.0;
 
 /// Shortest time that the first requests of a budget are spread over, in
-/// milliseconds: one request is no rate.
-const MIN_RATE_MS: u64 = 500;
+/// milliseconds. The first one alone then stands for a rate that fills the whole
+/// headroom of most budgets, and never for more than eighty requests like it.
+const MIN_RATE_MS: u64 = 100;
 
 /// Pause before the store is asked again after a failure, in milliseconds.
 const RETRY_MS: u64 = 40;
--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -535,3 +535,23 @@
     holder.run(&mut store, 100);
     assert_eq!(holder.reply(1), Some(Reply::Granted));
 }
+
+/// Found on the users' bench (bwf-ost trouble-3, 0.5 s): the store went away when
+/// traffic had just begun, and budgets that were nearly full were refused.
+#[test]
+fn the_first_request_of_a_full_budget_brings_headroom_for_an_outage() {
+    const TOKENS: u64 = 100;
+    let mut holder = Holder::open(1, Headroom::ByRate);
+    let mut store = ModelStore::default();
+    holder.ask(ask(1, TOKENS), 0);
+    holder.run(&mut store, 1);
+    let mut granted = 0;
+    for at in (50..3_000).step_by(50) {
+        let id = u128::from(at);
+        holder.ask(ask(id, TOKENS), at);
+        holder.effects.clear();
+        granted += u32::from(holder.reply(id) == Some(Reply::Granted));
+    }
+    assert_eq!(granted, 59, "the store does not answer after the first request");
+    assert!(store.granted() <= PREPAID / 5, "a death strands {}", store.granted());
+}
