--- a/lib/src/budget/ceiling/held.rs
+++ b/lib/src/budget/ceiling/held.rs
@@ -31,7 +31,7 @@
 const SURPLUS_FACTOR: u64 = 2;
 
 /// Headroom is raised in advance when less than this share of it is left.
-const LOW_SHARE: f64 = 0.65;
+const LOW_SHARE: f64 = 0.35;
 
 /// Least time between two writes that no request waits for, in milliseconds.
 const IDLE_WRITE_MS: u64 = 500;
