--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -491,7 +491,7 @@
     let mut store = ModelStore::default();
     for at in (0..10_000).step_by(PAUSE_MS as usize) {
         let id = u128::from(at);
-        holder.ask(ask(id, TOKENS), at);
+        holder.ask(Ask { prepaid: 10 * PREPAID, ..ask(id, TOKENS) }, at);
         holder.run(&mut store, at);
         holder.settle(id, TOKENS, at + 20);
         holder.run(&mut store, at + 20);
