--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -1,27 +1,15 @@
 //! Identifiers that cross process borders.
 
-use derive_more::{Display, From, Into};
+use derive_more::Display;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-/// One start of an entry process; names its grants in the ledger.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    From,
-    Into,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[display("{_0:016x}")]
-pub struct EpochId(pub u64);
+use crate::number_type::number_type;
+
+number_type! {
+    /// One start of an entry process; names its grants in the ledger.
+    EpochId(u64) as "{:016x}"
+}
 
 impl EpochId {
     /// Fresh random epoch.
@@ -30,24 +18,10 @@
     }
 }
 
-/// Identity of a caller's request; equal for every retry of it.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    From,
-    Into,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[display("{_0:032x}")]
-pub struct RequestId(pub u128);
+number_type! {
+    /// Identity of a caller's request; equal for every retry of it.
+    RequestId(u128) as "{:032x}"
+}
 
 impl RequestId {
     /// Fresh random identity, for a request that carries none of its own.
@@ -61,22 +35,11 @@
     }
 }
 
-/// Number of one delivery of a request to a sidecar.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-pub struct Attempt(pub u32);
+number_type! {
+    /// Number of one delivery of a request to a sidecar.
+    #[derive(Default)]
+    Attempt(u32)
+}
 
 /// Name of a budget: its workspace and its name within it.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -86,24 +49,10 @@
     pub name: String,
 }
 
-/// Identity of an operator's change or top-up; makes its retries idempotent.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Display,
-    From,
-    Into,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[display("{_0:032x}")]
-pub struct OperationId(pub u128);
+number_type! {
+    /// Identity of an operator's change or top-up; makes its retries idempotent.
+    OperationId(u128) as "{:032x}"
+}
 
 impl OperationId {
     /// Fresh random operation.
--- a/lib/src/kv_store.rs
+++ b/lib/src/kv_store.rs
@@ -7,36 +7,24 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use derive_more::Display;
-use serde::{Deserialize, Serialize};
-
-/// Revision of one key; zero stands for an absent key.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-pub struct Revision(pub u64);
+
+use crate::number_type::number_type;
+
+number_type! {
+    /// Revision of one key; zero stands for an absent key.
+    #[derive(Default)]
+    Revision(u64)
+}
 
 impl Revision {
     /// Revision of a key that does not exist.
     pub const ABSENT: Revision = Revision(0);
 }
 
-/// Lease that deletes its keys when it is not kept alive.
-#[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct LeaseId(pub u64);
+number_type! {
+    /// Lease that deletes its keys when it is not kept alive.
+    LeaseId(u64)
+}
 
 /// Value of a key with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod kv_feed;
 pub mod kv_http;
 pub mod kv_store;
+mod number_type;
 pub mod placement;
 pub mod poison;
 pub mod request_bound;
--- a/lib/src/time.rs
+++ b/lib/src/time.rs
@@ -2,28 +2,15 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use derive_more::Display;
-use serde::{Deserialize, Serialize};
-
-/// Point on a process's monotonic clock, in milliseconds since its start.
-///
-/// Values from different processes must not be compared.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[display("{_0}ms")]
-pub struct Millis(pub u64);
+use crate::number_type::number_type;
+
+number_type! {
+    /// Point on a process's monotonic clock, in milliseconds since its start.
+    ///
+    /// Values from different processes must not be compared.
+    #[derive(Default)]
+    Millis(u64) as "{}ms"
+}
 
 impl Millis {
     /// This point moved later by `ms`.
