poison: requests that crash targets are refused by the whole fleet

Change: a request's fingerprint is the digest of path, key and body. Each target that breaks off while it ran one is noted at the entry and told to two budget servers; after three different targets it is refused with 3007, its next try in the same attempt as well, and the server writes fleet/poisoned/FINGERPRINT with a lease of a minute, which every entry's feed of the fleet's list brings within two seconds. Marks are pure code (lib/src/dispatch/crash_marks.rs).

Tests: five of the marks; real processes: three targets are crashed and no fourth, other requests go on; an entry that has started anew refuses what the fleet refuses. Without the change the first one runs the request six times.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -17,6 +17,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod peers;
+pub mod poison;
 pub mod refusal;
 pub mod settings;
 pub mod store_path;
--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -11,6 +11,7 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use rosemarymoor_lib::budget::ceiling::{Ask, Reply, ReservationId, Settlement};
+use rosemarymoor_lib::dispatch::crash_marks::Crash;
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::id::BudgetId;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
@@ -19,6 +20,7 @@
 use super::budget_server::{RESERVE_PATH, SETTLE_PATH};
 use super::ceilings::Ceilings;
 use super::peers::{PeerEntry, Peers};
+use super::poison::CRASH_PATH;
 use crate::http_pool::{HttpPool, SendFailure};
 
 /// Budget servers that one request asks; the second one stands in for a first
@@ -150,6 +152,16 @@
         self.store_rest().is_some_and(|until| Instant::now() < until)
     }
 
+    /// Tells the budget servers that a target broke off while it ran a request.
+    pub async fn report_crash(self, crash: Crash) {
+        let servers = self.peers.ranked_budget_servers(crash.fingerprint as u64);
+        for server in servers.into_iter().take(MAX_SERVERS) {
+            if let Err(failure) = self.post(&server, CRASH_PATH, &crash, SETTLE_TIMEOUT).await {
+                log::debug!("event=crash_not_told server={} reason={failure:?}", server.name);
+            }
+        }
+    }
+
     /// Hands own money back; for a graceful stop.
     pub async fn close(&self) {
         self.own.close().await;
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -5,6 +5,8 @@
 //! - `POST /reserve` takes an [`Ask`](rosemarymoor_lib::budget::ceiling::Ask);
 //! - `POST /settle` takes a list of
 //!   [`Settlement`](rosemarymoor_lib::budget::ceiling::Settlement);
+//! - `POST /crashed` takes a [`Crash`](rosemarymoor_lib::dispatch::crash_marks::Crash)
+//!   of a target that broke off while it ran a request;
 //! - everything under `/store` is a call to the platform's store, passed on as
 //!   it is; 502 says that the store did not answer.
 
@@ -17,12 +19,15 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use rosemarymoor_lib::budget::ceiling::{Ask, Headroom, Settlement};
+use rosemarymoor_lib::dispatch::crash_marks::Crash;
+use rosemarymoor_lib::kv_store::KvStore;
 use rosemarymoor_platform::store::{PlatformStore, StoreCall, StoreCaller};
 use serde::Deserialize;
 
 use super::ceilings::Ceilings;
 use super::context::{Basics, reload_on_hangup};
 use super::metrics::{self, StoreMetrics};
+use super::poison::{self, CRASH_PATH, Poison};
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RELAY_PREFIX};
 use crate::http_server::{self, ConnectionLimits, HttpServer};
@@ -48,6 +53,8 @@
 struct Server {
     ceilings: Ceilings,
     store: DirectPath,
+    kv: Arc<dyn KvStore>,
+    poison: Poison,
 }
 
 /// Runs a budget server until it is told to stop; answers the exit code.
@@ -67,7 +74,12 @@
     let epoch = ceilings.epoch();
     log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
     metrics::observe_ceilings(&meter, &ceilings);
-    let server = Arc::new(Server { ceilings: ceilings.clone(), store });
+    let server = Arc::new(Server {
+        ceilings: ceilings.clone(),
+        store,
+        kv: kv.clone(),
+        poison: Poison::open(basics.clock),
+    });
     let listener = match http_server::bind(settings.internal) {
         Ok(listener) => listener,
         Err(err) => {
@@ -106,6 +118,7 @@
         match (head.method, path) {
             (Method::POST, RESERVE_PATH) => self.reserve(&body).await,
             (Method::POST, SETTLE_PATH) => self.settle(&body),
+            (Method::POST, CRASH_PATH) => self.note_crash(&body),
             _ => empty(StatusCode::NOT_FOUND),
         }
     }
@@ -129,6 +142,16 @@
         empty(StatusCode::OK)
     }
 
+    fn note_crash(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(crash) = decode::<Crash>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        if self.poison.note(&crash) {
+            tokio::spawn(poison::publish(self.kv.clone(), crash.fingerprint));
+        }
+        empty(StatusCode::OK)
+    }
+
     async fn relay(&self, method: Method, path: String, body: Bytes) -> Response<Full<Bytes>> {
         let timeout = if path.contains("wait_ms=") { RELAY_TIMEOUT } else { RELAY_CALL_TIMEOUT };
         match self.store.call(StoreCall { method, path, body, timeout }).await {
--- a/daemon/src/direct/context.rs
+++ b/daemon/src/direct/context.rs
@@ -11,6 +11,7 @@
 
 use super::feed::{self, FeedSink, Urgency};
 use super::peers::{PEER_PREFIX, PeerEntry, Peers, peer_key};
+use super::poison::Poison;
 use super::settings::DirectSettings;
 use crate::http_pool::HttpPool;
 
@@ -63,8 +64,8 @@
     }
 
     /// Starts to follow the fleet's own list.
-    pub fn follow_peers(&self, feed: Arc<dyn KvFeed>) {
-        let sink = Arc::new(PeerSink { peers: self.peers.clone() });
+    pub fn follow_peers(&self, feed: Arc<dyn KvFeed>, poison: Poison) {
+        let sink = Arc::new(PeerSink { peers: self.peers.clone(), poison });
         feed::spawn(feed, PEER_PREFIX, Urgency::Slow, sink);
     }
 
@@ -126,14 +127,17 @@
 
 struct PeerSink {
     peers: Arc<Peers>,
+    poison: Poison,
 }
 
 impl FeedSink for PeerSink {
     fn listed(&self, listing: Listing) {
         self.peers.replace(&listing);
+        self.poison.take_listing(&listing);
     }
 
     fn changed(&self, changes: Changes) {
         self.peers.change(&changes);
+        self.poison.take_changes(&changes);
     }
 }
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -45,13 +45,16 @@
 
 impl Tries {
     /// Notes a try that came to nothing.
-    pub fn failed(&mut self, failed: Failed) {
+    pub fn failed(&mut self, entry: &Entry, call: &Call, failed: Failed) {
         self.last = Some(failed);
         if failed.did_not_run() {
             self.turned_away += 1;
         } else {
             self.may_have_run += 1;
         }
+        if let (Failed::Broken, Some(target)) = (failed, self.tried.last()) {
+            entry.note_crash(call.fingerprint, *target);
+        }
     }
 
     /// Whether the request may go to one more target.
@@ -121,7 +124,8 @@
 
 /// Next target to try; `None` if the request has to be answered as it is.
 pub fn next_target(entry: &Entry, call: &Call, tries: &mut Tries) -> Option<TargetKey> {
-    if !tries.tried.is_empty() && !tries.may_go_on(call) {
+    let is_retry = !tries.tried.is_empty();
+    if is_retry && (!tries.may_go_on(call) || entry.poison.is_refused(call.fingerprint)) {
         return None;
     }
     let now = entry.now();
@@ -138,7 +142,7 @@
         table.expire(now);
         choice::choose(&table, wanted, &tries.tried, now)?
     };
-    if !tries.tried.is_empty() && !entry.retries().try_retry(&call.service, entries, now) {
+    if is_retry && !entry.retries().try_retry(&call.service, entries, now) {
         log::info!("event=retry_denied request={} reason=retry_budget", call.head.attempt_id);
         return None;
     }
@@ -175,7 +179,7 @@
 
 fn note_failure(entry: &Entry, call: &Call, tries: &mut Tries, target: TargetKey, failed: Failed) {
     entry.metrics.tried(failed.label());
-    tries.failed(failed);
+    tries.failed(entry, call, failed);
     let target = entry.targets().get(target).map(|target| target.registration.id.clone());
     log::info!(
         target: FAILURE_LOG,
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -9,8 +9,9 @@
 use rosemarymoor_lib::budget::ceiling::Headroom;
 use rosemarymoor_lib::dispatch::catalog::Catalog;
 use rosemarymoor_lib::dispatch::comeback::Comeback;
+use rosemarymoor_lib::dispatch::crash_marks::Crash;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
-use rosemarymoor_lib::dispatch::targets::TargetTable;
+use rosemarymoor_lib::dispatch::targets::{TargetKey, TargetTable};
 use rosemarymoor_lib::kv_feed::{Changes, KeyChange, KvFeed, Listing};
 use rosemarymoor_lib::kv_store::Versioned;
 use rosemarymoor_lib::time::{Millis, MonotonicClock};
@@ -24,6 +25,7 @@
 use super::listener;
 use super::metrics::{self, DirectMetrics, StoreMetrics};
 use super::peers::Peers;
+use super::poison::Poison;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RelayedPath};
 use crate::http_pool::HttpPool;
@@ -47,6 +49,7 @@
     pub pool: HttpPool,
     pub budgets: BudgetClient,
     pub peers: Arc<Peers>,
+    pub poison: Poison,
     pub clock: MonotonicClock,
     is_stopping: AtomicBool,
     has_targets: AtomicBool,
@@ -71,6 +74,15 @@
         self.money_comeback.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that a target broke off while it ran a request, here and over the fleet.
+    pub fn note_crash(&self, fingerprint: u128, target: TargetKey) {
+        let target = self.targets().get(target).map(|target| target.registration.id.clone());
+        let Some(target) = target else { return };
+        let crash = Crash { fingerprint, target };
+        self.poison.note(&crash);
+        tokio::spawn(self.budgets.clone().report_crash(crash));
+    }
+
     /// Time on the entry's clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -120,6 +132,7 @@
         pool: basics.pool.clone(),
         budgets: BudgetClient::open(basics.pool.clone(), basics.peers.clone(), own),
         peers: basics.peers.clone(),
+        poison: Poison::open(basics.clock),
         clock: basics.clock,
         is_stopping: AtomicBool::new(false),
         has_targets: AtomicBool::new(false),
@@ -137,7 +150,7 @@
     let reloaded = entry.clone();
     reload_on_hangup(path, move |settings| reloaded.retries().set_limits(settings.retries));
     follow_store(&entry, store.clone());
-    basics.follow_peers(store.clone());
+    basics.follow_peers(store.clone(), entry.poison.clone());
     basics.enlist(&settings, store);
     basics.stop_requested().await;
     stop(&entry, callers, settings.grace).await;
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, Response, Uri};
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::id::BudgetId;
+use rosemarymoor_lib::id::{BudgetId, digest128};
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
 use rosemarymoor_platform::request::{self, CallerHead, HeadFault};
 
@@ -48,6 +48,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Digest of path, key and body: the same for a request that comes again.
+    pub fingerprint: u128,
     pub route: Route,
     pub service: String,
     pub workspace: Option<String>,
@@ -159,6 +161,11 @@
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
     let uri = uri.map_err(|_| Refusal::new(ResultCode::BadRequest, "the path cannot be read"))?;
     let body = read_body(body, &catalog, until).await?;
+    let key = head.key.as_deref().unwrap_or_default();
+    let fingerprint = digest128(&[parts.uri.to_string().as_bytes(), key.as_bytes(), &body]);
+    if entry.poison.is_refused(fingerprint) {
+        return Err(Refusal::new(ResultCode::Poisoned, "targets broke off while they ran it"));
+    }
     entry.retries().note_request(&service, entry.now());
     let engine = catalog.service(&service).and_then(|service| service.engine.as_ref());
     let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event);
@@ -181,6 +188,7 @@
         uri,
         headers: parts.headers,
         body,
+        fingerprint,
         service,
         workspace: workspace.map(|workspace| workspace.name),
         catalog_version: catalog.version,
--- a/daemon/src/direct/peers.rs
+++ b/daemon/src/direct/peers.rs
@@ -11,6 +11,7 @@
 use rosemarymoor_lib::time::{Millis, MonotonicClock};
 use serde::{Deserialize, Serialize};
 
+use super::poison::poisoned;
 use super::settings::DirectRole;
 
 /// Prefix of the fleet's own list in the store.
@@ -109,6 +110,9 @@
 }
 
 fn put(peers: &mut Vec<Peer>, key: &str, value: &[u8]) {
+    if poisoned(key).is_some() {
+        return;
+    }
     let entry: PeerEntry = match serde_json::from_slice(value) {
         Ok(entry) => entry,
         Err(err) => {
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -202,7 +202,7 @@
         // Closing the connection stops the run there.
         self.running = None;
         self.splitter = EventSplitter::default();
-        self.tries.failed(failed);
+        self.tries.failed(&self.entry, &self.call, failed);
         if !self.call.route.kind.is_idempotent() || self.last_event.is_none() {
             return Err(failed);
         }
@@ -223,11 +223,11 @@
                 }
                 Ok(_) => {
                     failed = Failed::Broken;
-                    self.tries.failed(failed);
+                    self.tries.failed(&self.entry, &self.call, failed);
                 }
                 Err(other) => {
                     failed = other;
-                    self.tries.failed(other);
+                    self.tries.failed(&self.entry, &self.call, other);
                 }
             }
         }
--- /dev/null
+++ b/daemon/tests/test_direct_poison.rs
@@ -0,0 +1,77 @@
+//! Requests that crash targets, before real processes.
+
+use std::path::Path;
+use std::time::Duration;
+
+use rosemarymoor_platform_standins::caller::CallerRequest;
+use rosemarymoor_platform_standins::fleet::PlatformFleet;
+use rosemarymoor_platform_standins::scene::{call, ok, target};
+use rosemarymoor_platform_standins::target::{Received, Step, TargetStandIn};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
+const TARGETS: usize = 5;
+
+/// Time in which the fleet's own list reaches an entry.
+const SPREAD: Duration = Duration::from_millis(2_500);
+
+/// Breaks off for one path, serves all others.
+fn crash_or_serve(received: &Received) -> Vec<Step> {
+    if received.line().contains("/safe/poison") { vec![Step::Reset] } else { ok(received) }
+}
+
+async fn targets() -> Vec<TargetStandIn> {
+    let mut targets = Vec::new();
+    for _ in 0..TARGETS {
+        targets.push(target(crash_or_serve).await);
+    }
+    targets
+}
+
+async fn fleet(targets: &[TargetStandIn]) -> PlatformFleet {
+    let named: Vec<(&str, &TargetStandIn)> =
+        targets.iter().map(|target| ("calls", target)).collect();
+    PlatformFleet::open(Path::new(BINARY), &named).await.unwrap()
+}
+
+fn runs(targets: &[TargetStandIn], path: &str) -> usize {
+    let is_run = |received: &Received| received.line().contains(path);
+    targets.iter().flat_map(TargetStandIn::received).filter(is_run).count()
+}
+
+#[tokio::test]
+async fn a_request_that_crashed_three_targets_reaches_no_fourth() {
+    let targets = targets().await;
+    let fleet = fleet(&targets).await;
+    let mut statuses = Vec::new();
+    for at in 0..6 {
+        let req = CallerRequest::get("/safe/poison", &format!("p{at}"));
+        statuses.push(call(&fleet, &req).await.status);
+    }
+    assert_eq!(statuses[..2], [502, 502], "{statuses:?}");
+    assert!(statuses[2..].iter().all(|status| *status == 422), "{statuses:?}");
+    assert_eq!(runs(&targets, "/safe/poison"), 3);
+    for at in 0..4 {
+        let req = CallerRequest::get("/safe/other", &format!("o{at}"));
+        assert_eq!(call(&fleet, &req).await.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn an_entry_that_saw_no_crash_refuses_what_the_fleet_refuses() {
+    let targets = targets().await;
+    let mut fleet = fleet(&targets).await;
+    let _server = fleet.start_budget_server("side-1").await.unwrap();
+    for at in 0..3 {
+        call(&fleet, &CallerRequest::get("/safe/poison", &format!("p{at}"))).await;
+    }
+    tokio::time::sleep(SPREAD).await;
+    assert_eq!(fleet.store.keys("fleet/poisoned/").len(), 1);
+    let before = runs(&targets, "/safe/poison");
+    // A process that starts anew remembers nothing of its own.
+    fleet.entry.restart().unwrap();
+    fleet.wait_ready().await.unwrap();
+    tokio::time::sleep(SPREAD).await;
+    let req = CallerRequest::get("/safe/poison", "p9");
+    assert_eq!(call(&fleet, &req).await.status, 422);
+    assert_eq!(runs(&targets, "/safe/poison"), before);
+}
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod choice;
 pub mod comeback;
+pub mod crash_marks;
 pub mod event_stream;
 pub mod rank;
 pub mod retry_budget;
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -121,15 +121,17 @@
     }
 
     fn wire(&self) -> CallerRequest {
-        let path = match self.kind {
-            Kind::Safe => "/safe/1",
-            Kind::Unsafe => "/unsafe/1",
-            Kind::Stream => "/stream/1",
-            Kind::Resumable => "/resume/1",
+        let prefix = match self.kind {
+            Kind::Safe => "safe",
+            Kind::Unsafe => "unsafe",
+            Kind::Stream => "stream",
+            Kind::Resumable => "resume",
         };
+        // Different requests have different paths, as those of real callers differ.
+        let path = format!("/{prefix}/{}", self.id);
         let mut req = match self.kind {
-            Kind::Safe => CallerRequest::get(path, &self.id),
-            _ => CallerRequest::post(path, &self.id),
+            Kind::Safe => CallerRequest::get(&path, &self.id),
+            _ => CallerRequest::post(&path, &self.id),
         };
         req.key = WORKSPACES[self.workspace].1.to_owned();
         if matches!(self.kind, Kind::Stream | Kind::Resumable) {
