soak, log: what the read-through found hard to read

Cause: two enums of the daemon were called Urgency; a target's spoiled answers were chosen by bare numbers; soak/src/fleet.rs held processes, targets and their answers.

Change: LineKind for lines of the log; soak/src/target.rs with a type for the ways in which a request is spoiled.

--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -154,7 +154,7 @@
         }
     };
     if let Err(err) = ended {
-        log::debug!("event=connection_served_ended reason={err}");
+        log::debug!("event=served_connection_ended reason={err}");
     }
 }
 
--- a/daemon/src/line_log.rs
+++ b/daemon/src/line_log.rs
@@ -39,7 +39,7 @@
 
 /// How soon a line is left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Urgency {
+pub enum LineKind {
     Ordinary,
     /// Tells of a request that was refused or failed.
     Failure,
@@ -47,24 +47,24 @@
     Warning,
 }
 
-impl Urgency {
-    /// Urgency of a line by its level and target.
-    pub fn of(metadata: &Metadata<'_>) -> Urgency {
+impl LineKind {
+    /// Kind of a line by its level and target.
+    pub fn of(metadata: &Metadata<'_>) -> LineKind {
         if metadata.level() <= Level::Warn {
-            Urgency::Warning
+            LineKind::Warning
         } else if metadata.target() == FAILURE_LOG {
-            Urgency::Failure
+            LineKind::Failure
         } else {
-            Urgency::Ordinary
+            LineKind::Ordinary
         }
     }
 
     /// Lines of a second, of all kinds, after which lines of this one are left out.
     pub fn lines_per_s(self) -> u64 {
         match self {
-            Urgency::Ordinary => LINES_PER_S,
-            Urgency::Failure => LINES_WITH_FAILURES_PER_S,
-            Urgency::Warning => MOST_LINES_PER_S,
+            LineKind::Ordinary => LINES_PER_S,
+            LineKind::Failure => LINES_WITH_FAILURES_PER_S,
+            LineKind::Warning => MOST_LINES_PER_S,
         }
     }
 }
@@ -80,11 +80,11 @@
     /// Counts a line; answers whether it may be written.
     ///
     /// Lines that are left out do not use up the budget of more urgent ones.
-    pub fn take(&self, second: u64, urgency: Urgency) -> bool {
+    pub fn take(&self, second: u64, kind: LineKind) -> bool {
         if self.second.swap(second, Ordering::Relaxed) != second {
             self.lines.store(0, Ordering::Relaxed);
         }
-        let most = urgency.lines_per_s();
+        let most = kind.lines_per_s();
         let taken = self.lines.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |lines| {
             (lines < most).then_some(lines + 1)
         });
@@ -139,7 +139,7 @@
             return;
         }
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        if !self.budget.take(since_epoch.as_secs(), Urgency::of(record.metadata())) {
+        if !self.budget.take(since_epoch.as_secs(), LineKind::of(record.metadata())) {
             self.left_out.fetch_add(1, Ordering::Relaxed);
             return;
         }
--- a/daemon/tests/test_direct_logs.rs
+++ b/daemon/tests/test_direct_logs.rs
@@ -5,7 +5,7 @@
 
 use rosemarymoor_daemon::direct::metrics::{DirectMetrics, MAX_ROUTES};
 use rosemarymoor_daemon::health::Metrics;
-use rosemarymoor_daemon::line_log::{LineBudget, Urgency};
+use rosemarymoor_daemon::line_log::{LineBudget, LineKind};
 use rosemarymoor_lib::dispatch::catalog::{CallKind, Route};
 use rosemarymoor_platform_standins::caller::{Caller, CallerRequest};
 use rosemarymoor_platform_standins::fleet::{LogReader, PREPAID, PlatformFleet};
@@ -32,13 +32,13 @@
 #[test]
 fn what_explains_a_complaint_is_left_out_last() {
     let budget = LineBudget::default();
-    let count = |second, urgency| (0..10_000).filter(|_| budget.take(second, urgency)).count();
-    assert_eq!(count(1, Urgency::Ordinary), 500);
-    assert_eq!(count(1, Urgency::Failure), 200);
-    assert_eq!(count(1, Urgency::Warning), 100);
-    assert_eq!(count(2, Urgency::Warning), 800);
-    assert_eq!(count(2, Urgency::Ordinary), 0);
-    assert_eq!(count(3, Urgency::Ordinary), 500);
+    let count = |second, kind| (0..10_000).filter(|_| budget.take(second, kind)).count();
+    assert_eq!(count(1, LineKind::Ordinary), 500);
+    assert_eq!(count(1, LineKind::Failure), 200);
+    assert_eq!(count(1, LineKind::Warning), 100);
+    assert_eq!(count(2, LineKind::Warning), 800);
+    assert_eq!(count(2, LineKind::Ordinary), 0);
+    assert_eq!(count(3, LineKind::Ordinary), 500);
 }
 
 #[tokio::test]
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use rosemarymoor_platform_standins::process::Process;
 use rosemarymoor_platform_standins::store::Trouble;
 use rosemarymoor_testutils::dice::Dice;
 use rosemarymoor_testutils::fault_proxy::Link;
@@ -12,8 +13,9 @@
 use tokio::task::JoinSet;
 
 use crate::Plan;
-use crate::fleet::{Fleet, Member, STOP_LIMIT, Target};
+use crate::fleet::{Fleet, Member, STOP_LIMIT};
 use crate::record::{Breach, Struck};
+use crate::target::Target;
 
 /// Longest pause between two faults, in milliseconds.
 const PAUSE_MS: u64 = 500;
@@ -165,10 +167,7 @@
     Ok(())
 }
 
-fn restart(
-    member: &Member,
-    process: &mut rosemarymoor_platform_standins::process::Process,
-) -> io::Result<()> {
+fn restart(member: &Member, process: &mut Process) -> io::Result<()> {
     member.starts.fetch_add(1, Ordering::SeqCst);
     process.restart()
 }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -1,9 +1,8 @@
 //! Processes, targets and configuration of a run.
 
-use std::collections::BTreeSet;
 use std::io;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
@@ -12,16 +11,14 @@
 use rosemarymoor_lib::id::BudgetId;
 use rosemarymoor_platform_standins::fleet::{LogReader, Process, get, manifest_for};
 use rosemarymoor_platform_standins::process::{EntryAddresses, budget_server_settings};
-use rosemarymoor_platform_standins::scene::{events, script};
 use rosemarymoor_platform_standins::store::StoreStandIn;
-use rosemarymoor_platform_standins::target::{Received, Step, TargetStandIn, not_run, signed};
-use rosemarymoor_testutils::dice::Dice;
 use rosemarymoor_testutils::fault_proxy::Link;
 use rosemarymoor_testutils::temp_folder::TempFolder;
 use rustix::process::Signal;
 
 use crate::Plan;
 use crate::record::{Breach, Record, Struck};
+use crate::target::Target;
 
 /// Longest wait for a process to become ready, as the platform grants after a fault.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
@@ -34,15 +31,6 @@
 
 const POLL: Duration = Duration::from_millis(100);
 
-/// Pause between two events of a stream.
-const EVENT_PAUSE: Duration = Duration::from_millis(25);
-
-/// Time that a call works.
-const CALL_WORK: Duration = Duration::from_millis(10);
-
-/// Share of a troubled target's requests that it spoils.
-const SPOILED: f64 = 0.4;
-
 /// Workspaces: name, key and prepaid tokens at first. The first one runs dry.
 pub const WORKSPACES: [(&str, &str, u64); 2] =
     [("shop", "key-1", 60_000), ("farm", "key-2", 1_000_000_000)];
@@ -62,22 +50,6 @@
     pub starts: AtomicU64,
 }
 
-/// One target and the way to it.
-pub struct Target {
-    /// Place among all targets that ever were.
-    pub number: usize,
-    pub id: String,
-    pub service: &'static str,
-    pub stand_in: TargetStandIn,
-    pub link: Link,
-    /// Whether it spoils requests.
-    pub is_troubled: Arc<AtomicBool>,
-    /// Requests that it answered as not run.
-    turned_away: Arc<Mutex<BTreeSet<String>>>,
-    /// When it asked for no more work.
-    left_at: Mutex<Option<Instant>>,
-}
-
 struct Configuration {
     version: u64,
     prepaid: [u64; 2],
@@ -175,38 +147,13 @@
     }
 
     /// Starts and registers a target.
-    pub async fn add_target(&self, service: &'static str) -> io::Result<Arc<Target>> {
+    pub async fn add_target(&self, service: &'static str) -> io::Result<()> {
         let number = self.lock_targets().len();
-        let is_troubled = Arc::new(AtomicBool::new(false));
-        let turned_away = Arc::new(Mutex::new(BTreeSet::new()));
-        let dice = Dice::new(self.seed ^ (number as u64) << 32);
-        let (troubled, refused) = (is_troubled.clone(), turned_away.clone());
-        let answer = script(move |received| {
-            let is_spoiled = troubled.load(Ordering::Relaxed) && dice.roll(SPOILED);
-            let way = if is_spoiled { 1 + dice.below(3) } else { 0 };
-            if way == 1 {
-                let mut refused = refused.lock().unwrap_or_else(PoisonError::into_inner);
-                refused.insert(received.attempt_id().to_owned());
-            }
-            answer(received, way)
-        });
-        let stand_in = TargetStandIn::spawn(answer).await?;
-        let link = Link::bind_tcp(stand_in.address()).await?;
-        let id = format!("t{number}");
-        self.store.register(&id, service, link.address(), "ready");
-        let left_at = Mutex::new(None);
-        let target = Arc::new(Target {
-            number,
-            id,
-            service,
-            stand_in,
-            link,
-            is_troubled,
-            turned_away,
-            left_at,
-        });
-        self.lock_targets().push(target.clone());
-        Ok(target)
+        let seed = self.seed ^ ((number as u64) << 32);
+        let target = Target::spawn(number, service, seed).await?;
+        self.store.register(&target.id, service, target.link.address(), "ready");
+        self.lock_targets().push(Arc::new(target));
+        Ok(())
     }
 
     /// Accepts the next configuration, which prepays more for the first workspace.
@@ -295,23 +242,6 @@
     }
 }
 
-impl Target {
-    /// Notes that it asks for no more work.
-    pub fn leave(&self) {
-        *self.left_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
-    }
-
-    /// When it asked for no more work.
-    pub fn left_at(&self) -> Option<Instant> {
-        *self.left_at.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Requests that it answered as not run.
-    pub fn turned_away(&self) -> BTreeSet<String> {
-        self.turned_away.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-}
-
 impl Member {
     /// Whether the readiness check is answered well.
     pub async fn is_ready(&self) -> bool {
@@ -320,27 +250,6 @@
     }
 }
 
-/// Answers a request: soundly, or spoiled in one of three ways.
-fn answer(received: &Received, way: u64) -> Vec<Step> {
-    match way {
-        1 => return vec![Step::Send(not_run())],
-        2 => return vec![Step::Wait(CALL_WORK), Step::Reset],
-        3 => return vec![Step::Send(signed(received, "500 Internal Server Error", "broken"))],
-        _ => {}
-    }
-    let usage = received.header("token-usage").and_then(|usage| usage.split_once(','));
-    match usage.and_then(|(_, output)| output.parse::<u64>().ok()) {
-        Some(output) => {
-            let after = received.header("last-event-id").and_then(|id| id.parse().ok());
-            events(received, after.unwrap_or(0), output / TOKENS_PER_EVENT, EVENT_PAUSE)
-        }
-        None => vec![Step::Wait(CALL_WORK), Step::Send(signed(received, "200 OK", "done"))],
-    }
-}
-
-/// Tokens of one event, as the manifest says.
-pub const TOKENS_PER_EVENT: u64 = 4;
-
 /// Follows the version that an entry has in force.
 async fn watch_configuration(fleet: Weak<Fleet>, at: usize) {
     let (mut start, mut highest, mut reported) = (0, 0, 0);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod load;
 mod promises;
 mod record;
+mod target;
 
 use std::io;
 use std::path::PathBuf;
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -10,8 +10,9 @@
 use tokio::task::JoinSet;
 
 use crate::Plan;
-use crate::fleet::{Fleet, TOKENS_PER_EVENT, WORKSPACES};
+use crate::fleet::{Fleet, WORKSPACES};
 use crate::record::{Breach, Exchange, Kind, Outcome};
+use crate::target::TOKENS_PER_EVENT;
 
 /// Time that a connection may take to be opened.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -6,8 +6,9 @@
 use rosemarymoor_platform_standins::scene::all_events;
 use serde::Serialize;
 
-use crate::fleet::{Fleet, TOKENS_PER_EVENT, Target, WORKSPACES};
+use crate::fleet::{Fleet, WORKSPACES};
 use crate::record::{Breach, Exchange, Kind, Outcome, Struck};
+use crate::target::{TOKENS_PER_EVENT, Target};
 use crate::{Plan, Report};
 
 /// Time after its registration says so in which a leaving target may get work.
