log: readiness and suspicion of targets are told when they change

Change: one line when the entry's readiness changes, with the inputs; one when callers' tries have made a target suspected, one when it is trusted again.

Test: readiness_and_suspicion_are_told_when_they_change.

No decision changes.

--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -53,6 +53,8 @@
     pub clock: MonotonicClock,
     is_stopping: AtomicBool,
     has_targets: AtomicBool,
+    /// Readiness as the log told it last.
+    was_ready: AtomicBool,
     /// When the store last told of the targets, on the entry's clock.
     news_at: AtomicU64,
     pub metrics: DirectMetrics,
@@ -98,6 +100,19 @@
         self.now().since(Millis(self.news_at.load(Ordering::Relaxed)))
     }
 
+    /// Logs a change of readiness.
+    fn note_readiness(&self) {
+        let is_ready = self.is_ready();
+        if self.was_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
+            log::warn!(
+                "event=readiness_changed is_ready={is_ready} is_stopping={} has_targets={} version={}",
+                self.is_stopping(),
+                self.has_targets.load(Ordering::Relaxed),
+                self.catalog.load().as_ref().map_or(0, |catalog| catalog.version)
+            );
+        }
+    }
+
     /// Whether the balancer should send new connections.
     pub fn is_ready(&self) -> bool {
         let has_targets = self.has_targets.load(Ordering::Relaxed);
@@ -136,6 +151,7 @@
         clock: basics.clock,
         is_stopping: AtomicBool::new(false),
         has_targets: AtomicBool::new(false),
+        was_ready: AtomicBool::new(false),
         news_at: AtomicU64::new(0),
         metrics: DirectMetrics::open(&meter),
     });
@@ -168,6 +184,7 @@
     let begun = Instant::now();
     entry.is_stopping.store(true, Ordering::Relaxed);
     log::warn!("event=stopping role=direct-entry host={}", entry.name);
+    entry.note_readiness();
     tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2)).await;
     let limit = grace.saturating_sub(EXIT_RESERVE).saturating_sub(begun.elapsed());
     let open = callers.close(limit).await;
@@ -202,6 +219,7 @@
             decoded.version
         );
         self.entry.catalog.store(Some(Arc::new(decoded)));
+        self.entry.note_readiness();
     }
 }
 
@@ -264,7 +282,9 @@
         let mut table = self.entry.targets();
         table.expire(self.entry.now());
         table.replace(registrations);
+        drop(table);
         self.entry.has_targets.store(true, Ordering::Relaxed);
+        self.entry.note_readiness();
     }
 
     fn changed(&self, changes: Changes) {
--- a/daemon/tests/test_direct_logs.rs
+++ b/daemon/tests/test_direct_logs.rs
@@ -12,6 +12,7 @@
 use rosemarymoor_platform_standins::scene::{
     call, fleet, ok, rich_fleet, spend, stream_request, target, three_events,
 };
+use rosemarymoor_platform_standins::target::Step;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
 
@@ -106,6 +107,26 @@
     assert!(text.contains("first_event_ms_bucket") && text.contains("money_ms_bucket"));
 }
 
+#[tokio::test]
+async fn readiness_and_suspicion_are_told_when_they_change() {
+    let target = target(|received| {
+        let is_bad = received.line().contains("/safe/bad");
+        if is_bad { vec![Step::Reset] } else { ok(received) }
+    })
+    .await;
+    let fleet = fleet(BINARY, &target).await;
+    call(&fleet, &CallerRequest::get("/safe/bad", "r1")).await;
+    for at in 0..8 {
+        call(&fleet, &CallerRequest::get("/safe/good", &format!("g{at}"))).await;
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let log = fleet.entry.log();
+    let told = |event: &str| log.matches(event).count();
+    assert_eq!(told("event=readiness_changed is_ready=true"), 1, "{log}");
+    assert_eq!(told("event=target_suspected target=t0"), 1, "{log}");
+    assert_eq!(told("event=target_trusted target=t0"), 1, "{log}");
+}
+
 #[test]
 fn routes_beyond_the_bound_share_a_label() {
     let metrics = Metrics::start().unwrap();
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -18,6 +18,10 @@
 /// Time in which the weight of an old failure halves, in milliseconds.
 const FAILURE_HALF_LIFE_MS: f64 = 4_000.0;
 
+/// Share of failures from which the log calls a target suspected; choices go by the
+/// share itself.
+const SUSPECTED: f64 = 0.25;
+
 /// Weight of the newest answer in the share of failures.
 const FAILURE_STEP: f64 = 0.25;
 
@@ -62,6 +66,8 @@
     pub delay_ms: f64,
     delay_at: Millis,
     failure_share: f64,
+    /// Whether the log has called it suspected.
+    is_suspected: bool,
     failure_at: Millis,
     unreachable: u32,
     rest_until: Millis,
@@ -81,6 +87,7 @@
             delay_ms: 0.0,
             delay_at: Millis(0),
             failure_share: 0.0,
+            is_suspected: false,
             failure_at: Millis(0),
             unreachable: 0,
             rest_until: Millis(0),
@@ -89,6 +96,23 @@
         }
     }
 
+    /// Logs that callers' failures have made the target suspected, or that it is
+    /// trusted again.
+    fn note_suspicion(&mut self) {
+        let is_suspected = self.failure_share >= SUSPECTED;
+        if is_suspected == self.is_suspected {
+            return;
+        }
+        self.is_suspected = is_suspected;
+        let event = if is_suspected { "target_suspected" } else { "target_trusted" };
+        log::info!(
+            "event={event} target={} failures={:.2} unreachable={}",
+            self.registration.id,
+            self.failure_share,
+            self.unreachable
+        );
+    }
+
     /// Share of recent requests that failed, from 0 to 1.
     pub fn failures(&self, now: Millis) -> f64 {
         self.failure_share * decay(now, self.failure_at)
@@ -288,6 +312,7 @@
         let held = target.failures(now);
         target.failure_share = held + (failed - held) * FAILURE_STEP;
         target.failure_at = now;
+        target.note_suspicion();
     }
 
     fn add(&mut self, registration: Registration) {
