testutils: one launcher of real processes

Cause: the platform's stand-ins had a Process of their own beside the launcher's Daemon: start, restart, signals, kill, wait for the end, log and kill on drop stood twice, with small variations (arguments, who reads standard output).

Change: Process in lib/testutils is the one launcher; Daemon of the product's own fleet adds its address and readiness to it, platform/standins only the settings and `--config`. The soak says pause, resume and terminate in place of signals.

Conclusion: behaviour and assertions are as they were.

--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -1,8 +1,10 @@
 //! One real process of the fleet.
 
+use std::ffi::OsString;
 use std::fs::{self, File};
 use std::io;
 use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
@@ -10,16 +12,18 @@
 use rosemarymoor_lib::http_client::{self, ConnectionReuse};
 use rustix::process::{Pid, Signal, kill_process};
 
+/// Longest wait for a process to end.
+const END_LIMIT: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(20);
 const CLOCK_TICKS_PER_SECOND: f64 = 100.0;
 
-/// Running `rosemarymoord`, killed when it is dropped.
-pub struct Daemon {
-    binary: PathBuf,
-    settings: PathBuf,
-    log: PathBuf,
-    http: SocketAddr,
-    child: Child,
+/// Who reads a process's standard output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogReader {
+    /// A file takes every line.
+    File,
+    /// It is a pipe that nobody reads.
+    Nobody,
 }
 
 /// Processor time and memory that a process has used.
@@ -31,22 +35,32 @@
     pub memory_bytes: u64,
 }
 
-impl Daemon {
-    /// Starts the daemon with the settings file; standard error goes to `log`.
+/// Process that can be started again; it is killed when it is dropped.
+pub struct Process {
+    binary: PathBuf,
+    args: Vec<OsString>,
+    log: PathBuf,
+    reader: LogReader,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program; what it writes is appended to `log`.
     pub fn spawn(
         binary: &Path,
-        settings: &Path,
+        args: Vec<OsString>,
         log: &Path,
-        http: SocketAddr,
-    ) -> io::Result<Daemon> {
-        let child = start(binary, settings, log)?;
-        let (binary, settings) = (binary.to_owned(), settings.to_owned());
-        Ok(Daemon { binary, settings, log: log.to_owned(), http, child })
+        reader: LogReader,
+    ) -> io::Result<Process> {
+        let child = start(binary, &args, log, reader)?;
+        Ok(Process { binary: binary.to_owned(), args, log: log.to_owned(), reader, child })
     }
 
-    /// Address for callers, health and readiness.
-    pub fn http(&self) -> SocketAddr {
-        self.http
+    /// Starts the process again after it ended or was killed.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.kill();
+        self.child = start(&self.binary, &self.args, &self.log, self.reader)?;
+        Ok(())
     }
 
     /// Log so far.
@@ -54,6 +68,14 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -80,6 +102,11 @@
         self.child.try_wait().ok().flatten()
     }
 
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits until the process has ended; `None` if it takes longer than `limit`.
     pub async fn wait_exit(&mut self, limit: Duration) -> Option<ExitStatus> {
         let exit = async {
@@ -93,11 +120,62 @@
         tokio::time::timeout(limit, exit).await.ok()
     }
 
-    /// Starts the process again after it ended or was killed.
-    pub fn restart(&mut self) -> io::Result<()> {
+    /// Exit code, -1 after a signal; `None` if the process does not end.
+    pub async fn ended(&mut self) -> Option<i32> {
+        self.ended_within(END_LIMIT).await
+    }
+
+    /// Exit code, -1 after a signal; `None` if it takes longer than `limit`.
+    pub async fn ended_within(&mut self, limit: Duration) -> Option<i32> {
+        let status = self.wait_exit(limit).await?;
+        Some(status.code().unwrap_or(-1))
+    }
+
+    /// Processor time and memory used so far.
+    pub fn usage(&self) -> Usage {
+        let folder = format!("/proc/{}", self.child.id());
+        let stat = fs::read_to_string(format!("{folder}/stat")).unwrap_or_default();
+        // The fields after the parenthesised name begin with the state.
+        let fields: Vec<&str> =
+            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks = |at: usize| {
+            fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or_default()
+        };
+        let cpu_seconds = (ticks(11) + ticks(12)) / CLOCK_TICKS_PER_SECOND;
+        let status = fs::read_to_string(format!("{folder}/status")).unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = resident.and_then(|text| text.trim().split(' ').next()?.parse().ok());
+        Usage { cpu_seconds, memory_bytes: kilobytes.unwrap_or(0) * 1024 }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
         self.kill();
-        self.child = start(&self.binary, &self.settings, &self.log)?;
-        Ok(())
+    }
+}
+
+/// Running `rosemarymoord` of the product's own fleet.
+pub struct Daemon {
+    process: Process,
+    http: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts the daemon with the settings file.
+    pub fn spawn(
+        binary: &Path,
+        settings: &Path,
+        log: &Path,
+        http: SocketAddr,
+    ) -> io::Result<Daemon> {
+        let args = vec![settings.as_os_str().to_owned()];
+        Ok(Daemon { process: Process::spawn(binary, args, log, LogReader::File)?, http })
+    }
+
+    /// Address for callers, health and readiness.
+    pub fn http(&self) -> SocketAddr {
+        self.http
     }
 
     /// Waits until `GET /ready` answers 200; false after `limit` or an exit.
@@ -118,44 +196,27 @@
         };
         tokio::time::timeout(limit, ready).await.unwrap_or(false)
     }
+}
 
-    /// Processor time and memory used so far.
-    pub fn usage(&self) -> Usage {
-        let folder = format!("/proc/{}", self.child.id());
-        let stat = fs::read_to_string(format!("{folder}/stat")).unwrap_or_default();
-        // The fields after the parenthesised name begin with the state.
-        let fields: Vec<&str> =
-            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks = |at: usize| {
-            fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or_default()
-        };
-        let cpu_seconds = (ticks(11) + ticks(12)) / CLOCK_TICKS_PER_SECOND;
-        let status = fs::read_to_string(format!("{folder}/status")).unwrap_or_default();
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = resident.and_then(|text| text.trim().split(' ').next()?.parse().ok());
-        Usage { cpu_seconds, memory_bytes: kilobytes.unwrap_or(0) * 1024 }
-    }
+impl Deref for Daemon {
+    type Target = Process;
 
-    fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        if let Some(pid) = pid {
-            let _ = kill_process(pid, signal);
-        }
+    fn deref(&self) -> &Process {
+        &self.process
     }
 }
 
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        self.kill();
+impl DerefMut for Daemon {
+    fn deref_mut(&mut self) -> &mut Process {
+        &mut self.process
     }
 }
 
-fn start(binary: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
-    let log = File::options().create(true).append(true).open(log)?;
-    Command::new(binary)
-        .arg(settings)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone()?)
-        .stderr(log)
-        .spawn()
+fn start(binary: &Path, args: &[OsString], log: &Path, reader: LogReader) -> io::Result<Child> {
+    let err = File::options().create(true).append(true).open(log)?;
+    let out = match reader {
+        LogReader::File => Stdio::from(err.try_clone()?),
+        LogReader::Nobody => Stdio::piped(),
+    };
+    Command::new(binary).args(args).stdin(Stdio::null()).stdout(out).stderr(err).spawn()
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use rosemarymoor_platform_standins::process::Process;
 use rosemarymoor_platform_standins::store::Trouble;
 use rosemarymoor_testutils::dice::Dice;
 use rosemarymoor_testutils::fault_proxy::Link;
+use rosemarymoor_testutils::process::Process;
 use rustix::process::Signal;
 use tokio::task::JoinSet;
 
@@ -142,7 +142,7 @@
         return Ok(());
     }
     if matches!(fault, Fault::Stop) {
-        process.signal(Signal::TERM);
+        process.terminate();
         fleet.note_exit(&member.name, process.ended_within(STOP_LIMIT).await);
         // Requests are safe while it stops; what follows is as after a kill.
         let number = fleet.record.begin(struck);
@@ -154,9 +154,9 @@
     }
     let number = fleet.record.begin(struck);
     if matches!(fault, Fault::Freeze) {
-        process.signal(Signal::STOP);
+        process.pause();
         tokio::time::sleep(lasts.min(Duration::from_millis(FROZEN_MS))).await;
-        process.signal(Signal::CONT);
+        process.resume();
     } else {
         process.kill();
         tokio::time::sleep(lasts / 4).await;
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -10,7 +10,7 @@
 use rosemarymoor_lib::budget::ceiling::account_key;
 use rosemarymoor_lib::id::BudgetId;
 use rosemarymoor_platform_standins::fleet::{LogReader, Process, get, manifest_for};
-use rosemarymoor_platform_standins::process::{EntryAddresses, budget_server_settings};
+use rosemarymoor_platform_standins::process::{self, EntryAddresses, budget_server_settings};
 use rosemarymoor_platform_standins::store::StoreStandIn;
 use rosemarymoor_testutils::fault_proxy::Link;
 use rosemarymoor_testutils::temp_folder::TempFolder;
@@ -123,7 +123,7 @@
         let path = self.path(&name, "ini");
         std::fs::write(&path, settings)?;
         let log = self.path(&name, "log");
-        let process = Process::spawn(&plan.binary, &path, &log, LogReader::File)?;
+        let process = process::spawn(&plan.binary, &path, &log, LogReader::File)?;
         let process = tokio::sync::Mutex::new(process);
         Ok(Member { name, process, link, addresses, starts: AtomicU64::new(1) })
     }
