stream: an end inside an event is logged and counted, with what marked it

The log could not tell an answer that ended with its connection from one that its target framed as complete: both read as outcome=complete. A new line unfinished_event and the counter unfinished_events name what marked the end of the body (length, last chunk, end of the connection) and how many bytes of an unfinished event were left. What callers get is unchanged.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, StatusCode};
 use rosemarymoor_lib::dispatch::choice::prefill_ms;
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
+use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_platform::answer::{self, AnswerKind, TargetNotice};
 use rosemarymoor_platform::request::{
     PromptPart, TargetHead, strip_connection_headers, target_headers,
@@ -71,6 +72,19 @@
     pub in_flight: InFlightAttempt,
 }
 
+impl StartedAnswer {
+    /// Logs and counts that the answer ended with `bytes` of an unfinished event.
+    pub fn record_unfinished_event(&self, request: &str, bytes: usize) {
+        let body_end = self.exchange.body_end().label();
+        self.in_flight.entry.metrics.count_unfinished_event(body_end);
+        log::info!(
+            target: FAILURE_LOG,
+            "event=unfinished_event request={request} target={} body_end={body_end} bytes={bytes}",
+            self.in_flight.target_id
+        );
+    }
+}
+
 /// Answer whose body has been read to its end.
 pub struct CompleteAnswer {
     pub status: StatusCode,
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -94,7 +94,7 @@
             }
         };
         if kind == AnswerKind::Success && call.route.kind.is_stream() {
-            match stream::read_first_event(started, timeout).await {
+            match stream::read_first_event(started, &call.head.attempt_id, timeout).await {
                 Ok(started_stream) => {
                     entry.metrics.record_first_event(call.arrived_at.elapsed());
                     return stream::response(entry, call, attempts, started_stream);
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -42,6 +42,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    unfinished_events: Counter<u64>,
     target_notices: Counter<u64>,
     malformed_inputs: Counter<u64>,
     reservations: Counter<u64>,
@@ -64,6 +65,7 @@
             requests: counter("requests"),
             refusals: counter("refusals"),
             attempts: counter("tries"),
+            unfinished_events: counter("unfinished_events"),
             target_notices: counter("target_notices"),
             malformed_inputs: counter("malformed_inputs"),
             reservations: counter("money_asked"),
@@ -108,6 +110,11 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a stream that ended inside an event, by what marked the end of its body.
+    pub fn count_unfinished_event(&self, body_end: &'static str) {
+        self.unfinished_events.add(1, &[KeyValue::new("body_end", body_end)]);
+    }
+
     /// Counts an answer in which a target says that it is leaving or asks for a pause.
     pub fn count_target_notice(&self, kind: &'static str) {
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -50,11 +50,12 @@
 /// Waits for the first event or the end of the stream, for `timeout` at the longest.
 pub async fn read_first_event(
     mut answer: StartedAnswer,
+    request: &str,
     timeout: Duration,
 ) -> Result<StartedStream, AttemptError> {
     let mut splitter = EventSplitter::default();
     let deadline = Instant::now() + timeout;
-    let next = next_event(&mut answer, &mut splitter, deadline).await?;
+    let next = next_event(&mut answer, request, &mut splitter, deadline).await?;
     answer.in_flight.record_first_answer();
     let first_event = match next {
         NextItem::Event(event) => Some(event),
@@ -67,6 +68,7 @@
 /// event are returned as an event without an identity.
 async fn next_event(
     answer: &mut StartedAnswer,
+    request: &str,
     splitter: &mut EventSplitter,
     deadline: Instant,
 ) -> Result<NextItem, AttemptError> {
@@ -81,6 +83,7 @@
                 return Err(AttemptError::Silent);
             }
             Ok(None) if splitter.has_partial_event() => {
+                answer.record_unfinished_event(request, splitter.partial_bytes());
                 let bytes = splitter.take_partial_event();
                 return Ok(NextItem::Event(Event { bytes, id: None }));
             }
@@ -199,7 +202,7 @@
             deadline = deadline.min(Instant::now() + MAX_EVENT_SILENCE);
         }
         let Some(answer) = self.answer.as_mut() else { return Err(AttemptError::Broken) };
-        next_event(answer, &mut self.splitter, deadline).await
+        next_event(answer, &self.call.head.attempt_id, &mut self.splitter, deadline).await
     }
 
     /// Returns whether the caller already has an event: a resumed stream may repeat some.
--- a/daemon/src/http_pool.rs
+++ b/daemon/src/http_pool.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -98,6 +98,28 @@
     idle: Arc<Mutex<IdleConnections>>,
 }
 
+/// What marks the end of an answer's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// Its length, given in the head.
+    Length,
+    /// Its last chunk.
+    LastChunk,
+    /// The end of the connection, which also ends an answer that was broken off.
+    Connection,
+}
+
+impl BodyEnd {
+    /// Returns the name in the log.
+    pub fn label(self) -> &'static str {
+        match self {
+            BodyEnd::Length => "length",
+            BodyEnd::LastChunk => "chunk",
+            BodyEnd::Connection => "connection",
+        }
+    }
+}
+
 /// Answer whose body has not been read yet.
 pub struct Exchange {
     pub head: Parts,
@@ -114,6 +136,20 @@
     idle_timeout: Duration,
 }
 
+impl Exchange {
+    /// Returns what marks the end of the body.
+    pub fn body_end(&self) -> BodyEnd {
+        let encodings = self.head.headers.get_all(TRANSFER_ENCODING);
+        if encodings.iter().any(|value| value.as_bytes().ends_with(b"chunked")) {
+            BodyEnd::LastChunk
+        } else if self.head.headers.contains_key(CONTENT_LENGTH) {
+            BodyEnd::Length
+        } else {
+            BodyEnd::Connection
+        }
+    }
+}
+
 impl HttpPool {
     /// Creates an empty pool.
     pub fn open() -> HttpPool {
--- a/lib/src/dispatch/event_stream.rs
+++ b/lib/src/dispatch/event_stream.rs
@@ -57,6 +57,11 @@
         self.buf.has_remaining()
     }
 
+    /// Returns the number of bytes of an incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.buf.remaining()
+    }
+
     /// Removes and returns the bytes of an incomplete event.
     pub fn take_partial_event(&mut self) -> Bytes {
         self.scanned = 0;
