tests: streams of targets that end inside an event, failing

Seven cases fail on the current code, 7 of 14 in test_direct_streams: a stream that ends inside an event with its connection, its last chunk or its length is passed on as complete, and not resumed where its route allows it; one that ends with its connection before its first event is passed on as an empty success.

--- a/daemon/tests/test_direct_streams.rs
+++ b/daemon/tests/test_direct_streams.rs
@@ -7,11 +7,12 @@
 
 use rosemarymoor_platform_standins::caller::{Caller, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{
-    all_events, call, events, fleet, script, stream_request, target,
+    all_events, call, events, events_until_close, fleet, script, stream_request, target,
 };
 use rosemarymoor_platform_standins::fleet::PlatformFleet;
 use rosemarymoor_platform_standins::target::{
-    ReceivedRequest, Step, TargetStandIn, chunk, signed, stream_head,
+    ReceivedRequest, Step, TargetStandIn, chunk, last_chunk, signed, signed_head, stream_head,
+    stream_head_until_close,
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
@@ -48,6 +49,93 @@
     assert_eq!(target.received().len(), 1, "the request runs only once");
 }
 
+/// Two events and the beginning of a third one.
+fn cut_inside_an_event() -> String {
+    format!("{}id: 3\nda", all_events(2))
+}
+
+/// Ends inside an event with its connection.
+fn cut_by_close(received: &ReceivedRequest) -> Vec<Step> {
+    let body = cut_inside_an_event().into_bytes();
+    vec![Step::Send(stream_head_until_close(received)), Step::Send(body), Step::Close]
+}
+
+/// Ends inside an event, though a last chunk says that the body is complete.
+fn cut_by_last_chunk(received: &ReceivedRequest) -> Vec<Step> {
+    let body = chunk(&cut_inside_an_event());
+    vec![Step::Send(stream_head(received)), Step::Send(body), Step::Send(last_chunk())]
+}
+
+/// Ends inside an event, though its body has the announced length.
+fn cut_by_length(received: &ReceivedRequest) -> Vec<Step> {
+    let body = cut_inside_an_event();
+    let headers = format!("Content-Type: text/event-stream\r\nContent-Length: {}\r\n", body.len());
+    vec![Step::Send(format!("{}{body}", signed_head(received, "200 OK", &headers)).into_bytes())]
+}
+
+/// Names each way in which a stream can end inside an event.
+macro_rules! ends_inside_an_event {
+    ($($case:ident: $cut:expr, $body_end:literal;)*) => {
+        mod a_stream_that_ends_inside_an_event_is_not_passed_on_as_complete {
+            use super::*;
+
+            $(#[tokio::test]
+            async fn $case() {
+                let target = target($cut).await;
+                let fleet = fleet(BINARY, &target).await;
+                let answer = call(&fleet, &stream_request("/stream/1", "r1")).await;
+                assert!(!answer.complete, "{answer:?}");
+                assert_eq!(answer.text(), all_events(2), "no part of an event is passed on");
+                assert_eq!(target.received().len(), 1, "the request runs only once");
+                let counter = format!("unfinished_events_total{{body_end=\"{}\"", $body_end);
+                assert!(fleet.scrape().await.contains(&counter));
+            })*
+        }
+
+        mod a_resumable_stream_that_ends_inside_an_event_goes_on_elsewhere {
+            use super::*;
+
+            $(#[tokio::test]
+            async fn $case() {
+                let shared = script(|received| match received.header("last-event-id") {
+                    None => $cut(received),
+                    Some(after) => events(received, after.parse().unwrap(), 9, Duration::ZERO),
+                });
+                let one = TargetStandIn::spawn(shared.clone()).await.unwrap();
+                let two = TargetStandIn::spawn(shared).await.unwrap();
+                let targets = [("models", &one), ("models", &two)];
+                let fleet = PlatformFleet::open(Path::new(BINARY), &targets).await.unwrap();
+                let answer = call(&fleet, &stream_request("/resume/1", "r1")).await;
+                assert_eq!((answer.complete, answer.text()), (true, all_events(9)));
+                assert_eq!((one.received().len(), two.received().len()), (1, 1));
+            })*
+        }
+    };
+}
+
+ends_inside_an_event! {
+    with_its_connection: cut_by_close, "connection";
+    with_its_last_chunk: cut_by_last_chunk, "chunk";
+    with_its_length: cut_by_length, "length";
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_after_an_event_is_complete() {
+    let target = target(|received| events_until_close(received, 0, 3, Duration::ZERO)).await;
+    let fleet = fleet(BINARY, &target).await;
+    let answer = call(&fleet, &stream_request("/stream/1", "r1")).await;
+    assert_eq!((answer.complete, answer.text()), (true, all_events(3)));
+}
+
+/// Nothing tells such an end from that of a target that crashed before its first event.
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_before_an_event_is_no_success() {
+    let target = target(|received| events_until_close(received, 0, 0, Duration::ZERO)).await;
+    let fleet = fleet(BINARY, &target).await;
+    assert_eq!(call(&fleet, &stream_request("/stream/1", "r1")).await.status, 502);
+    assert_eq!(target.received().len(), 1, "the request runs only once");
+}
+
 #[tokio::test]
 async fn a_resumable_stream_resumes_at_another_target() {
     let count = Arc::new(AtomicU32::new(0));
