stream: an answer that ends inside an event counts as broken off

Class of fault: the end of the transport taken for the end of the answer. Whether a stream has ended is now decided in one place, event_reader, for first answers and resumed ones: an end inside an event, whatever marked it, and an end of the connection before any event are broken off. A route that allows it resumes at another target; else the caller's connection ends without a last chunk, or it gets 502 if it has no event yet. The failure counts against the target and as a crash.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -12,6 +12,7 @@
 pub mod context;
 pub mod deliver;
 pub mod entry;
+pub mod event_reader;
 pub mod feed;
 pub mod grant_witnesses;
 pub mod handler;
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
-use rosemarymoor_lib::dispatch::event_stream::{Event, EventSplitter};
+use rosemarymoor_lib::dispatch::event_stream::Event;
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_platform::answer::AnswerKind;
@@ -23,6 +23,7 @@
 use super::attempt::{self, AttemptError, StartedAnswer};
 use super::deliver::{Attempts, next_target, record_failure};
 use super::entry::Entry;
+use super::event_reader::EventReader;
 use super::handler::Call;
 use crate::http_server::AnswerBody;
 
@@ -34,70 +35,21 @@
 
 /// Stream whose first event has arrived.
 pub struct StartedStream {
-    answer: StartedAnswer,
-    splitter: EventSplitter,
+    reader: EventReader,
     /// `None` if the stream ended without an event.
     first_event: Option<Event>,
 }
 
-/// Next item of a stream.
-enum NextItem {
-    Event(Event),
-    /// The target ended its answer without an error.
-    End,
-}
-
 /// Waits for the first event or the end of the stream, for `timeout` at the longest.
 pub async fn read_first_event(
-    mut answer: StartedAnswer,
+    answer: StartedAnswer,
     request: &str,
     timeout: Duration,
 ) -> Result<StartedStream, AttemptError> {
-    let mut splitter = EventSplitter::default();
-    let deadline = Instant::now() + timeout;
-    let next = next_event(&mut answer, request, &mut splitter, deadline).await?;
-    answer.in_flight.record_first_answer();
-    let first_event = match next {
-        NextItem::Event(event) => Some(event),
-        NextItem::End => None,
-    };
-    Ok(StartedStream { answer, splitter, first_event })
-}
-
-/// Reads the next event until the deadline at the latest; bytes after the last complete
-/// event are returned as an event without an identity.
-async fn next_event(
-    answer: &mut StartedAnswer,
-    request: &str,
-    splitter: &mut EventSplitter,
-    deadline: Instant,
-) -> Result<NextItem, AttemptError> {
-    loop {
-        if let Some(event) = splitter.next_event() {
-            return Ok(NextItem::Event(event));
-        }
-        let frame = tokio::time::timeout_at(deadline.into(), answer.exchange.body.frame()).await;
-        match frame {
-            Err(_) => {
-                answer.in_flight.observe(Observation::Failed);
-                return Err(AttemptError::Silent);
-            }
-            Ok(None) if splitter.has_partial_event() => {
-                answer.record_unfinished_event(request, splitter.partial_bytes());
-                let bytes = splitter.take_partial_event();
-                return Ok(NextItem::Event(Event { bytes, id: None }));
-            }
-            Ok(None) => return Ok(NextItem::End),
-            Ok(Some(Err(_))) => {
-                answer.in_flight.observe(Observation::Failed);
-                return Err(AttemptError::Broken);
-            }
-            Ok(Some(Ok(frame))) => {
-                let Ok(data) = frame.into_data() else { continue };
-                splitter.push(&data).map_err(|_| AttemptError::Broken)?;
-            }
-        }
-    }
+    let mut reader = EventReader::open(answer);
+    let first_event = reader.next(request, Instant::now() + timeout).await?;
+    reader.answer.in_flight.record_first_answer();
+    Ok(StartedStream { reader, first_event })
 }
 
 /// Returns an answer that forwards the events to the caller.
@@ -107,17 +59,16 @@
     attempts: Attempts,
     started_stream: StartedStream,
 ) -> Response<AnswerBody> {
-    let StartedStream { answer, splitter, first_event } = started_stream;
-    let mut headers = answer.exchange.head.headers.clone();
-    let status = answer.exchange.head.status;
+    let StartedStream { reader, first_event } = started_stream;
+    let head = &reader.answer.exchange.head;
+    let (status, mut headers) = (head.status, head.headers.clone());
     strip_connection_headers(&mut headers);
     let relay = StreamRelay {
         entry: entry.clone(),
         last_event_id: call.head.last_event,
         call,
         attempts,
-        answer: Some(answer),
-        splitter,
+        reader: Some(reader),
         first_event,
         events: 0,
         finished: false,
@@ -138,8 +89,7 @@
     call: Call,
     attempts: Attempts,
     /// `None` after the stream has ended and while it is resumed.
-    answer: Option<StartedAnswer>,
-    splitter: EventSplitter,
+    reader: Option<EventReader>,
     /// First event, until it is forwarded.
     first_event: Option<Event>,
     /// Identity of the latest event that the caller has, from this stream or the one that it
@@ -166,15 +116,15 @@
                 self.finish(COMPLETE);
                 self.entry.metrics.count_attempt("answered");
                 self.call.record_end("answered");
-                if let Some(answer) = self.answer.take() {
-                    answer.exchange.lease.finish();
+                if let Some(reader) = self.reader.take() {
+                    reader.answer.exchange.lease.finish();
                 }
                 None
             }
             Err(err) => {
                 self.finish(if err == AttemptError::Silent { "timed_out" } else { "broken" });
                 self.call.record_end("broken");
-                self.answer = None;
+                self.reader = None;
                 Some(Err(io::Error::other("the target's stream was interrupted")))
             }
         }
@@ -184,25 +134,25 @@
     async fn next_undelivered_event(&mut self) -> Result<Option<Event>, AttemptError> {
         loop {
             let next = match self.first_event.take() {
-                Some(event) => Ok(NextItem::Event(event)),
+                Some(event) => Ok(Some(event)),
                 None => self.read_next().await,
             };
             match next {
-                Ok(NextItem::End) => return Ok(None),
-                Ok(NextItem::Event(event)) if self.is_delivered(&event) => {}
-                Ok(NextItem::Event(event)) => return Ok(Some(event)),
+                Ok(None) => return Ok(None),
+                Ok(Some(event)) if self.is_delivered(&event) => {}
+                Ok(Some(event)) => return Ok(Some(event)),
                 Err(err) => self.resume(err).await?,
             }
         }
     }
 
-    async fn read_next(&mut self) -> Result<NextItem, AttemptError> {
+    async fn read_next(&mut self) -> Result<Option<Event>, AttemptError> {
         let mut deadline = self.call.deadline;
         if self.call.route.kind.is_idempotent() {
             deadline = deadline.min(Instant::now() + MAX_EVENT_SILENCE);
         }
-        let Some(answer) = self.answer.as_mut() else { return Err(AttemptError::Broken) };
-        next_event(answer, &self.call.head.attempt_id, &mut self.splitter, deadline).await
+        let Some(reader) = self.reader.as_mut() else { return Err(AttemptError::Broken) };
+        reader.next(&self.call.head.attempt_id, deadline).await
     }
 
     /// Returns whether the caller already has an event: a resumed stream may repeat some.
@@ -220,8 +170,7 @@
     async fn resume(&mut self, err: AttemptError) -> Result<(), AttemptError> {
         let mut err = err;
         // Dropping the answer closes the connection, which stops the request at that target.
-        self.answer = None;
-        self.splitter = EventSplitter::default();
+        self.reader = None;
         if let Some(target) = self.attempts.targets.last().copied() {
             record_failure(&self.entry, &self.call, &mut self.attempts, target, err);
         }
@@ -231,7 +180,7 @@
         while let Some(target) = next_target(&self.entry, &self.call, &mut self.attempts) {
             match self.resume_at(target).await {
                 Ok(answer) => {
-                    self.answer = Some(answer);
+                    self.reader = Some(EventReader::open(answer));
                     return Ok(());
                 }
                 Err(resume_err) => {
--- a/lib/src/dispatch/event_stream.rs
+++ b/lib/src/dispatch/event_stream.rs
@@ -52,22 +52,11 @@
         Some(Event { bytes, id })
     }
 
-    /// Returns whether the buffer holds bytes of an incomplete event.
-    pub fn has_partial_event(&self) -> bool {
-        self.buf.has_remaining()
-    }
-
     /// Returns the number of bytes of an incomplete event.
     pub fn partial_bytes(&self) -> usize {
         self.buf.remaining()
     }
 
-    /// Removes and returns the bytes of an incomplete event.
-    pub fn take_partial_event(&mut self) -> Bytes {
-        self.scanned = 0;
-        self.buf.split().freeze()
-    }
-
     fn find_end(&mut self) -> Option<usize> {
         const LF_END: &[u8] = b"\n\n";
         const CRLF_END: &[u8] = b"\n\r\n";
