stream: events that arrive together with a break reach the caller

If events and the break of their stream were read in one go, the caller got neither head nor events: the server ends its connection at the error and drops what it has not sent yet, though the events were charged. The relay now yields once before the error, in which the server sends them.

--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -125,6 +125,8 @@
                 self.finish(if err == AttemptError::Silent { "timed_out" } else { "broken" });
                 self.call.record_end("broken");
                 self.reader = None;
+                // The error ends the connection at once; a pause lets the server send what it has.
+                tokio::task::yield_now().await;
                 Some(Err(io::Error::other("the target's stream was interrupted")))
             }
         }
