http_server: a broken answer to an HTTP/1.0 caller ends with a reset

A caller of HTTP/1.0 gets no chunks: the end of the connection ends its answer. When a stream broke off, the server closed the connection as it does after a whole answer, so that the broken stream looked complete. The server now resets such a connection when the body of its answer fails; callers of HTTP/1.1 see no difference.

Test: an_interrupted_stream_is_not_reported_as_complete_to_a_caller_without_chunks, which failed before (status 200, two events, clean end); a_caller_without_chunks_gets_a_whole_stream passes before and after.

--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,8 +13,9 @@
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -143,7 +145,9 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let service = service_fn(move |req| {
+    let ends_with_connection = AtomicBool::new(false);
+    let service = service_fn(|req: Request<Incoming>| {
+        ends_with_connection.store(req.version() == Version::HTTP_10, Ordering::Relaxed);
         let answer = handle(req);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -153,17 +157,25 @@
     if let Some(bytes) = limits.max_buffer_bytes {
         http.max_buf_size(bytes);
     }
-    let connection = http.serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = http.serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = &mut connection => ended,
         () = close_requested(&mut closed) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
-    if let Err(err) = ended {
-        log::debug!("event=served_connection_ended reason={err}");
+    let Err(err) = ended else { return };
+    log::debug!("event=served_connection_ended reason={err}");
+    if err.is_user() && ends_with_connection.load(Ordering::Relaxed) {
+        reset(&connection.into_parts().io.into_inner());
+    }
+}
+
+/// Makes the close of a connection a reset, so that its end is not taken for the end of an answer.
+fn reset(stream: &TcpStream) {
+    if let Err(err) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("event=socket_option_failed reason={err}");
     }
 }
 
--- a/daemon/tests/test_direct_streams.rs
+++ b/daemon/tests/test_direct_streams.rs
@@ -5,9 +5,10 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use rosemarymoor_platform_standins::caller::{Caller, CallerRequest};
+use rosemarymoor_platform_standins::caller::{Answer, Caller, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{
     all_events, call, events, events_until_close, fleet, script, stream_request, target,
+    three_events,
 };
 use rosemarymoor_platform_standins::fleet::PlatformFleet;
 use rosemarymoor_platform_standins::target::{
@@ -127,6 +128,30 @@
     assert_eq!((answer.complete, answer.text()), (true, all_events(3)));
 }
 
+/// Sends a request by HTTP/1.0, whose answers have no chunks.
+async fn call_by_http_1_0(fleet: &PlatformFleet, req: &CallerRequest) -> Option<Answer> {
+    let mut caller = Caller::connect(fleet.callers).await.unwrap();
+    let text = String::from_utf8(req.bytes()).unwrap().replace("HTTP/1.1", "HTTP/1.0");
+    caller.send(text.as_bytes()).await.unwrap();
+    caller.answer().await
+}
+
+#[tokio::test]
+async fn an_interrupted_stream_is_not_reported_as_complete_to_a_caller_without_chunks() {
+    let target = target(cut_by_close).await;
+    let fleet = fleet(BINARY, &target).await;
+    let answer = call_by_http_1_0(&fleet, &stream_request("/stream/1", "r1")).await;
+    assert!(answer.as_ref().is_none_or(|answer| !answer.complete), "{answer:?}");
+}
+
+#[tokio::test]
+async fn a_caller_without_chunks_gets_a_whole_stream() {
+    let target = target(three_events).await;
+    let fleet = fleet(BINARY, &target).await;
+    let answer = call_by_http_1_0(&fleet, &stream_request("/stream/1", "r1")).await.unwrap();
+    assert_eq!((answer.complete, answer.text()), (true, all_events(3)));
+}
+
 /// Nothing tells such an end from that of a target that crashed before its first event.
 #[tokio::test]
 async fn a_stream_that_ends_with_its_connection_before_an_event_is_no_success() {
