answer_usage: a streamed answer is complete only after its last whole event

A sidecar took an engine's stream as complete once the line 'data: [DONE]' had arrived, also if the event's blank line was missing or another event had begun: the caller got the unfinished event with a proper end. The meter now asks for the end of the event. a_line_that_is_too_long_is_skipped ended its body without the blank line, which is an unfinished event now; it sends the blank line and asserts the same.

--- a/lib/src/answer_usage.rs
+++ b/lib/src/answer_usage.rs
@@ -67,6 +67,8 @@
     chunks: u64,
     reported: Option<u64>,
     done: bool,
+    /// Whether the latest event lacks its blank line.
+    is_inside_event: bool,
 }
 
 impl UsageMeter {
@@ -80,6 +82,7 @@
             chunks: 0,
             reported: None,
             done: false,
+            is_inside_event: false,
         }
     }
 
@@ -102,9 +105,10 @@
         }
     }
 
-    /// Returns whether the body may end here; a streamed answer has to end with `[DONE]`.
+    /// Returns whether the body may end here; a streamed answer has to end with the whole event
+    /// `[DONE]`.
     pub fn is_complete(&self) -> bool {
-        !self.streamed || self.done
+        !self.streamed || self.done && !self.is_inside_event && self.line.is_empty()
     }
 
     /// Returns the usage of an answer that has ended; `body` is all that was received of it.
@@ -119,6 +123,7 @@
 
     /// Parses one line of an event stream.
     fn parse_line(&mut self, line: &[u8]) {
+        self.is_inside_event = !line.trim_ascii_end().is_empty();
         let Some(data) = line.strip_prefix(DATA_FIELD) else { return };
         let data = data.trim_ascii();
         if data == DONE {
--- a/lib/tests/test_answer_usage.rs
+++ b/lib/tests/test_answer_usage.rs
@@ -38,6 +38,11 @@
         "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n\
          data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n\
          data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\n" => Usage::Counted(2), false;
+    a_stream_that_ends_inside_its_last_event_is_cut_off: EVENT_STREAM,
+        "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n\
+         data: [DONE]\n" => Usage::Counted(1), false;
+    a_stream_that_ends_inside_an_event_after_its_last_one_is_cut_off: EVENT_STREAM,
+        "data: [DONE]\n\ndata: x" => Usage::Counted(0), false;
 }
 
 #[test]
@@ -61,7 +66,7 @@
     meter.feed(long.as_bytes());
     meter.feed(spliced.as_bytes());
     meter.feed(b"data: [DO");
-    meter.feed(b"NE]\n");
+    meter.feed(b"NE]\n\n");
     assert!(meter.is_complete());
 }
 
