entry: log lines name software versions, and resumptions by callers

The log named targets and no versions, and said nothing when a caller goes on with a stream, so that it could not tell whether resumptions within an answer, those by callers or outdated registrations mix versions. Nothing is decided by them yet.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -172,7 +172,7 @@
         target_id: &in_flight.target_id,
         workspace: call.workspace.as_deref(),
         time_left: call.time_left(),
-        last_event: last_event.or(call.head.last_event),
+        last_event: last_event.or(call.head.last_event()),
     };
     let mut req = Request::new(Full::new(call.body.clone()));
     *req.method_mut() = call.method.clone();
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -291,9 +291,10 @@
             Some(registration) => {
                 let leaving = registration.leaving;
                 let service = registration.service.clone();
+                let software = registration.software.clone().unwrap_or_default();
                 if table.register(registration) {
                     log::info!(
-                        "event=target_listed target={id} service={service} leaving={leaving}"
+                        "event=target_listed target={id} service={service} software={software} leaving={leaving}"
                     );
                 }
             }
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -215,6 +215,7 @@
         time_limit.as_millis(),
         body.len()
     );
+    log_resumption(&head);
     Ok(Call {
         head,
         method: parts.method,
@@ -236,6 +237,17 @@
     })
 }
 
+/// Logs that a caller takes up a stream that an earlier request began.
+fn log_resumption(head: &CallerHead) {
+    let Some(resumption) = &head.resumption else { return };
+    log::info!(
+        "event=taken_up request={} began_as={} after_event={:?}",
+        head.attempt_id,
+        resumption.began_as.as_deref().unwrap_or("unnamed"),
+        resumption.last_event
+    );
+}
+
 /// Returns the workspace of the request's key; refuses a request without one unless the
 /// route is public.
 fn workspace<'a>(
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -65,7 +65,7 @@
     strip_connection_headers(&mut headers);
     let relay = StreamRelay {
         entry: entry.clone(),
-        last_event_id: call.head.last_event,
+        last_event_id: call.head.last_event(),
         call,
         attempts,
         reader: Some(reader),
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -57,6 +57,8 @@
     pub data_center: String,
     /// Requests that it runs concurrently.
     pub slots: u32,
+    /// Version of its software; `None` if it names none.
+    pub software: Option<String>,
     /// Whether it accepts no new requests.
     pub leaving: bool,
     /// Wall-clock start in Unix milliseconds; it differs after a restart under the same id.
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -170,6 +170,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         data_center: "leics".to_owned(),
         slots: 64,
+        software: Some("v1".to_owned()),
         leaving: false,
         started_ms: 1,
     }
