--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -19,6 +19,7 @@
 pub mod listener;
 pub mod load_monitor;
 pub mod metrics;
+pub mod peer_client;
 pub mod peers;
 pub mod poison;
 pub mod refusal;
--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -9,9 +9,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use http_body_util::Full;
-use hyper::header::{HOST, HeaderMap};
-use hyper::{Method, Request, StatusCode};
+use hyper::header::HeaderMap;
 use rosemarymoor_lib::budget::ceiling::{
     GrantWitness, ReservationId, ReservationReply, ReservationRequest, Settlement, WitnessReport,
 };
@@ -20,7 +18,6 @@
 use rosemarymoor_lib::id::{BudgetId, EpochId};
 use rosemarymoor_lib::kv_store::{EraReceiver, RestoreWatch};
 use rosemarymoor_lib::result_code::FAILURE_LOG;
-use serde::Serialize;
 
 use super::budget_server::{
     HOLDER_COMMITTED, HOLDER_EPOCH, RESERVE_PATH, SETTLE_PATH, WITNESS_PATH,
@@ -28,10 +25,11 @@
 use super::ceilings::Ceilings;
 use super::grant_witnesses::GrantWitnesses;
 use super::load_monitor::LoadMonitor;
-use super::peers::{PeerRecord, Peers};
+use super::peer_client::PeerClient;
+use super::peers::PeerRecord;
 use super::poison::CRASH_PATH;
 use super::settlement_queue::SettlementQueue;
-use crate::http_pool::{HttpPool, SendError};
+use crate::http_pool::SendError;
 
 /// Number of budget servers that are asked for one reservation or notified of one crash.
 /// The second one is asked if the first one does not answer or cannot reach the store.
@@ -41,15 +39,9 @@
 /// the store: the first one may have headroom left, the others have none.
 const STORE_BACKOFF: Duration = Duration::from_millis(400);
 
-/// Timeout for a connection to a budget server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
-
 /// Time beyond the requested wait in which the answer of a budget server has to arrive.
 const ANSWER_GRACE: Duration = Duration::from_millis(60);
 
-/// Size limit of a budget server's answer.
-const MAX_ANSWER_BYTES: usize = 4096;
-
 /// Number of reports after a restore, and the time from one to the next. They outlast the time for
 /// which a holder that is cut off goes on, and end before free tokens are granted again.
 const WITNESS_REPORTS: u32 = 6;
@@ -103,8 +95,7 @@
 /// Client for reservations; clones share its state.
 #[derive(Clone)]
 pub struct BudgetClient {
-    pool: HttpPool,
-    peers: Arc<Peers>,
+    client: PeerClient,
     local_ceilings: Ceilings,
     /// Settlements on their way to budget servers.
     settlements: SettlementQueue,
@@ -129,15 +120,9 @@
 
 impl BudgetClient {
     /// Opens a client of the listed budget servers and of the entry's own ceilings.
-    pub fn open(
-        pool: HttpPool,
-        peers: Arc<Peers>,
-        local_ceilings: Ceilings,
-        load: LoadMonitor,
-    ) -> BudgetClient {
+    pub fn open(client: PeerClient, local_ceilings: Ceilings, load: LoadMonitor) -> BudgetClient {
         BudgetClient {
-            pool,
-            peers,
+            client,
             local_ceilings,
             settlements: SettlementQueue::default(),
             load,
@@ -156,7 +141,7 @@
         let mut unavailable_servers = 0;
         let key = rank::key_of(&params.budget.workspace);
         let max_servers = if self.is_store_backing_off() { 1 } else { MAX_SERVERS };
-        for server in self.peers.ranked_budget_servers(key).into_iter().take(max_servers) {
+        for server in self.client.peers.ranked_budget_servers(key).into_iter().take(max_servers) {
             match self.reserve_at(&server, params).await {
                 Some((id, ReservationReply::Granted)) => {
                     return Ok(self.open_reservation(Holder::Server(server), params, id));
@@ -197,9 +182,9 @@
 
     /// Reports to the budget servers that a target broke its connection while it ran a request.
     pub async fn report_crash(self, crash: Crash) {
-        let servers = self.peers.ranked_budget_servers(crash.fingerprint as u64);
+        let servers = self.client.peers.ranked_budget_servers(crash.fingerprint as u64);
         for server in servers.into_iter().take(MAX_SERVERS) {
-            if let Err(err) = self.post(&server, CRASH_PATH, &crash, SETTLE_TIMEOUT).await {
+            if let Err(err) = self.client.post(&server, CRASH_PATH, &crash, SETTLE_TIMEOUT).await {
                 log::debug!("event=crash_not_told server={} reason={err:?}", server.name);
             }
         }
@@ -242,10 +227,10 @@
         let mut unanswered =
             UnansweredRequest { client: self, server, params, id, answered: false };
         let timeout = params.max_wait + ANSWER_GRACE;
-        let reply = self.post(server, RESERVE_PATH, &request, timeout).await;
+        let reply = self.client.post(server, RESERVE_PATH, &request, timeout).await;
         match reply {
             Ok((headers, body)) => {
-                self.peers.record_answer(server.internal);
+                self.client.peers.record_answer(server.internal);
                 self.record_witness(&params.budget, &headers);
                 let reply = serde_json::from_slice(&body).ok()?;
                 unanswered.answered = true;
@@ -264,7 +249,7 @@
                 );
                 // A process that runs late itself cannot tell whether the server is slow.
                 if !self.load.is_unready() {
-                    self.peers.record_failure(server.internal);
+                    self.client.peers.record_failure(server.internal);
                 }
                 unanswered.answered = err == SendError::NotSent;
                 None
@@ -306,14 +291,16 @@
     /// them at once.
     async fn report_witnesses(&self, era: u64, data_center: &str) {
         let known = self.witnesses.all();
-        let local_servers = self.peers.local_budget_servers(data_center, rank::key_of(data_center));
+        let local_servers =
+            self.client.peers.local_budget_servers(data_center, rank::key_of(data_center));
         let empty = WitnessReport { era, witnesses: Vec::new() };
         let mut reports: Vec<(PeerRecord, WitnessReport)> =
             local_servers.into_iter().map(|server| (server, empty.clone())).collect();
         for witness in known {
             self.local_ceilings.apply_witness(&witness);
             let key = rank::key_of(&witness.budget.workspace);
-            for server in self.peers.ranked_budget_servers(key).into_iter().take(MAX_SERVERS) {
+            for server in self.client.peers.ranked_budget_servers(key).into_iter().take(MAX_SERVERS)
+            {
                 match reports.iter_mut().find(|report| report.0.internal == server.internal) {
                     Some(report) => report.1.witnesses.push(witness.clone()),
                     None => {
@@ -324,7 +311,7 @@
             }
         }
         let sending = reports.iter().map(async |(server, report)| {
-            if let Err(err) = self.post(server, WITNESS_PATH, report, SETTLE_TIMEOUT).await {
+            if let Err(err) = self.client.post(server, WITNESS_PATH, report, SETTLE_TIMEOUT).await {
                 log::warn!("event=witness_not_reported server={} reason={err:?}", server.name);
             }
         });
@@ -359,36 +346,13 @@
     /// Sends settlements until they are confirmed or all attempts have failed.
     async fn deliver_batch(&self, server: &PeerRecord, settlements: &[Settlement]) -> bool {
         for attempt in 0..SETTLE_ATTEMPTS {
-            if self.post(server, SETTLE_PATH, &settlements, SETTLE_TIMEOUT).await.is_ok() {
+            if self.client.post(server, SETTLE_PATH, &settlements, SETTLE_TIMEOUT).await.is_ok() {
                 return true;
             }
             tokio::time::sleep(MIN_SETTLE_BACKOFF * 2_u32.pow(attempt)).await;
         }
         false
     }
-
-    /// Posts a message; an answer with any status but 200 counts as a broken connection.
-    async fn post<T: Serialize>(
-        &self,
-        server: &PeerRecord,
-        path: &'static str,
-        payload: &T,
-        timeout: Duration,
-    ) -> Result<(HeaderMap, bytes::Bytes), SendError> {
-        let body = serde_json::to_vec(payload).expect("serializing a message to JSON cannot fail");
-        let req = Request::builder()
-            .method(Method::POST)
-            .uri(path)
-            .header(HOST, server.internal.to_string())
-            .body(Full::new(body.into()))
-            .map_err(|_| SendError::NotSent)?;
-        let fetch = self.pool.fetch(server.internal, req, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
-        match tokio::time::timeout(timeout, fetch).await {
-            Ok(Ok((StatusCode::OK, headers, body))) => Ok((headers, body)),
-            Ok(Ok(_)) | Err(_) => Err(SendError::Broken),
-            Ok(Err(err)) => Err(err),
-        }
-    }
 }
 
 fn log_lost(server: &PeerRecord, settlements: &[Settlement]) {
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -26,6 +26,7 @@
 use super::listener;
 use super::load_monitor::LoadMonitor;
 use super::metrics::{self, DirectMetrics, StoreMetrics};
+use super::peer_client::PeerClient;
 use super::peers::Peers;
 use super::poison::PoisonedRequests;
 use super::settings::DirectSettings;
@@ -160,8 +161,7 @@
         budget_retry_after: Mutex::new(RetryAfter::default()),
         pool: cx.pool.clone(),
         budgets: BudgetClient::open(
-            cx.pool.clone(),
-            cx.peers.clone(),
+            PeerClient::open(cx.pool.clone(), cx.peers.clone()),
             local_ceilings,
             load.clone(),
         ),
--- /dev/null
+++ b/daemon/src/direct/peer_client.rs
@@ -0,0 +1,60 @@
+//! Calls from an entry to the budget servers' internal interface.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HOST, HeaderMap};
+use hyper::{Method, Request, StatusCode};
+use serde::Serialize;
+
+use super::peers::{PeerRecord, Peers};
+use crate::http_pool::{HttpPool, SendError};
+
+/// Timeout for a connection to a budget server.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Size limit of a budget server's answer.
+const MAX_ANSWER_BYTES: usize = 4096;
+
+/// Client of the budget servers; clones share its connections.
+#[derive(Clone)]
+pub struct PeerClient {
+    pool: HttpPool,
+    pub peers: Arc<Peers>,
+}
+
+impl PeerClient {
+    /// Opens a client of the listed budget servers.
+    pub fn open(pool: HttpPool, peers: Arc<Peers>) -> PeerClient {
+        PeerClient { pool, peers }
+    }
+
+    /// Posts a message; an answer with any status but 200 counts as a broken connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`], which says whether the message may have been sent.
+    pub async fn post<T: Serialize>(
+        &self,
+        server: &PeerRecord,
+        path: &'static str,
+        payload: &T,
+        timeout: Duration,
+    ) -> Result<(HeaderMap, Bytes), SendError> {
+        let body = serde_json::to_vec(payload).expect("serializing a message to JSON cannot fail");
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(HOST, server.internal.to_string())
+            .body(Full::new(body.into()))
+            .map_err(|_| SendError::NotSent)?;
+        let fetch = self.pool.fetch(server.internal, req, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
+        match tokio::time::timeout(timeout, fetch).await {
+            Ok(Ok((StatusCode::OK, headers, body))) => Ok((headers, body)),
+            Ok(Ok(_)) | Err(_) => Err(SendError::Broken),
+            Ok(Err(err)) => Err(err),
+        }
+    }
+}
