stream: a stream goes on only at the software version that began it

An entry knew nothing of versions. A stream that broke went on within its answer at any target of the service, and so did one that its caller took up at another entry, which moreover could not know what had begun it.

Class of fault: work that goes on elsewhere without what it depends on. Within an answer and for callers only targets of that version are chosen, and the first event of an answer that goes on is passed on only if its target still is the process that was chosen. A route that has left the service does not go on either.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -6,6 +6,7 @@
 //! under ceilings of its own while no budget server answers.
 
 pub mod attempt;
+pub mod begun_streams;
 pub mod budget_client;
 pub mod budget_server;
 pub mod ceilings;
--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -97,6 +97,8 @@
     entry: Arc<Entry>,
     pub target: TargetKey,
     pub target_id: String,
+    /// Software version that the target had registered when the request was sent.
+    software: Option<String>,
     /// Expected prefill time of the prompt in milliseconds, counted as pending at the
     /// target until the first answer; 0 afterwards.
     prefill_ms: f64,
@@ -117,6 +119,19 @@
         self.prefill_done();
     }
 
+    /// Returns the software version that answers the request; `None` if the target named none, or
+    /// has started anew under its identifier since the request was sent.
+    pub fn certain_software(&self) -> Option<&str> {
+        let table = self.entry.targets();
+        let is_same = match table.with_id(&self.target_id) {
+            Some(target) => {
+                target.key == self.target && target.registration.software == self.software
+            }
+            None => true,
+        };
+        if is_same { self.software.as_deref() } else { None }
+    }
+
     /// Records an outcome in the table of targets.
     pub fn observe(&self, observation: Observation) {
         self.entry.targets().observe(self.target, observation, self.entry.now());
@@ -205,6 +220,7 @@
     let target = table.get(key)?;
     let address = target.registration.address;
     let target_id = target.registration.id.clone();
+    let software = target.registration.software.clone();
     let prompt = &call.head.prompt;
     let is_uncached = |part: &&PromptPart| !target.caches_part(part.id, now);
     let uncached_tokens = prompt.iter().filter(is_uncached).map(|part| part.tokens).sum();
@@ -217,6 +233,7 @@
         entry: entry.clone(),
         target: key,
         target_id,
+        software,
         prefill_ms,
         sent_at,
         has_prompt,
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -9,6 +9,8 @@
 //! - `POST /witness` accepts a [`WitnessReport`], after the store was restored;
 //! - `POST /crashed` accepts a [`Crash`] of a target that broke its connection while it ran
 //!   a request;
+//! - `POST /begun` accepts a [`BegunStream`], `POST /origin` a [`StreamId`] and answers with the
+//!   stream's origin or `null`;
 //! - every path under `/store` is a call to the platform's store, relayed unchanged, but for
 //!   watches, of which equal ones share a call;
 //!   status 502 means that the store did not answer, so that a write may have been applied;
@@ -27,10 +29,12 @@
     Headroom, ReservationReply, ReservationRequest, Settlement, WitnessReport,
 };
 use rosemarymoor_lib::dispatch::crash_tracker::Crash;
+use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId};
 use rosemarymoor_lib::kv_store::KvStore;
 use rosemarymoor_platform::store::{self, CallError, PlatformStore, StoreCall, StoreTransport};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
+use super::begun_streams::{BEGUN_PATH, BegunStreams, ORIGIN_PATH};
 use super::ceilings::Ceilings;
 use super::context::{ProcessContext, reload_on_hangup};
 use super::metrics::{self, StoreMetrics};
@@ -71,6 +75,7 @@
     watches: SharedWatches,
     kv: Arc<dyn KvStore>,
     poison: PoisonedRequests,
+    streams: BegunStreams,
 }
 
 /// Runs a budget server until it is requested to stop; returns the exit code.
@@ -96,6 +101,7 @@
         store,
         kv: kv.clone(),
         poison: PoisonedRequests::open(cx.clock),
+        streams: BegunStreams::open(cx.clock),
     });
     let listener = match http_server::bind(settings.internal) {
         Ok(listener) => listener,
@@ -139,6 +145,8 @@
             (Method::POST, SETTLE_PATH) => self.settle(&body),
             (Method::POST, WITNESS_PATH) => self.apply_witnesses(&body).await,
             (Method::POST, CRASH_PATH) => self.record_crash(&body),
+            (Method::POST, BEGUN_PATH) => self.record_stream(&body),
+            (Method::POST, ORIGIN_PATH) => self.find_origin(&body),
             _ => empty(StatusCode::NOT_FOUND),
         }
     }
@@ -149,8 +157,7 @@
         };
         let budget = request.budget.clone();
         let reply = self.ceilings.reserve(request).await;
-        let body = serde_json::to_vec(&reply).expect("serializing a reply to JSON cannot fail");
-        let mut resp = Response::new(Full::new(body.into()));
+        let mut resp = json(&reply);
         if reply == ReservationReply::Granted {
             let (epoch, committed) = (self.ceilings.epoch(), self.ceilings.committed(&budget));
             resp.headers_mut().insert(HOLDER_EPOCH, HeaderValue::from(epoch.0));
@@ -197,6 +204,21 @@
         empty(StatusCode::OK)
     }
 
+    fn record_stream(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(stream) = decode::<BegunStream>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        self.streams.record(&stream);
+        empty(StatusCode::OK)
+    }
+
+    fn find_origin(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(id) = decode::<StreamId>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        json(&self.streams.find(id))
+    }
+
     /// Relays a call to the store; `path` includes the query.
     async fn relay(&self, method: Method, path: String, body: Bytes) -> Response<Full<Bytes>> {
         let call = StoreCall { method, path, body, timeout: RELAY_TIMEOUT };
@@ -228,6 +250,11 @@
     serde_json::from_slice(body)
 }
 
+fn json<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).expect("serializing a reply to JSON cannot fail");
+    Response::new(Full::new(body.into()))
+}
+
 fn empty(status: StatusCode) -> Response<Full<Bytes>> {
     let mut resp = Response::new(Full::default());
     *resp.status_mut() = status;
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -94,7 +94,7 @@
             }
         };
         if kind == AnswerKind::Success && call.route.kind.is_stream() {
-            match stream::read_first_event(started, &call.head.attempt_id, timeout).await {
+            match stream::read_first_event(started, &call, timeout).await {
                 Ok(started_stream) => {
                     entry.metrics.record_first_event(call.arrived_at.elapsed());
                     return stream::response(entry, call, attempts, started_stream);
@@ -144,6 +144,7 @@
     let entry_count = entry.peers.entry_count();
     let criteria = SelectionCriteria {
         service: &call.service,
+        software: call.origin.as_ref().map(|origin| origin.software.as_str()),
         data_center: &entry.data_center,
         prompt: call.shared_prompt(),
         random: rank::key_of(&call.head.attempt_id),
@@ -268,6 +269,9 @@
         return refusal.retry_after(pause_ms + jitter_ms);
     }
     let (code, detail) = match attempts.last_error {
+        None if call.origin.is_some() => {
+            (ResultCode::NoTarget, "no target of the version that began the stream is listed")
+        }
         None => (ResultCode::NoTarget, "no target of the service is listed"),
         Some(AttemptError::TurnedAway) => (ResultCode::QueueFull, "the targets have no room"),
         Some(_) => (ResultCode::TargetUnreachable, "no target could be reached"),
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -19,6 +19,7 @@
 use rosemarymoor_platform::store::PlatformStore;
 use rosemarymoor_platform::{catalog, keys, registration};
 
+use super::begun_streams::{BegunStreams, StreamDirectory};
 use super::budget_client::BudgetClient;
 use super::ceilings::Ceilings;
 use super::context::{ProcessContext, reload_on_hangup};
@@ -53,6 +54,8 @@
     budget_retry_after: Mutex<RetryAfter>,
     pub pool: HttpPool,
     pub budgets: BudgetClient,
+    /// What began the streams that may go on.
+    pub streams: StreamDirectory,
     pub peers: Arc<Peers>,
     pub poison: PoisonedRequests,
     pub load: LoadMonitor,
@@ -152,6 +155,7 @@
     );
     metrics::observe_ceilings(&meter, &local_ceilings);
     let load = LoadMonitor::spawn(cx.clock);
+    let client = PeerClient::open(cx.pool.clone(), cx.peers.clone());
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
         data_center: settings.data_center.clone(),
@@ -160,11 +164,8 @@
         retries: Mutex::new(RetryBudget::open(settings.retries)),
         budget_retry_after: Mutex::new(RetryAfter::default()),
         pool: cx.pool.clone(),
-        budgets: BudgetClient::open(
-            PeerClient::open(cx.pool.clone(), cx.peers.clone()),
-            local_ceilings,
-            load.clone(),
-        ),
+        budgets: BudgetClient::open(client.clone(), local_ceilings, load.clone()),
+        streams: StreamDirectory::open(BegunStreams::open(cx.clock), client),
         peers: cx.peers.clone(),
         poison: PoisonedRequests::open(cx.clock),
         load,
--- a/daemon/src/direct/event_reader.rs
+++ b/daemon/src/direct/event_reader.rs
@@ -7,7 +7,9 @@
 
 use http_body_util::BodyExt;
 use rosemarymoor_lib::dispatch::event_stream::{Event, EventSplitter};
+use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
 use rosemarymoor_lib::dispatch::targets::Observation;
+use rosemarymoor_lib::result_code::FAILURE_LOG;
 
 use super::attempt::{AttemptError, StartedAnswer};
 use crate::http_pool::BodyEnd;
@@ -15,15 +17,23 @@
 /// Answer of a target that is read event by event.
 pub struct EventReader {
     pub answer: StartedAnswer,
+    /// Software version that has to answer, if the answer goes on with a stream.
+    required_software: Option<String>,
     splitter: EventSplitter,
     /// Whether any event was read.
     has_event: bool,
 }
 
 impl EventReader {
-    /// Opens a reader at the beginning of an answer's body.
-    pub fn open(answer: StartedAnswer) -> EventReader {
-        EventReader { answer, splitter: EventSplitter::default(), has_event: false }
+    /// Opens a reader at the beginning of an answer's body; `origin` is what began the stream, if
+    /// the answer goes on with it.
+    pub fn open(answer: StartedAnswer, origin: Option<&StreamOrigin>) -> EventReader {
+        EventReader {
+            answer,
+            required_software: origin.map(|origin| origin.software.clone()),
+            splitter: EventSplitter::default(),
+            has_event: false,
+        }
     }
 
     /// Reads the next event until the deadline at the latest; `None` at the end of the stream.
@@ -51,7 +61,9 @@
     ) -> Result<Option<Event>, AttemptError> {
         loop {
             if let Some(event) = self.splitter.next_event() {
-                self.has_event = true;
+                if !std::mem::replace(&mut self.has_event, true) {
+                    self.check_software(request)?;
+                }
                 return Ok(Some(event));
             }
             let body = &mut self.answer.exchange.body;
@@ -67,6 +79,23 @@
         }
     }
 
+    /// Returns an error if another version may answer than the one that began the stream: the
+    /// target may have started anew since it was chosen.
+    fn check_software(&self, request: &str) -> Result<(), AttemptError> {
+        let in_flight = &self.answer.in_flight;
+        let Some(required) = self.required_software.as_deref() else { return Ok(()) };
+        let found = in_flight.certain_software();
+        if found == Some(required) {
+            return Ok(());
+        }
+        log::warn!(
+            target: FAILURE_LOG,
+            "event=other_version request={request} target={} required={required} found={found:?}",
+            in_flight.target_id
+        );
+        Err(AttemptError::Broken)
+    }
+
     /// Returns an error if the body ended where the stream cannot have ended.
     fn end(&self, request: &str) -> Result<(), AttemptError> {
         let unfinished = self.splitter.partial_bytes();
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -12,10 +12,12 @@
 use hyper::{Method, Request, Response, Uri};
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::dispatch::stream_origins::{StreamId, StreamOrigin};
 use rosemarymoor_lib::id::{BudgetId, digest128};
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
-use rosemarymoor_platform::request::{self, CallerHead, HeadError};
+use rosemarymoor_platform::request::{self, CallerHead, HeadError, Resumption};
 
+use super::begun_streams::OriginUnknown;
 use super::budget_client::{Reservation, ReservationDenied, ReservationParams};
 use super::deliver;
 use super::entry::Entry;
@@ -43,6 +45,9 @@
 /// another one.
 const OVERLOADED_RETRY_AFTER_MS: u64 = 150;
 
+/// Retry delay reported while who may know what began a stream does not answer.
+const ORIGIN_RETRY_AFTER_MS: u64 = 400;
+
 /// Upper bound of the jitter added to [`OVERLOADED_RETRY_AFTER_MS`].
 const RETRY_JITTER_MS: u64 = 250;
 
@@ -64,6 +69,8 @@
     pub fingerprint: u128,
     pub route: Route,
     pub service: String,
+    /// What began the stream; `None` before its first event, and if that is not known.
+    pub origin: Option<StreamOrigin>,
     /// Name of the workspace; `None` for a request to a public route without a known key.
     pub workspace: Option<String>,
     pub catalog_version: u64,
@@ -188,7 +195,6 @@
         return Err(refusal.retry_after(OVERLOADED_RETRY_AFTER_MS + random % RETRY_JITTER_MS));
     }
     let load = entry.load.track_request();
-    let service = route.service_for(random).map(str::to_owned).ok_or_else(no_service)?;
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived_at + time_limit;
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
@@ -199,6 +205,16 @@
     if entry.poison.is_refused(fingerprint) {
         return Err(Refusal::new(ResultCode::Poisoned, "targets broke off while they ran it"));
     }
+    let origin = match &head.resumption {
+        Some(resumption) if route.kind.is_stream() => {
+            Some(find_origin(entry, &head.attempt_id, &route, resumption).await?)
+        }
+        _ => None,
+    };
+    let service = match &origin {
+        Some(origin) => origin.service.clone(),
+        None => route.service_for(random).map(str::to_owned).ok_or_else(no_service)?,
+    };
     entry.retries().record_request(&service, entry.now());
     let engine = catalog.service(&service).and_then(|service| service.engine.as_ref());
     let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event);
@@ -215,7 +231,6 @@
         time_limit.as_millis(),
         body.len()
     );
-    log_resumption(&head);
     Ok(Call {
         head,
         method: parts.method,
@@ -224,6 +239,7 @@
         body,
         fingerprint,
         service,
+        origin,
         workspace: workspace.map(|workspace| workspace.name),
         catalog_version: catalog.version,
         route,
@@ -237,15 +253,45 @@
     })
 }
 
-/// Logs that a caller takes up a stream that an earlier request began.
-fn log_resumption(head: &CallerHead) {
-    let Some(resumption) = &head.resumption else { return };
+/// Returns what began the stream that a caller goes on with.
+///
+/// A stream goes on only at the version that began it, and an entry that does not know that version
+/// does not guess: the request is refused as not run.
+async fn find_origin(
+    entry: &Entry,
+    attempt_id: &str,
+    route: &Route,
+    resumption: &Resumption,
+) -> Result<StreamOrigin, Refusal> {
+    let found = match &resumption.began_as {
+        Some(began_as) => entry.streams.find(StreamId::begun_by(began_as)).await,
+        None => Err(OriginUnknown::Nobody),
+    };
+    let outcome = match &found {
+        Ok(origin) if !route.uses(&origin.service) => "moved",
+        Ok(_) => "known",
+        Err(OriginUnknown::Nobody) => "unknown",
+        Err(OriginUnknown::NoAnswer) => "no_answer",
+    };
+    entry.metrics.count_taken_up(outcome);
     log::info!(
-        "event=taken_up request={} began_as={} after_event={:?}",
-        head.attempt_id,
+        "event=taken_up request={attempt_id} began_as={} after_event={:?} outcome={outcome} software={}",
         resumption.began_as.as_deref().unwrap_or("unnamed"),
-        resumption.last_event
+        resumption.last_event,
+        found.as_ref().map_or("unknown", |origin| origin.software.as_str())
     );
+    match found {
+        Ok(origin) if outcome == "known" => Ok(origin),
+        Ok(_) => Err(Refusal::new(ResultCode::NoTarget, "the route has left the stream's service")),
+        Err(OriginUnknown::Nobody) => {
+            Err(Refusal::new(ResultCode::OriginUnknown, "nobody knows what began the stream"))
+        }
+        Err(OriginUnknown::NoAnswer) => {
+            let detail = "who may know what began the stream does not answer";
+            let refusal = Refusal::new(ResultCode::OriginUnknown, detail);
+            Err(refusal.retry_after(ORIGIN_RETRY_AFTER_MS))
+        }
+    }
 }
 
 /// Returns the workspace of the request's key; refuses a request without one unless the
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -43,6 +43,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     unfinished_events: Counter<u64>,
+    taken_up: Counter<u64>,
     target_notices: Counter<u64>,
     malformed_inputs: Counter<u64>,
     reservations: Counter<u64>,
@@ -66,6 +67,7 @@
             refusals: counter("refusals"),
             attempts: counter("tries"),
             unfinished_events: counter("unfinished_events"),
+            taken_up: counter("streams_taken_up"),
             target_notices: counter("target_notices"),
             malformed_inputs: counter("malformed_inputs"),
             reservations: counter("money_asked"),
@@ -115,6 +117,12 @@
         self.unfinished_events.add(1, &[KeyValue::new("body_end", body_end)]);
     }
 
+    /// Counts a stream that a caller takes up, by whether what began it is known: `known`,
+    /// `unknown`, `no_answer`, or `moved` if its route has another service now.
+    pub fn count_taken_up(&self, outcome: &'static str) {
+        self.taken_up.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts an answer in which a target says that it is leaving or asks for a pause.
     pub fn count_target_notice(&self, kind: &'static str) {
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -15,6 +15,7 @@
 use hyper::Response;
 use hyper::body::Frame;
 use rosemarymoor_lib::dispatch::event_stream::Event;
+use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId, StreamOrigin};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_platform::answer::AnswerKind;
@@ -43,11 +44,11 @@
 /// Waits for the first event or the end of the stream, for `timeout` at the longest.
 pub async fn read_first_event(
     answer: StartedAnswer,
-    request: &str,
+    call: &Call,
     timeout: Duration,
 ) -> Result<StartedStream, AttemptError> {
-    let mut reader = EventReader::open(answer);
-    let first_event = reader.next(request, Instant::now() + timeout).await?;
+    let mut reader = EventReader::open(answer, call.origin.as_ref());
+    let first_event = reader.next(&call.head.attempt_id, Instant::now() + timeout).await?;
     reader.answer.in_flight.record_first_answer();
     Ok(StartedStream { reader, first_event })
 }
@@ -55,11 +56,14 @@
 /// Returns an answer that forwards the events to the caller.
 pub fn response(
     entry: &Arc<Entry>,
-    call: Call,
+    mut call: Call,
     attempts: Attempts,
     started_stream: StartedStream,
 ) -> Response<AnswerBody> {
     let StartedStream { reader, first_event } = started_stream;
+    if first_event.is_some() && call.route.kind.is_idempotent() {
+        record_origin(entry, &mut call, &reader);
+    }
     let head = &reader.answer.exchange.head;
     let (status, mut headers) = (head.status, head.headers.clone());
     strip_connection_headers(&mut headers);
@@ -83,6 +87,25 @@
     resp
 }
 
+/// Records what began a stream that may go on elsewhere, before its first event is forwarded.
+///
+/// For a stream that was taken up it is what began it, in case its caller names this request next.
+fn record_origin(entry: &Entry, call: &mut Call, reader: &EventReader) {
+    let in_flight = &reader.answer.in_flight;
+    let Some(software) = in_flight.certain_software() else {
+        log::info!(
+            "event=origin_unnamed request={} target={}",
+            call.head.attempt_id,
+            in_flight.target_id
+        );
+        return;
+    };
+    let origin = StreamOrigin { service: call.service.clone(), software: software.to_owned() };
+    let id = StreamId::begun_by(&call.head.attempt_id);
+    entry.streams.record(BegunStream { id, origin: origin.clone() });
+    call.origin = Some(origin);
+}
+
 /// State of a stream that is forwarded to a caller.
 struct StreamRelay {
     entry: Arc<Entry>,
@@ -167,8 +190,9 @@
 
     /// Resumes the stream at another target after an error.
     ///
-    /// Returns the latest error if the route does not allow it, the caller has no event with an
-    /// identity, or every attempt fails.
+    /// Only targets of the software version that began the stream are tried. Returns the latest
+    /// error if that version is not known, the route does not allow it, the caller has no event with
+    /// an identity, or every attempt fails.
     async fn resume(&mut self, err: AttemptError) -> Result<(), AttemptError> {
         let mut err = err;
         // Dropping the answer closes the connection, which stops the request at that target.
@@ -176,13 +200,16 @@
         if let Some(target) = self.attempts.targets.last().copied() {
             record_failure(&self.entry, &self.call, &mut self.attempts, target, err);
         }
-        if !self.call.route.kind.is_idempotent() || self.last_event_id.is_none() {
+        if !self.call.route.kind.is_idempotent()
+            || self.last_event_id.is_none()
+            || self.call.origin.is_none()
+        {
             return Err(err);
         }
         while let Some(target) = next_target(&self.entry, &self.call, &mut self.attempts) {
             match self.resume_at(target).await {
                 Ok(answer) => {
-                    self.reader = Some(EventReader::open(answer));
+                    self.reader = Some(EventReader::open(answer, self.call.origin.as_ref()));
                     return Ok(());
                 }
                 Err(resume_err) => {
@@ -208,10 +235,11 @@
         }
         answer.in_flight.record_first_answer();
         log::info!(
-            "event=resumed request={} after_event={:?} target={}",
+            "event=resumed request={} after_event={:?} target={} software={}",
             self.call.head.attempt_id,
             self.last_event_id,
-            answer.in_flight.target_id
+            answer.in_flight.target_id,
+            self.call.origin.as_ref().map_or("unknown", |origin| origin.software.as_str())
         );
         Ok(answer)
     }
--- a/daemon/src/entry/delivery.rs
+++ b/daemon/src/entry/delivery.rs
@@ -214,6 +214,7 @@
         | AnswerCutOff => true,
         BadRequest | BodyTooLarge | Unauthorized | UnknownRoute | UnknownBudget | PromptTooLong
         | MaxTokensTooLarge | KeyReused | BodyTimeout | BudgetExhausted | BudgetUnavailable
-        | EpochClosed | ClaimUnavailable | Poisoned | Withdrawn | StillRunning | TimedOut => false,
+        | EpochClosed | ClaimUnavailable | Poisoned | Withdrawn | StillRunning | TimedOut
+        | OriginUnknown => false,
     }
 }
--- a/daemon/tests/test_stream_versions.rs
+++ b/daemon/tests/test_stream_versions.rs
@@ -210,6 +210,31 @@
     }
 }
 
+/// A target that starts anew under its identifier may have another version.
+#[tokio::test]
+async fn a_target_that_started_anew_does_not_pass_for_the_version_before() {
+    let fleet =
+        VersionedFleet::open(&["v1", "v1"], |received| match received.header("last-event-id") {
+            Some(_) => {
+                let rest = events(received, 2, EVENTS, Duration::ZERO);
+                [vec![Step::Wait(SETTLE_TIME * 2)], rest].concat()
+            }
+            None => events(received, 0, EVENTS, Duration::from_millis(100)),
+        })
+        .await;
+    fleet.begin("begun").await;
+    let taken = tokio::join!(fleet.take_up("taken", "Resumes: begun\r\n"), async {
+        tokio::time::sleep(SETTLE_TIME).await;
+        for (index, target) in fleet.targets.iter().enumerate() {
+            let (id, address) = (format!("t{index}"), target.address());
+            fleet.fleet.store.register_version(&id, "models", address, "ready", "v2");
+        }
+    })
+    .0;
+    assert_eq!((taken.status, taken.seal()), (502, None));
+    assert_eq!(fleet.reached(&["taken"]).len(), 1, "no other version is tried");
+}
+
 /// Names each way in which an entry does not know what began a stream.
 macro_rules! unknown_streams {
     ($($case:ident: $resumes:expr;)*) => {
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -7,7 +7,8 @@
 //! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
 //! [`crash_tracker`] finds requests that crash their targets; [`retry_after`]
 //! computes the delay that refused callers are given; [`event_stream`] splits an
-//! answer into server-sent events.
+//! answer into server-sent events, and [`stream_origins`] knows which software version
+//! began a stream.
 
 pub mod catalog;
 pub mod choice;
@@ -17,4 +18,5 @@
 pub mod rank;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod stream_origins;
 pub mod targets;
--- a/lib/src/dispatch/catalog.rs
+++ b/lib/src/dispatch/catalog.rs
@@ -176,6 +176,11 @@
 }
 
 impl Route {
+    /// Returns whether requests may go to a service.
+    pub fn uses(&self, service: &str) -> bool {
+        self.backends.iter().any(|backend| backend.service == service && backend.weight > 0)
+    }
+
     /// Picks a backend's service by weight; `random` is uniformly distributed.
     ///
     /// Returns `None` if the weights add up to zero.
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -43,6 +43,8 @@
 pub struct SelectionCriteria<'a> {
     /// Service whose targets are candidates.
     pub service: &'a str,
+    /// Software version that the target must have; `None` if any will do.
+    pub software: Option<&'a str>,
     /// Data centre of this entry.
     pub data_center: &'a str,
     /// Identifier of the prompt's last shared part; `None` for calls without a prompt.
@@ -66,6 +68,7 @@
     let mut candidates: Vec<&Target> = table
         .of_service(criteria.service)
         .filter(|target| !attempted.contains(&target.key) && target.pause_left_ms(now) == 0)
+        .filter(|target| criteria.software.is_none_or(|software| target.has_software(software)))
         .collect();
     let rank_key = criteria.prompt.unwrap_or(criteria.random);
     rank::order(rank_key, &mut candidates, |target| target.registration.id.as_str());
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -162,6 +162,11 @@
         self.paused_until.since(now)
     }
 
+    /// Returns whether it runs this software version, as far as it registered one.
+    pub fn has_software(&self, software: &str) -> bool {
+        self.registration.software.as_deref() == Some(software)
+    }
+
     /// Returns whether it is assumed to cache a prompt part, because this entry sent the part
     /// to it recently.
     pub fn caches_part(&self, part: u64, now: Millis) -> bool {
@@ -223,6 +228,11 @@
         Some(&mut self.targets[at])
     }
 
+    /// Returns the target that is registered under an identifier.
+    pub fn with_id(&self, id: &str) -> Option<&Target> {
+        self.targets.iter().find(|target| target.registration.id == id)
+    }
+
     /// Iterates over all targets.
     pub fn iter(&self) -> impl Iterator<Item = &Target> {
         self.targets.iter()
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -98,6 +98,7 @@
     AnswerGone = 4004, 410, MayHaveRun, "The request ran but its answer is no longer kept";
     TimedOut = 4005, 504, MayHaveRun, "The request ran past its deadline";
     AnswerCutOff = 5001, 502, Partial, "The answer was cut off";
+    OriginUnknown = 5002, 503, NotRun, "The version that began the stream is not known";
 }
 
 /// Refusal of a request, as sent between processes and to the caller.
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -256,13 +256,33 @@
 }
 
 fn criteria(prompt: Option<u64>, random: u64) -> SelectionCriteria<'static> {
-    SelectionCriteria { service: "models", data_center: "leics", prompt, random, entry_count: 4 }
+    SelectionCriteria {
+        service: "models",
+        software: None,
+        data_center: "leics",
+        prompt,
+        random,
+        entry_count: 4,
+    }
 }
 
 fn choose(table: &TargetTable, prompt: Option<u64>, random: u64) -> TargetKey {
     choice::choose(table, criteria(prompt, random), &[], NOW).unwrap()
 }
 
+#[test]
+fn only_targets_of_the_required_version_are_chosen() {
+    let mut table = table(4);
+    table.register(Registration { software: Some("v2".to_owned()), ..registration("t2") });
+    table.register(Registration { software: None, ..registration("t3") });
+    for part in 0..50 {
+        let criteria = SelectionCriteria { software: Some("v2"), ..criteria(Some(part), part) };
+        let chosen = choice::choose(&table, criteria, &[], NOW).unwrap();
+        assert_eq!(table.get(chosen).unwrap().registration.id, "t2");
+        assert_eq!(choice::choose(&table, criteria, &[chosen], NOW), None);
+    }
+}
+
 #[test]
 fn entries_agree_on_the_target_of_a_prompt() {
     let (one, other) = (table(18), table(18));
--- /dev/null
+++ b/lib/tests/test_stream_origins.rs
@@ -0,0 +1,67 @@
+//! Tests of what is known of the beginnings of streams.
+
+use rosemarymoor_lib::dispatch::stream_origins::{
+    BegunStream, StreamId, StreamOrigin, StreamOrigins,
+};
+use rosemarymoor_lib::time::Millis;
+
+fn origin(software: &str) -> StreamOrigin {
+    StreamOrigin { service: "models".to_owned(), software: software.to_owned() }
+}
+
+fn begun(attempt_id: &str, software: &str) -> BegunStream {
+    BegunStream { id: StreamId::begun_by(attempt_id), origin: origin(software) }
+}
+
+fn found(origins: &StreamOrigins, attempt_id: &str) -> Option<String> {
+    origins.find(StreamId::begun_by(attempt_id)).map(|origin| origin.software.clone())
+}
+
+#[test]
+fn each_stream_has_the_origin_that_was_recorded() {
+    let mut origins = StreamOrigins::default();
+    for (id, software) in [("a", "v1"), ("b", "v2"), ("c", "v1")] {
+        origins.record(&begun(id, software), Millis(1));
+    }
+    assert_eq!(found(&origins, "a").as_deref(), Some("v1"));
+    assert_eq!(found(&origins, "b").as_deref(), Some("v2"));
+    assert_eq!(found(&origins, "c").as_deref(), Some("v1"));
+    assert_eq!(found(&origins, "d"), None);
+}
+
+#[test]
+fn a_repeated_report_changes_nothing() {
+    let mut origins = StreamOrigins::default();
+    origins.record(&begun("a", "v1"), Millis(1));
+    origins.record(&begun("a", "v1"), Millis(2));
+    assert_eq!(found(&origins, "a").as_deref(), Some("v1"));
+}
+
+#[test]
+fn an_id_with_two_origins_is_not_certain() {
+    let mut origins = StreamOrigins::default();
+    origins.record(&begun("a", "v1"), Millis(1));
+    origins.record(&begun("a", "v2"), Millis(2));
+    assert_eq!(found(&origins, "a"), None);
+}
+
+#[test]
+fn old_streams_are_forgotten() {
+    let mut origins = StreamOrigins::default();
+    origins.record(&begun("a", "v1"), Millis(1));
+    origins.record(&begun("b", "v2"), Millis(100_000));
+    origins.record(&begun("c", "v3"), Millis(130_000));
+    assert_eq!(found(&origins, "a"), None);
+    assert_eq!(found(&origins, "b").as_deref(), Some("v2"));
+    assert_eq!(origins.len(), 2);
+}
+
+#[test]
+fn the_number_of_streams_is_bounded() {
+    let mut origins = StreamOrigins::default();
+    for number in 0..40_000 {
+        origins.record(&begun(&format!("r{number}"), "v1"), Millis(1));
+    }
+    assert!(origins.len() <= 16_384);
+    assert_eq!(found(&origins, "r39999").as_deref(), Some("v1"));
+}
