--- a/daemon/tests/test_direct_settlements.rs
+++ b/daemon/tests/test_direct_settlements.rs
@@ -10,6 +10,7 @@
 use rosemarymoor_daemon::direct::budget_client::{BudgetClient, ReservationParams};
 use rosemarymoor_daemon::direct::ceilings::Ceilings;
 use rosemarymoor_daemon::direct::load_monitor::LoadMonitor;
+use rosemarymoor_daemon::direct::peer_client::PeerClient;
 use rosemarymoor_daemon::direct::peers::{PeerRecord, Peers, peer_key};
 use rosemarymoor_daemon::http_pool::HttpPool;
 use rosemarymoor_lib::budget::ceiling::{Headroom, ReservationReply, Settlement};
@@ -76,7 +77,8 @@
     peers.apply_listing(&Listing { items, global_revision: Revision(1) }, false);
     let kv = Arc::new(KvHttp::open("http://127.0.0.1:9").unwrap());
     let ceilings = Ceilings::spawn(kv, clock, Headroom::None);
-    let client = BudgetClient::open(HttpPool::open(), peers, ceilings, LoadMonitor::spawn(clock));
+    let client = PeerClient::open(HttpPool::open(), peers);
+    let client = BudgetClient::open(client, ceilings, LoadMonitor::spawn(clock));
     for number in 0..REQUESTS {
         let mut reservation = client.reserve(&params(number)).await.unwrap();
         reservation.used = number;
