fault proxy: a reset reaches the other side as a reset

A link that was reset, or whose target reset the connection, first closed the other side regularly: the owned halves of its sockets do so when they are dropped, and an error of a read counted as an end. Both sockets are now reset, in both directions.

--- a/lib/testutils/src/fault_proxy.rs
+++ b/lib/testutils/src/fault_proxy.rs
@@ -6,13 +6,12 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
@@ -158,53 +157,57 @@
     }
 }
 
-async fn forward_connection(socket: TcpStream, target: SocketAddr, mut link: LinkContext) {
+async fn forward_connection(mut socket: TcpStream, target: SocketAddr, mut link: LinkContext) {
     if !link.wait_healed().await {
         return;
     }
-    let Ok(upstream) = TcpStream::connect(target).await else {
+    let Ok(mut upstream) = TcpStream::connect(target).await else {
         return;
     };
     let _ = socket.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
-    let Ok(socket_fd) = socket.as_fd().try_clone_to_owned() else { return };
-    let (down_rx, down_tx) = socket.into_split();
-    let (up_rx, up_tx) = upstream.into_split();
+    // Owned halves would close their socket regularly when they are dropped, before the reset.
+    let (down_rx, down_tx) = socket.split();
+    let (up_rx, up_tx) = upstream.split();
     // When either side ends, both sockets are dropped and so closed.
-    tokio::select! {
-        () = copy_bytes(down_rx, up_tx, link.clone(), false) => {}
-        () = copy_bytes(up_rx, down_tx, link.clone(), true) => {}
-        () = link.wait_reset() => {
-            // With a linger time of zero, closing the socket sends a reset.
-            let _ = rustix::net::sockopt::set_socket_linger(&socket_fd, Some(Duration::ZERO));
+    let is_reset = tokio::select! {
+        end = copy_bytes(down_rx, up_tx, link.clone(), false) => end.is_err(),
+        end = copy_bytes(up_rx, down_tx, link.clone(), true) => end.is_err(),
+        () = link.wait_reset() => true,
+    };
+    if is_reset {
+        // With a linger time of zero, closing a socket sends a reset.
+        for socket in [&socket, &upstream] {
+            let _ = rustix::net::sockopt::set_socket_linger(socket, Some(Duration::ZERO));
         }
     }
 }
 
 /// Copies bytes of one direction, with the link's delay, until either side ends.
+///
+/// Returns an error if that was no regular close: to the other side it is a reset, since the end of
+/// a connection may be the end of an answer.
 async fn copy_bytes(
-    mut rx: OwnedReadHalf,
-    mut tx: OwnedWriteHalf,
+    mut rx: ReadHalf<'_>,
+    mut tx: WriteHalf<'_>,
     mut link: LinkContext,
     is_reply: bool,
-) {
+) -> io::Result<()> {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
-        let length = match rx.read(&mut buf).await {
-            Ok(length) if length > 0 => length,
-            _ => return,
-        };
+        let length = rx.read(&mut buf).await?;
+        if length == 0 {
+            return Ok(());
+        }
         let delay = link.state.borrow().delay;
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
         if !link.wait_open(is_reply).await {
-            return;
+            return Ok(());
         }
         link.count(length);
-        if tx.write_all(&buf[..length]).await.is_err() {
-            return;
-        }
+        tx.write_all(&buf[..length]).await?;
     }
 }
 
