soak: targets answer without a length or chunks, and break off inside events

Targets of the soak send a third of their streams until the end of their connection, and while they are faulty break some of them off inside an event, with a regular close. What they decide besides stays as recorded seeds have it.

--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -7,9 +7,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use rosemarymoor_platform_standins::fixtures::{events, script};
+use rosemarymoor_platform_standins::fixtures::script;
 use rosemarymoor_platform_standins::target::{
-    ReceivedRequest, Step, TargetStandIn, leaving, not_run, not_run_with_pause, signed,
+    ReceivedRequest, Step, TargetStandIn, chunk, event, last_chunk, leaving, not_run,
+    not_run_with_pause, signed, stream_head, stream_head_until_close,
 };
 use rosemarymoor_testutils::fault_proxy::Link;
 use rosemarymoor_testutils::seeded_rng::SeededRng;
@@ -29,6 +30,24 @@
 /// Share of the requests that a faulty target corrupts.
 const CORRUPTED_SHARE: f64 = 0.4;
 
+/// Share of the streams that end with their connection, having neither a length nor chunks.
+const UNTIL_CLOSE_SHARE: f64 = 0.3;
+
+/// Share of the streams to be reset that end with their connection inside an event instead.
+const CUT_SHARE: f64 = 0.6;
+
+/// Largest number of the event inside which a corrupted stream breaks.
+const MAX_EVENTS_BEFORE_CUT: u64 = 8;
+
+/// How a stream is sent.
+#[derive(Clone, Copy, Debug)]
+struct StreamForm {
+    /// Whether it ends with its connection.
+    until_close: bool,
+    /// Number of its event inside which it breaks off, if it does.
+    cut_in: Option<u64>,
+}
+
 /// Target and the link to it.
 pub struct Target {
     /// Number of the target, from 0 in the order of the starts.
@@ -66,7 +85,8 @@
         let drain = draining_since.clone();
         let is_faulty = Arc::new(AtomicBool::new(false));
         let not_run_ids = Arc::new(Mutex::new(BTreeSet::new()));
-        let rng = SeededRng::new(seed);
+        // A sequence of its own, so that the other decisions of recorded seeds stay the same.
+        let (rng, form_rng) = (SeededRng::new(seed), SeededRng::new(!seed));
         let (faulty, rejected) = (is_faulty.clone(), not_run_ids.clone());
         let answer = script(move |received| {
             let is_corrupted = faulty.load(Ordering::Relaxed) && rng.random_bool(CORRUPTED_SHARE);
@@ -75,7 +95,12 @@
                 let mut rejected = rejected.lock().unwrap_or_else(PoisonError::into_inner);
                 rejected.insert(received.attempt_id().to_owned());
             }
-            let steps = answer(received, corruption);
+            let is_cut = corruption == Some(Corruption::Reset) && form_rng.random_bool(CUT_SHARE);
+            let form = StreamForm {
+                until_close: is_cut || form_rng.random_bool(UNTIL_CLOSE_SHARE),
+                cut_in: is_cut.then(|| 1 + form_rng.random_below(MAX_EVENTS_BEFORE_CUT)),
+            };
+            let steps = answer(received, corruption, form);
             let is_draining = drain.lock().unwrap_or_else(PoisonError::into_inner).is_some();
             if notices { add_notices(steps, corruption, is_draining) } else { steps }
         });
@@ -128,9 +153,16 @@
 const CORRUPTIONS: [Corruption; 3] = [Corruption::NotRun, Corruption::Reset, Corruption::Failed];
 
 /// Returns the steps that answer a request; without a corruption they are correct.
-fn answer(received: &ReceivedRequest, corruption: Option<Corruption>) -> Vec<Step> {
+fn answer(
+    received: &ReceivedRequest,
+    corruption: Option<Corruption>,
+    form: StreamForm,
+) -> Vec<Step> {
+    let usage = received.header("token-usage").and_then(|usage| usage.split_once(','));
+    let output = usage.and_then(|(_, output)| output.parse::<u64>().ok());
     match corruption {
         Some(Corruption::NotRun) => return vec![Step::Send(not_run())],
+        Some(Corruption::Reset) if output.is_some() && form.cut_in.is_some() => {}
         Some(Corruption::Reset) => return vec![Step::Wait(CALL_DURATION), Step::Reset],
         Some(Corruption::Failed) => {
             let status = "500 Internal Server Error";
@@ -138,12 +170,30 @@
         }
         None => {}
     }
-    let usage = received.header("token-usage").and_then(|usage| usage.split_once(','));
-    match usage.and_then(|(_, output)| output.parse::<u64>().ok()) {
-        Some(output) => {
-            let after = received.header("last-event-id").and_then(|id| id.parse().ok());
-            events(received, after.unwrap_or(0), output / TOKENS_PER_EVENT, EVENT_INTERVAL)
-        }
+    match output {
+        Some(output) => stream(received, output / TOKENS_PER_EVENT, form),
         None => vec![Step::Wait(CALL_DURATION), Step::Send(signed(received, "200 OK", "done"))],
     }
 }
+
+/// Returns the steps that send the events of a stream up to `last`, from the one on that the
+/// request asks for.
+fn stream(received: &ReceivedRequest, last: u64, form: StreamForm) -> Vec<Step> {
+    let after = received.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let send = |text: &str| match form.until_close {
+        true => Step::Send(text.as_bytes().to_vec()),
+        false => Step::Send(chunk(text)),
+    };
+    let head = if form.until_close { stream_head_until_close } else { stream_head };
+    let mut steps = vec![Step::Send(head(received))];
+    for id in after + 1..=last {
+        let event = event(id);
+        if form.cut_in == Some(id - after) {
+            steps.extend([send(&event[..event.len() / 2]), Step::Close]);
+            return steps;
+        }
+        steps.extend([send(&event), Step::Wait(EVENT_INTERVAL)]);
+    }
+    steps.push(if form.until_close { Step::Close } else { Step::Send(last_chunk()) });
+    steps
+}
