soak: targets of two software versions, and callers that take streams up

Targets of two versions serve side by side and name theirs in their events. The report says how many streams were taken up and went on.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -302,7 +302,7 @@
             fleet.record.end_fault(number);
             fleet.add_target(target.service).await?;
             target.start_draining();
-            fleet.store.register(&target.id, target.service, target.link.address(), "draining");
+            fleet.register(target, "draining");
             tokio::time::sleep(MIN_DRAIN_TIME + duration).await;
             fleet.store.unregister(&target.id);
             return Ok(());
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -189,11 +189,17 @@
         let number = self.lock_targets().len();
         let seed = self.seed ^ ((number as u64) << 32);
         let target = Target::spawn(number, service, seed, self.notices).await?;
-        self.store.register(&target.id, service, target.link.address(), "ready");
+        self.register(&target, "ready");
         self.lock_targets().push(Arc::new(target));
         Ok(())
     }
 
+    /// Writes a target's registration with a state.
+    pub fn register(&self, target: &Target, state: &str) {
+        let Target { id, service, version, link, .. } = target;
+        self.store.register_version(id, service, link.address(), state, version);
+    }
+
     /// Accepts the next configuration, which prepays `top_up` tokens more for the first workspace.
     pub fn configure(&self, top_up: u64) {
         let mut configuration = self.configuration.lock().unwrap_or_else(PoisonError::into_inner);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -82,6 +82,10 @@
     pub requests: u64,
     /// Requests answered with status 200.
     pub answered: u64,
+    /// Streams that callers took up.
+    pub taken_up: u64,
+    /// Streams that were taken up and went on.
+    pub went_on: u64,
     /// Violations of each invariant.
     #[serde(rename = "broken")]
     pub violations: ViolationCounts,
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -11,7 +11,7 @@
 
 use crate::Plan;
 use crate::fleet::{Fleet, WORKSPACES};
-use crate::record::{Exchange, Outcome, RequestKind, Violation};
+use crate::record::{Exchange, Outcome, RequestKind, TakenUp, Violation};
 use crate::target::TOKENS_PER_EVENT;
 
 /// Longest time to open a connection.
@@ -32,6 +32,12 @@
 /// Share of the requests for which a caller drops its connection and picks an entry again.
 const RECONNECT_SHARE: f64 = 0.1;
 
+/// Share of the resumable streams whose caller leaves after some event and takes them up later.
+const LEFT_SHARE: f64 = 0.2;
+
+/// Streams of the fault-free part that their callers leave and take up at another entry.
+const FAULT_FREE_RESUMPTIONS: u64 = 12;
+
 /// Tokens of a stream's prompt.
 const PROMPT_TOKENS: u64 = 200;
 
@@ -79,6 +85,8 @@
 
 /// Sends requests until `stop` is set.
 async fn run_caller(fleet: Arc<Fleet>, rng: SeededRng, number: u64, stop: Arc<AtomicBool>) {
+    // A sequence of its own, so that the other decisions of recorded seeds stay the same.
+    let left_rng = SeededRng::new(!(number + 1));
     let mut open_connection: Option<(usize, Caller)> = None;
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
@@ -98,7 +106,10 @@
             }
         };
         count += 1;
-        let request = Request::random(&rng, format!("c{number}-{count}"));
+        let mut request = Request::random(&rng, format!("c{number}-{count}"));
+        if request.kind == RequestKind::Resumable && left_rng.random_bool(LEFT_SHARE) {
+            request.leave_after = Some(1 + left_rng.random_below(request.events));
+        }
         let cancel_after = rng
             .random_bool(CANCELLED_SHARE)
             .then(|| Duration::from_millis(rng.random_below(MAX_CANCEL_DELAY_MS)));
@@ -106,7 +117,14 @@
         if matches!(exchange.outcome, Outcome::Answered { complete: true, .. }) {
             open_connection = Some((entry, caller));
         }
+        let resumption = Request::resumption(&exchange);
         fleet.record.add_exchange(exchange);
+        if let Some(resumption) = resumption {
+            let entry = left_rng.random_below(fleet.entries.len() as u64) as usize;
+            if let Some((entry, mut caller)) = connect(&fleet, entry).await {
+                fleet.record.add_exchange(resumption.send(&mut caller, entry, None).await);
+            }
+        }
         tokio::time::sleep(Duration::from_millis(rng.random_below(MAX_THINK_TIME_MS))).await;
     }
 }
@@ -127,6 +145,10 @@
     workspace: usize,
     /// Events that a stream asks for.
     events: u64,
+    /// Number of the event after which the caller leaves, if it does.
+    leave_after: Option<u64>,
+    /// Stream that the request goes on with, if any.
+    taken_up: Option<TakenUp>,
 }
 
 impl Request {
@@ -136,7 +158,28 @@
             [RequestKind::Safe, RequestKind::Unsafe, RequestKind::Stream, RequestKind::Resumable];
         let kind = kinds[rng.random_below(kinds.len() as u64) as usize];
         let workspace = rng.random_below(WORKSPACES.len() as u64) as usize;
-        Request { id, kind, workspace, events: 1 + rng.random_below(MAX_EVENTS) }
+        let events = 1 + rng.random_below(MAX_EVENTS);
+        Request { id, kind, workspace, events, leave_after: None, taken_up: None }
+    }
+
+    /// Returns the request that takes up the stream of an exchange, if it was broken off after an
+    /// event.
+    fn resumption(exchange: &Exchange) -> Option<Request> {
+        let Outcome::Answered { status: 200, complete: false, body, .. } = &exchange.outcome else {
+            return None;
+        };
+        let last_event = body.matches("\n\n").count() as u64;
+        if exchange.kind != RequestKind::Resumable || last_event == 0 {
+            return None;
+        }
+        Some(Request {
+            id: format!("{}-r", exchange.id),
+            kind: exchange.kind,
+            workspace: exchange.workspace,
+            events: exchange.events,
+            leave_after: None,
+            taken_up: Some(TakenUp { began_as: exchange.id.clone(), last_event }),
+        })
     }
 
     /// Returns the request as a caller sends it.
@@ -157,6 +200,9 @@
         if matches!(self.kind, RequestKind::Stream | RequestKind::Resumable) {
             req.tokens = Some((PROMPT_TOKENS, self.events * TOKENS_PER_EVENT));
         }
+        if let Some(TakenUp { began_as, last_event }) = &self.taken_up {
+            req.headers = format!("Last-Event-Id: {last_event}\r\nResumes: {began_as}\r\n");
+        }
         req
     }
 
@@ -170,7 +216,12 @@
     ) -> Exchange {
         let started_at = Instant::now();
         let req = self.to_caller_request();
-        let call = caller.call(&req);
+        let call = async {
+            match self.leave_after {
+                Some(last) => caller.call_until(&req, &format!("id: {last}\n")).await,
+                None => caller.call(&req).await,
+            }
+        };
         let answer = match cancel_after {
             Some(after) => tokio::time::timeout(after, call).await.ok(),
             None => Some(call.await),
@@ -196,6 +247,8 @@
             ended_at: Instant::now(),
             prompt_tokens: PROMPT_TOKENS,
             events: self.events,
+            taken_up: self.taken_up,
+            has_left: self.leave_after.is_some(),
             outcome,
         }
     }
@@ -221,6 +274,41 @@
         let detail = format!("{charged} tokens charged in the fault-free part, {due} are due");
         fleet.record.add_violation(Violation::WronglyBilled, detail);
     }
+    let mut resumptions = JoinSet::new();
+    for number in 0..FAULT_FREE_RESUMPTIONS {
+        resumptions.spawn(resume_fault_free(fleet.clone(), number as usize));
+    }
+    resumptions.join_all().await;
+}
+
+/// Leaves a stream and takes it up at another entry, where it has to go on.
+async fn resume_fault_free(fleet: Arc<Fleet>, number: usize) {
+    let begun = Request {
+        id: format!("left-{number}"),
+        kind: RequestKind::Resumable,
+        workspace: FUNDED_WORKSPACE,
+        events: MAX_EVENTS,
+        leave_after: Some(2),
+        taken_up: None,
+    };
+    let Some((entry, mut caller)) = connect(&fleet, number % fleet.entries.len()).await else {
+        return;
+    };
+    let exchange = begun.send(&mut caller, entry, None).await;
+    drop(caller);
+    let resumption = Request::resumption(&exchange);
+    fleet.record.add_exchange(exchange);
+    let (Some(resumption), Some((entry, mut caller))) =
+        (resumption, connect(&fleet, (number + 1) % fleet.entries.len()).await)
+    else {
+        return;
+    };
+    let exchange = resumption.send(&mut caller, entry, None).await;
+    if !matches!(exchange.outcome, Outcome::Answered { status: 200, complete: true, .. }) {
+        let detail = format!("taken up in the fault-free part: {exchange:?}");
+        fleet.record.add_violation(Violation::NotRecovered, detail);
+    }
+    fleet.record.add_exchange(exchange);
 }
 
 /// Sends a request that has to be answered; returns the tokens that it costs.
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -17,6 +17,15 @@
     Resumable,
 }
 
+/// Stream that a caller takes up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenUp {
+    /// Id of the request that brought the first event.
+    pub began_as: String,
+    /// Number of the last event that the caller has.
+    pub last_event: u64,
+}
+
 /// One request as its caller saw it.
 #[derive(Clone, Debug)]
 pub struct Exchange {
@@ -36,6 +45,10 @@
     pub prompt_tokens: u64,
     /// Events that a stream asks for.
     pub events: u64,
+    /// Stream that the request goes on with, if any.
+    pub taken_up: Option<TakenUp>,
+    /// Whether the caller stopped reading before the end of the answer.
+    pub has_left: bool,
     /// How the request ended.
     pub outcome: Outcome,
 }
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -39,9 +39,20 @@
 /// Largest number of the event inside which a corrupted stream breaks.
 const MAX_EVENTS_BEFORE_CUT: u64 = 8;
 
+/// Software versions of the targets, in turn by their numbers.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+/// Returns a body without the versions that its events name, and the number of different ones.
+pub fn without_versions(body: &str) -> (String, usize) {
+    let marks = VERSIONS.map(|version| format!(" by {version}"));
+    let count = marks.iter().filter(|mark| body.contains(*mark)).count();
+    (marks.iter().fold(body.to_owned(), |body, mark| body.replace(mark, "")), count)
+}
+
 /// How a stream is sent.
 #[derive(Clone, Copy, Debug)]
 struct StreamForm {
+    version: &'static str,
     /// Whether it ends with its connection.
     until_close: bool,
     /// Number of its event inside which it breaks off, if it does.
@@ -56,6 +67,8 @@
     pub id: String,
     /// Service that the target offers, as the manifest names it.
     pub service: &'static str,
+    /// Version of its software, which its events name.
+    pub version: &'static str,
     /// The stand-in that answers requests.
     pub stand_in: TargetStandIn,
     /// Link from the entries to the target.
@@ -85,6 +98,7 @@
         let drain = draining_since.clone();
         let is_faulty = Arc::new(AtomicBool::new(false));
         let not_run_ids = Arc::new(Mutex::new(BTreeSet::new()));
+        let version = VERSIONS[number % VERSIONS.len()];
         // A sequence of its own, so that the other decisions of recorded seeds stay the same.
         let (rng, form_rng) = (SeededRng::new(seed), SeededRng::new(!seed));
         let (faulty, rejected) = (is_faulty.clone(), not_run_ids.clone());
@@ -97,6 +111,7 @@
             }
             let is_cut = corruption == Some(Corruption::Reset) && form_rng.random_bool(CUT_SHARE);
             let form = StreamForm {
+                version,
                 until_close: is_cut || form_rng.random_bool(UNTIL_CLOSE_SHARE),
                 cut_in: is_cut.then(|| 1 + form_rng.random_below(MAX_EVENTS_BEFORE_CUT)),
             };
@@ -107,7 +122,17 @@
         let stand_in = TargetStandIn::spawn(answer).await?;
         let link = Link::bind_tcp(stand_in.address()).await?;
         let id = format!("t{number}");
-        Ok(Target { number, id, service, stand_in, link, is_faulty, not_run_ids, draining_since })
+        Ok(Target {
+            number,
+            id,
+            service,
+            version,
+            stand_in,
+            link,
+            is_faulty,
+            not_run_ids,
+            draining_since,
+        })
     }
 
     /// Records that the target accepts no more work from now on.
@@ -187,7 +212,7 @@
     let head = if form.until_close { stream_head_until_close } else { stream_head };
     let mut steps = vec![Step::Send(head(received))];
     for id in after + 1..=last {
-        let event = event(id);
+        let event = event(id).replace("\n\n", &format!(" by {}\n\n", form.version));
         if form.cut_in == Some(id - after) {
             steps.extend([send(&event[..event.len() / 2]), Step::Close]);
             return steps;
