standins: a probe for a free port does not keep a daemon from binding it

The stand-ins looked for a free port by listening on it for a moment.

Test: the_probe_of_a_free_port_does_not_keep_a_daemon_from_binding_it holds such a copy; the old probe would fail it by construction.

--- a/daemon/tests/test_http_server.rs
+++ b/daemon/tests/test_http_server.rs
@@ -9,6 +9,7 @@
 use rosemarymoor_daemon::health::{Health, Metrics, Probe, text_answer};
 use rosemarymoor_daemon::http_server::{self, ConnectionLimits, HttpServer};
 use rosemarymoor_lib::http_client::{self, ConnectionReuse};
+use rosemarymoor_platform_standins::process::probe;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -117,3 +118,14 @@
     let closed = tokio::time::timeout(IDLE, idle_connection.read_to_end(&mut rest)).await;
     assert!(closed.is_ok(), "the connection stays open");
 }
+
+/// A child process that is just being started may hold a copy of the probe for a while.
+#[tokio::test]
+async fn the_probe_of_a_free_port_does_not_keep_a_daemon_from_binding_it() {
+    let address = free_address();
+    let _copy = probe(address).unwrap();
+    let listener = http_server::bind(address).unwrap();
+    let taken = probe(address).map(|_| ()).map_err(|err| err.kind());
+    assert_eq!(taken, Err(std::io::ErrorKind::AddrInUse));
+    drop(listener);
+}
