--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -24,6 +24,7 @@
 pub mod peers;
 pub mod poison;
 pub mod refusal;
+pub mod resumption;
 pub mod settings;
 pub mod settlement_queue;
 pub mod shared_watch;
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -12,17 +12,17 @@
 use hyper::{Method, Request, Response, Uri};
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::dispatch::stream_origins::{StreamId, StreamOrigin};
+use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
 use rosemarymoor_lib::id::{BudgetId, digest128};
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
-use rosemarymoor_platform::request::{self, CallerHead, HeadError, Resumption};
+use rosemarymoor_platform::request::{self, CallerHead, HeadError};
 
-use super::begun_streams::OriginUnknown;
 use super::budget_client::{Reservation, ReservationDenied, ReservationParams};
 use super::deliver;
 use super::entry::Entry;
 use super::load_monitor::LoadGuard;
 use super::refusal;
+use super::resumption;
 use crate::http_server::AnswerBody;
 
 /// Name of the one budget that a workspace has on the platform.
@@ -45,9 +45,6 @@
 /// another one.
 const OVERLOADED_RETRY_AFTER_MS: u64 = 150;
 
-/// Retry delay reported while who may know what began a stream does not answer.
-const ORIGIN_RETRY_AFTER_MS: u64 = 400;
-
 /// Upper bound of the jitter added to [`OVERLOADED_RETRY_AFTER_MS`].
 const RETRY_JITTER_MS: u64 = 250;
 
@@ -207,7 +204,7 @@
     }
     let origin = match &head.resumption {
         Some(resumption) if route.kind.is_stream() => {
-            Some(find_origin(entry, &head.attempt_id, &route, resumption).await?)
+            Some(resumption::find_origin(entry, &head.attempt_id, &route, resumption).await?)
         }
         _ => None,
     };
@@ -253,47 +250,6 @@
     })
 }
 
-/// Returns what began the stream that a caller goes on with.
-///
-/// A stream goes on only at the version that began it, and an entry that does not know that version
-/// does not guess: the request is refused as not run.
-async fn find_origin(
-    entry: &Entry,
-    attempt_id: &str,
-    route: &Route,
-    resumption: &Resumption,
-) -> Result<StreamOrigin, Refusal> {
-    let found = match &resumption.began_as {
-        Some(began_as) => entry.streams.find(StreamId::begun_by(began_as)).await,
-        None => Err(OriginUnknown::Nobody),
-    };
-    let outcome = match &found {
-        Ok(origin) if !route.uses(&origin.service) => "moved",
-        Ok(_) => "known",
-        Err(OriginUnknown::Nobody) => "unknown",
-        Err(OriginUnknown::NoAnswer) => "no_answer",
-    };
-    entry.metrics.count_taken_up(outcome);
-    log::info!(
-        "event=taken_up request={attempt_id} began_as={} after_event={:?} outcome={outcome} software={}",
-        resumption.began_as.as_deref().unwrap_or("unnamed"),
-        resumption.last_event,
-        found.as_ref().map_or("unknown", |origin| origin.software.as_str())
-    );
-    match found {
-        Ok(origin) if outcome == "known" => Ok(origin),
-        Ok(_) => Err(Refusal::new(ResultCode::NoTarget, "the route has left the stream's service")),
-        Err(OriginUnknown::Nobody) => {
-            Err(Refusal::new(ResultCode::OriginUnknown, "nobody knows what began the stream"))
-        }
-        Err(OriginUnknown::NoAnswer) => {
-            let detail = "who may know what began the stream does not answer";
-            let refusal = Refusal::new(ResultCode::OriginUnknown, detail);
-            Err(refusal.retry_after(ORIGIN_RETRY_AFTER_MS))
-        }
-    }
-}
-
 /// Returns the workspace of the request's key; refuses a request without one unless the
 /// route is public.
 fn workspace<'a>(
