begun streams: a budget server that stops hands over what it knows

A stopping server lists the others once, if it knows streams of the last 30 s, and tells the servers ranked first for each stream, others in place of those that do not answer.

--- a/daemon/src/direct/begun_streams.rs
+++ b/daemon/src/direct/begun_streams.rs
@@ -2,8 +2,10 @@
 //!
 //! An entry records a stream when its first event arrives, and reports it to budget servers, which
 //! are ranked by the stream. An entry that gets a caller of the stream back asks them, unless it
-//! knows itself. Nothing is stored: if all who knew are gone, the stream does not go on.
+//! knows itself. A server that stops hands its streams over. Nothing is stored: if all who knew end at
+//! the same time, the stream does not go on.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,7 +15,7 @@
 use rosemarymoor_lib::dispatch::stream_origins::{
     BegunStream, StreamId, StreamOrigin, StreamOrigins,
 };
-use rosemarymoor_lib::time::MonotonicClock;
+use rosemarymoor_lib::time::{Millis, MonotonicClock};
 
 use super::peer_client::PeerClient;
 use super::peers::PeerRecord;
@@ -31,6 +33,13 @@
 /// servers changes, and some do not answer.
 const MAX_SERVERS: usize = 4;
 
+/// Age up to which a stream is handed over when its server ends, in milliseconds; its caller has
+/// left or come back by then.
+const HANDED_OVER_MS: u64 = 30_000;
+
+/// Maximum number of streams that a server hands over.
+const MAX_HANDED_OVER: usize = 4_096;
+
 /// Timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -60,9 +69,10 @@
         self.known().find(id).cloned()
     }
 
-    /// Returns the number of streams.
-    pub fn count(&self) -> usize {
-        self.known().len()
+    /// Returns the streams that callers may still take up, as far as a hand-over covers them.
+    pub fn recent(&self) -> Vec<BegunStream> {
+        let since = Millis(self.clock.now().0.saturating_sub(HANDED_OVER_MS));
+        self.known().recent(since, MAX_HANDED_OVER)
     }
 
     fn known(&self) -> MutexGuard<'_, StreamOrigins> {
@@ -122,17 +132,52 @@
         Err(unknown)
     }
 
+    /// Tells other servers the streams that this process knows, before it ends. `own` is its
+    /// address in the list of servers, which also lists servers that are gone.
+    pub async fn hand_over(&self, own: SocketAddr) {
+        let mut left_out = vec![own];
+        loop {
+            let batches = self.batches(&left_out);
+            let telling = batches.iter().map(|(server, streams)| self.tell(server, streams));
+            let told = join_all(telling).await;
+            let failed = batches.iter().zip(&told).filter(|(_, told)| !**told);
+            let failed: Vec<_> = failed.map(|((server, _), _)| server.internal).collect();
+            log::info!("event=streams_handed_over servers={} failed={}", told.len(), failed.len());
+            if failed.is_empty() {
+                return;
+            }
+            left_out.extend(failed);
+        }
+    }
+
+    /// Returns the recent streams by the servers that are to hold them.
+    fn batches(&self, left_out: &[SocketAddr]) -> Vec<(PeerRecord, Vec<BegunStream>)> {
+        let mut batches: Vec<(PeerRecord, Vec<BegunStream>)> = Vec::new();
+        for stream in self.own.recent() {
+            let servers = self.servers(stream.id).into_iter();
+            let holders = servers.filter(|server| !left_out.contains(&server.internal));
+            for server in holders.take(HOLDERS) {
+                match batches.iter_mut().find(|batch| batch.0.internal == server.internal) {
+                    Some(batch) => batch.1.push(stream.clone()),
+                    None => batches.push((server, vec![stream.clone()])),
+                }
+            }
+        }
+        batches
+    }
+
     /// Reports a stream until enough servers hold it, or no server is left.
     async fn report(self, stream: BegunStream) {
         let servers = self.servers(stream.id);
+        let streams = [stream];
         let (first, others) = servers.split_at(HOLDERS.min(servers.len()));
-        let told = join_all(first.iter().map(|server| self.tell(server, &stream))).await;
+        let told = join_all(first.iter().map(|server| self.tell(server, &streams))).await;
         let mut holders = told.into_iter().filter(|told| *told).count();
         for server in others {
             if holders >= HOLDERS {
                 return;
             }
-            holders += usize::from(self.tell(server, &stream).await);
+            holders += usize::from(self.tell(server, &streams).await);
         }
         if holders == 0 {
             log::warn!("event=stream_not_reported servers={}", servers.len());
@@ -145,9 +190,9 @@
         servers
     }
 
-    /// Reports a stream to a server; returns whether it holds the stream.
-    async fn tell(&self, server: &PeerRecord, stream: &BegunStream) -> bool {
-        let told = self.client.post(server, BEGUN_PATH, stream, REPORT_TIMEOUT).await;
+    /// Reports streams to a server; returns whether it holds them.
+    async fn tell(&self, server: &PeerRecord, streams: &[BegunStream]) -> bool {
+        let told = self.client.post(server, BEGUN_PATH, &streams, REPORT_TIMEOUT).await;
         if let Err(err) = &told {
             log::debug!("event=stream_not_told server={} reason={err:?}", server.name);
         }
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -9,13 +9,14 @@
 //! - `POST /witness` accepts a [`WitnessReport`], after the store was restored;
 //! - `POST /crashed` accepts a [`Crash`] of a target that broke its connection while it ran
 //!   a request;
-//! - `POST /begun` accepts a [`BegunStream`], `POST /origin` a [`StreamId`] and answers with the
+//! - `POST /begun` accepts a list of [`BegunStream`], `POST /origin` a [`StreamId`] and answers with the
 //!   stream's origin or `null`;
 //! - every path under `/store` is a call to the platform's store, relayed unchanged, but for
 //!   watches, of which equal ones share a call;
 //!   status 502 means that the store did not answer, so that a write may have been applied;
 //!   status 503, that the store refused the call or was not reached.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,14 +31,16 @@
 };
 use rosemarymoor_lib::dispatch::crash_tracker::Crash;
 use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId};
-use rosemarymoor_lib::kv_store::KvStore;
+use rosemarymoor_lib::kv_feed::KvFeed;
+use rosemarymoor_lib::kv_store::{KvStore, Outcome};
 use rosemarymoor_platform::store::{self, CallError, PlatformStore, StoreCall, StoreTransport};
 use serde::{Deserialize, Serialize};
 
-use super::begun_streams::{BEGUN_PATH, BegunStreams, ORIGIN_PATH};
+use super::begun_streams::{BEGUN_PATH, BegunStreams, ORIGIN_PATH, StreamDirectory};
 use super::ceilings::Ceilings;
 use super::context::{ProcessContext, reload_on_hangup};
 use super::metrics::{self, StoreMetrics};
+use super::peer_client::PeerClient;
 use super::peers::PEER_PREFIX;
 use super::poison::{self, CRASH_PATH, PoisonedRequests};
 use super::settings::DirectSettings;
@@ -121,14 +124,34 @@
         },
     );
     poison::publish_after_restores(server.poison.clone(), kv.clone());
-    cx.register(&settings, kv);
+    cx.register(&settings, kv.clone());
     cx.stop_requested().await;
     log::warn!("event=stopping role=budget-server host={}", settings.name);
-    ceilings.close().await;
+    tokio::join!(ceilings.close(), hand_over(&cx, kv.as_ref(), &server, settings.internal));
     log::warn!("event=stop role=budget-server host={}", settings.name);
     0
 }
 
+/// Hands the begun streams over to the servers that are listed now.
+async fn hand_over(cx: &ProcessContext, kv: &PlatformStore, server: &Server, own: SocketAddr) {
+    if server.streams.recent().is_empty() {
+        return;
+    }
+    match kv.list(PEER_PREFIX, RELAY_TIMEOUT).await {
+        Outcome::Done(listing) => cx.peers.apply_listing(&listing, false),
+        Outcome::NotDone(reason) => {
+            log::warn!("event=streams_not_handed_over reason={reason:?}");
+            return;
+        }
+        Outcome::Unknown => {
+            log::warn!("event=streams_not_handed_over reason=no_answer");
+            return;
+        }
+    }
+    let client = PeerClient::open(cx.pool.clone(), cx.peers.clone());
+    StreamDirectory::open(server.streams.clone(), client).hand_over(own).await;
+}
+
 impl Server {
     async fn serve(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, body) = req.into_parts();
@@ -145,7 +168,7 @@
             (Method::POST, SETTLE_PATH) => self.settle(&body),
             (Method::POST, WITNESS_PATH) => self.apply_witnesses(&body).await,
             (Method::POST, CRASH_PATH) => self.record_crash(&body),
-            (Method::POST, BEGUN_PATH) => self.record_stream(&body),
+            (Method::POST, BEGUN_PATH) => self.record_streams(&body),
             (Method::POST, ORIGIN_PATH) => self.find_origin(&body),
             _ => empty(StatusCode::NOT_FOUND),
         }
@@ -204,11 +227,13 @@
         empty(StatusCode::OK)
     }
 
-    fn record_stream(&self, body: &[u8]) -> Response<Full<Bytes>> {
-        let Ok(stream) = decode::<BegunStream>(body) else {
+    fn record_streams(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(streams) = decode::<Vec<BegunStream>>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        self.streams.record(&stream);
+        for stream in &streams {
+            self.streams.record(stream);
+        }
         empty(StatusCode::OK)
     }
 
--- a/daemon/tests/test_stream_versions.rs
+++ b/daemon/tests/test_stream_versions.rs
@@ -23,7 +23,7 @@
     fleet: PlatformFleet,
     targets: Vec<TargetStandIn>,
     versions: Vec<&'static str>,
-    _servers: [Process; 2],
+    servers: Vec<Process>,
 }
 
 impl VersionedFleet {
@@ -40,12 +40,11 @@
         }
         let listed: Vec<_> = targets.iter().map(|target| ("models", target)).collect();
         let fleet = PlatformFleet::open(Path::new(BINARY), &listed).await.unwrap();
-        let servers = [
+        let servers = vec![
             fleet.start_budget_server("side-1").await.unwrap(),
             fleet.start_budget_server("side-2").await.unwrap(),
         ];
-        let fleet =
-            VersionedFleet { fleet, targets, versions: versions.to_vec(), _servers: servers };
+        let fleet = VersionedFleet { fleet, targets, versions: versions.to_vec(), servers };
         fleet.register_all().await;
         fleet
     }
@@ -193,6 +192,32 @@
     }
 }
 
+/// Hosts are replaced one after the other, within the time of a stream.
+///
+/// Any server may be among those that are told of a stream, so that the test needs several.
+#[tokio::test]
+async fn a_stream_outlives_the_servers_that_were_told_of_it() {
+    const STREAMS: u32 = 6;
+    let mut fleet = VersionedFleet::open(&["v1", "v1"], slow_beginning).await;
+    for name in ["side-3", "side-4"] {
+        let server = fleet.fleet.start_budget_server(name).await.unwrap();
+        fleet.servers.push(server);
+    }
+    for number in 0..STREAMS {
+        fleet.begin(&format!("begun{number}")).await;
+    }
+    for index in 0..fleet.servers.len() - 1 {
+        fleet.servers[index].terminate();
+        assert_eq!(fleet.servers[index].wait_exit_code().await, Some(0));
+    }
+    fleet.replace_entry().await;
+    for number in 0..STREAMS {
+        let resumes = format!("Resumes: begun{number}\r\n");
+        let answer = fleet.take_up(&format!("taken{number}"), &resumes).await;
+        assert_eq!((answer.status, answer.complete, answer.text()), (200, true, rest_of_stream()));
+    }
+}
+
 /// A caller names the attempt that brought the first event, also if another one went on since.
 #[tokio::test]
 async fn a_stream_that_was_taken_up_is_taken_up_again_at_its_version() {
--- a/lib/src/dispatch/stream_origins.rs
+++ b/lib/src/dispatch/stream_origins.rs
@@ -86,6 +86,14 @@
         found.all(|other| other == first).then(|| &self.origins[first.0])
     }
 
+    /// Returns the latest streams recorded since `since`, up to `count`, the newest first.
+    pub fn recent(&self, since: Millis, count: usize) -> Vec<BegunStream> {
+        let recent = self.rows.iter().rev().take_while(|row| row.recorded_at >= since);
+        let to_stream =
+            |row: &Row| BegunStream { id: row.id, origin: self.origins[row.origin.0].clone() };
+        recent.take(count).map(to_stream).collect()
+    }
+
     /// Returns the number of streams.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/lib/tests/test_stream_origins.rs
+++ b/lib/tests/test_stream_origins.rs
@@ -56,6 +56,19 @@
     assert_eq!(origins.len(), 2);
 }
 
+#[test]
+fn recent_streams_are_the_newest_ones() {
+    let mut origins = StreamOrigins::default();
+    for (id, at) in [("a", 1), ("b", 50), ("c", 60), ("d", 70)] {
+        origins.record(&begun(id, "v1"), Millis(at));
+    }
+    assert_eq!(
+        origins.recent(Millis(50), 9),
+        [begun("d", "v1"), begun("c", "v1"), begun("b", "v1")]
+    );
+    assert_eq!(origins.recent(Millis(50), 1), [begun("d", "v1")]);
+}
+
 #[test]
 fn the_number_of_streams_is_bounded() {
     let mut origins = StreamOrigins::default();
