--- a/daemon/tests/test_stream_versions.rs
+++ b/daemon/tests/test_stream_versions.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use rosemarymoor_platform_standins::caller::{Answer, Caller, CallerRequest};
+use rosemarymoor_platform_standins::caller::{Answer, Caller};
 use rosemarymoor_platform_standins::fixtures::{all_events, call, events, script, stream_request};
 use rosemarymoor_platform_standins::fleet::PlatformFleet;
 use rosemarymoor_platform_standins::target::{ReceivedRequest, Step, TargetStandIn};
@@ -76,10 +76,9 @@
         tokio::time::sleep(SETTLE_TIME).await;
     }
 
-    /// Takes a stream up after its second event; `resumes` is the header that names its beginning.
-    async fn take_up(&self, id: &str, resumes: &str) -> Answer {
-        let headers = format!("Last-Event-Id: 2\r\n{resumes}");
-        call(&self.fleet, &CallerRequest { headers, ..stream_request("/resume/1", id) }).await
+    /// Takes a stream up after its second event; `began_as` are the requests that the caller names.
+    async fn take_up(&self, id: &str, began_as: &[&str]) -> Answer {
+        call(&self.fleet, &stream_request("/resume/1", id).taking_up(2, began_as)).await
     }
 
     /// Kills the entry and starts it again, which knows nothing of earlier requests then.
@@ -171,7 +170,7 @@
     for (number, versions) in ARRANGEMENTS.iter().enumerate() {
         let ids = [format!("begun{number}"), format!("taken{number}")];
         fleet.begin_and_lose_target(&ids[0], versions).await;
-        let answer = fleet.take_up(&ids[1], &format!("Resumes: {}\r\n", ids[0])).await;
+        let answer = fleet.take_up(&ids[1], &[&ids[0]]).await;
         assert_eq!((answer.status, answer.complete, answer.text()), (200, true, rest_of_stream()));
         let reached = fleet.reached_versions(&[&ids[0], &ids[1]]);
         assert_eq!(reached[0], reached[1], "{versions:?}");
@@ -185,7 +184,7 @@
         let ids = [format!("begun{number}"), format!("taken{number}")];
         fleet.begin_and_lose_target(&ids[0], versions).await;
         fleet.replace_entry().await;
-        let answer = fleet.take_up(&ids[1], &format!("Resumes: {}\r\n", ids[0])).await;
+        let answer = fleet.take_up(&ids[1], &[&ids[0]]).await;
         assert_eq!((answer.status, answer.complete, answer.text()), (200, true, rest_of_stream()));
         let reached = fleet.reached_versions(&[&ids[0], &ids[1]]);
         assert_eq!(reached[0], reached[1], "{versions:?}");
@@ -212,8 +211,8 @@
     }
     fleet.replace_entry().await;
     for number in 0..STREAMS {
-        let resumes = format!("Resumes: begun{number}\r\n");
-        let answer = fleet.take_up(&format!("taken{number}"), &resumes).await;
+        let begun = format!("begun{number}");
+        let answer = fleet.take_up(&format!("taken{number}"), &[&begun]).await;
         assert_eq!((answer.status, answer.complete, answer.text()), (200, true, rest_of_stream()));
     }
 }
@@ -226,7 +225,7 @@
         let ids = [format!("begun{number}"), format!("taken{number}"), format!("again{number}")];
         fleet.begin_and_lose_target(&ids[0], versions).await;
         for id in &ids[1..] {
-            let answer = fleet.take_up(id, &format!("Resumes: {}\r\n", ids[0])).await;
+            let answer = fleet.take_up(id, &[&ids[0]]).await;
             assert_eq!((answer.status, answer.text()), (200, rest_of_stream()));
             fleet.replace_entry().await;
         }
@@ -248,7 +247,7 @@
         })
         .await;
     fleet.begin("begun").await;
-    let taken = tokio::join!(fleet.take_up("taken", "Resumes: begun\r\n"), async {
+    let taken = tokio::join!(fleet.take_up("taken", &["begun"]), async {
         tokio::time::sleep(SETTLE_TIME).await;
         for (index, target) in fleet.targets.iter().enumerate() {
             let (id, address) = (format!("t{index}"), target.address());
@@ -262,14 +261,14 @@
 
 /// Names each way in which an entry does not know what began a stream.
 macro_rules! unknown_streams {
-    ($($case:ident: $resumes:expr;)*) => {
+    ($($case:ident: $began_as:expr;)*) => {
         mod a_stream_whose_version_is_unknown_is_refused {
             use super::*;
 
             $(#[tokio::test]
             async fn $case() {
                 let fleet = VersionedFleet::open(&["v1", "v1"], slow_beginning).await;
-                let answer = fleet.take_up("taken", $resumes).await;
+                let answer = fleet.take_up("taken", $began_as).await;
                 assert_eq!((answer.status, answer.seal()), (503, None));
                 assert!(fleet.reached(&["taken"]).is_empty(), "503 says that it did not run");
             })*
@@ -278,9 +277,9 @@
 }
 
 unknown_streams! {
-    an_attempt_that_nobody_knows: "Resumes: nobody\r\n";
-    no_attempt_is_named: "";
-    two_attempts_are_named: "Resumes: one\r\nResumes: two\r\n";
+    an_attempt_that_nobody_knows: &["nobody"];
+    no_attempt_is_named: &[];
+    two_attempts_are_named: &["one", "two"];
 }
 
 #[tokio::test]
@@ -289,7 +288,7 @@
     fleet.begin("begun").await;
     fleet.versions = vec!["v2", "v2"];
     fleet.register_all().await;
-    let answer = fleet.take_up("taken", "Resumes: begun\r\n").await;
+    let answer = fleet.take_up("taken", &["begun"]).await;
     assert_eq!((answer.status, answer.seal()), (503, None));
     assert!(fleet.reached(&["taken"]).is_empty());
 }
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -201,7 +201,7 @@
             req.tokens = Some((PROMPT_TOKENS, self.events * TOKENS_PER_EVENT));
         }
         if let Some(TakenUp { began_as, last_event }) = &self.taken_up {
-            req.headers = format!("Last-Event-Id: {last_event}\r\nResumes: {began_as}\r\n");
+            req = req.taking_up(*last_event, &[began_as]);
         }
         req
     }
