entry: what a target says of its limit is decoded, logged and counted

The header is decoded in platform/, known by target in dispatch/target_limit, logged as target_limited, target_unlimited and limit_malformed, and counted.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -12,9 +12,11 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
 use rosemarymoor_lib::dispatch::choice::prefill_ms;
+use rosemarymoor_lib::dispatch::target_limit::LimitChange;
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 use rosemarymoor_lib::result_code::FAILURE_LOG;
-use rosemarymoor_platform::answer::{self, AnswerKind, TargetNotice};
+use rosemarymoor_lib::time::Millis;
+use rosemarymoor_platform::answer::{self, AnswerKind, LimitNotice, TargetNotice};
 use rosemarymoor_platform::request::{
     PromptPart, TargetHead, strip_connection_headers, target_headers,
 };
@@ -102,7 +104,7 @@
     /// Expected prefill time of the prompt in milliseconds, counted as pending at the
     /// target until the first answer; 0 afterwards.
     prefill_ms: f64,
-    sent_at: Instant,
+    sent_at: Millis,
     has_prompt: bool,
 }
 
@@ -113,7 +115,7 @@
         let expected_ms = EXPECTED_FIRST_ANSWER_MS + self.prefill_ms;
         let expected_ms =
             if self.has_prompt { expected_ms } else { EXPECTED_FIRST_ANSWER_MS / 2.0 };
-        let elapsed_ms = self.sent_at.elapsed().as_secs_f64() * 1_000.0;
+        let elapsed_ms = self.entry.now().since(self.sent_at) as f64;
         let delay_ms = (elapsed_ms - expected_ms).max(0.0);
         self.observe(Observation::Answered { delay_ms });
         self.prefill_done();
@@ -139,7 +141,7 @@
 
     /// Applies what the target says about itself in an answer.
     fn apply_notice(&self, notice: TargetNotice) {
-        let TargetNotice { leaving, pause } = notice;
+        let TargetNotice { leaving, pause, limit } = notice;
         if leaving && self.entry.targets().mark_leaving(self.target) {
             self.entry.metrics.count_target_notice("leaving");
             log::info!("event=target_leaving target={} reason=answer", self.target_id);
@@ -154,6 +156,43 @@
                 pause.as_millis()
             );
         }
+        self.apply_limit(limit);
+    }
+
+    /// Applies what the target says about the requests that it takes.
+    fn apply_limit(&self, notice: LimitNotice) {
+        let now = self.entry.now();
+        let limit = match notice {
+            LimitNotice::Unlimited => None,
+            LimitNotice::PerSecond(limit) => Some(limit),
+            LimitNotice::Malformed => return self.record_malformed_limit(),
+        };
+        let mut table = self.entry.targets();
+        let known = table.limit_mut(self.target);
+        let change =
+            known.map_or(LimitChange::Unchanged, |known| known.apply(limit, self.sent_at, now));
+        drop(table);
+        let target = &self.target_id;
+        match change {
+            LimitChange::Unchanged => {}
+            LimitChange::Limited(per_second) => {
+                self.entry.metrics.count_target_notice("limit");
+                log::info!("event=target_limited target={target} per_second={per_second}");
+            }
+            LimitChange::Ended => {
+                self.entry.metrics.count_target_notice("limit_ended");
+                log::info!("event=target_unlimited target={target}");
+            }
+        }
+    }
+
+    fn record_malformed_limit(&self) {
+        self.entry.metrics.count_malformed_input("limit");
+        let now = self.entry.now();
+        let mut table = self.entry.targets();
+        if table.limit_mut(self.target).is_some_and(|known| known.may_log_malformed(now)) {
+            log::warn!("event=limit_malformed target={}", self.target_id);
+        }
     }
 
     fn prefill_done(&mut self) {
@@ -228,14 +267,13 @@
     let parts: Vec<u64> = prompt.iter().map(|part| part.id).collect();
     table.start(key, prefill_ms, &parts, now);
     let has_prompt = !prompt.is_empty();
-    let sent_at = Instant::now();
     let in_flight = InFlightAttempt {
         entry: entry.clone(),
         target: key,
         target_id,
         software,
         prefill_ms,
-        sent_at,
+        sent_at: now,
         has_prompt,
     };
     Some((in_flight, address))
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -123,12 +123,13 @@
         self.taken_up.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
-    /// Counts an answer in which a target says that it is leaving or asks for a pause.
+    /// Counts an answer in which a target says that it is leaving, asks for a pause, or names another
+    /// limit or none any more.
     pub fn count_target_notice(&self, kind: &'static str) {
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    /// Counts a value in the platform's store that cannot be decoded, by its kind.
+    /// Counts a value from outside that cannot be decoded, by its kind.
     pub fn count_malformed_input(&self, kind: &'static str) {
         self.malformed_inputs.add(1, &[KeyValue::new("kind", kind)]);
     }
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -6,7 +6,8 @@
 //! registered targets and their observed state. [`choice`] selects a target, with
 //! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
 //! [`crash_tracker`] finds requests that crash their targets; [`retry_after`]
-//! computes the delay that refused callers are given; [`event_stream`] splits an
+//! computes the delay that refused callers are given; [`target_limit`] knows
+//! how many requests a target takes; [`event_stream`] splits an
 //! answer into server-sent events, and [`stream_origins`] knows which software version
 //! began a stream.
 
@@ -19,4 +20,5 @@
 pub mod retry_after;
 pub mod retry_budget;
 pub mod stream_origins;
+pub mod target_limit;
 pub mod targets;
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use super::target_limit::TargetLimit;
 use crate::time::Millis;
 
 /// Time in milliseconds after a store outage until a registration that disappeared during
@@ -97,6 +98,8 @@
     leaving: bool,
     /// Until when it has asked for no further requests.
     paused_until: Millis,
+    /// Limit of requests that it has named.
+    pub limit: TargetLimit,
 }
 
 impl Target {
@@ -117,6 +120,7 @@
             missing: false,
             leaving: false,
             paused_until: Millis(0),
+            limit: TargetLimit::default(),
         }
     }
 
@@ -287,6 +291,11 @@
         }
     }
 
+    /// Returns what is known of a target's limit.
+    pub fn limit_mut(&mut self, key: TargetKey) -> Option<&mut TargetLimit> {
+        self.get_mut(key).map(|target| &mut target.limit)
+    }
+
     /// Drops a target, or marks it as missing during a store outage and its grace time.
     pub fn deregister(&mut self, id: &str) {
         if self.grace_until.is_none() && !self.store_unavailable {
