--- /dev/null
+++ b/daemon/tests/test_direct_limits.rs
@@ -0,0 +1,310 @@
+//! Targets that name a limit of requests a second, which holds for all entries together.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rosemarymoor_platform_standins::caller::{Answer, Caller, CallerRequest};
+use rosemarymoor_platform_standins::fixtures::{events, ok, stream_request, target};
+use rosemarymoor_platform_standins::fleet::{EntryProcess, PlatformFleet, Process};
+use rosemarymoor_platform_standins::limits::{Delivery, excesses};
+use rosemarymoor_platform_standins::target::{
+    ReceivedRequest, Step, TargetStandIn, limited, not_run,
+};
+use tokio::task::JoinSet;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
+
+/// Requests a second that each entry gets.
+const LOAD_PER_ENTRY: u32 = 10;
+
+/// Time until all entries know of a limit, and of each other.
+const SETTLING: Duration = Duration::from_secs(2);
+
+/// Limits as they are named, each with the time from which on it is; `None` for no limit.
+type History = Vec<(Instant, Option<String>)>;
+
+/// Limits that a target names, each with the time from which on it does; the last one holds.
+#[derive(Clone, Default)]
+struct NamedLimits {
+    history: Arc<Mutex<History>>,
+}
+
+impl NamedLimits {
+    fn set(&self, limit: Option<&str>) {
+        let limit = limit.map(str::to_owned);
+        self.lock().push((Instant::now(), limit));
+    }
+
+    fn current(&self) -> Option<String> {
+        self.lock().last().and_then(|(_, limit)| limit.clone())
+    }
+
+    fn history(&self) -> Vec<(Instant, Option<f64>)> {
+        let parse = |text: &String| text.parse().expect("the test names a number");
+        self.lock().iter().map(|(at, limit)| (*at, limit.as_ref().map(parse))).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Starts a target that answers by a closure, and names the limit that is in force.
+async fn limited_target(
+    limits: &NamedLimits,
+    answer: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
+) -> TargetStandIn {
+    let limits = limits.clone();
+    target(move |received| {
+        let mut steps = answer(received);
+        if let (Some(Step::Send(head)), Some(limit)) = (steps.first_mut(), limits.current()) {
+            *head = limited(head, &limit);
+        }
+        steps
+    })
+    .await
+}
+
+/// Entries, targets and budget servers of a test.
+struct LimitFleet {
+    fleet: PlatformFleet,
+    more_entries: Vec<EntryProcess>,
+    servers: Vec<Process>,
+}
+
+impl LimitFleet {
+    async fn open(entries: usize, servers: usize, targets: &[&TargetStandIn]) -> LimitFleet {
+        let targets: Vec<_> =
+            targets.iter().flat_map(|target| [("calls", *target), ("models", *target)]).collect();
+        let fleet = PlatformFleet::open(Path::new(BINARY), &targets).await.unwrap();
+        let mut opened = LimitFleet { fleet, more_entries: Vec::new(), servers: Vec::new() };
+        for number in 0..servers {
+            let server = opened.fleet.start_budget_server(&format!("side-{number}")).await;
+            opened.servers.push(server.unwrap());
+        }
+        for number in 1..entries {
+            let entry = opened.fleet.start_entry(&format!("entry-{}", number + 1)).await;
+            opened.more_entries.push(entry.unwrap());
+        }
+        tokio::time::sleep(SETTLING).await;
+        opened
+    }
+
+    fn callers(&self) -> Vec<SocketAddr> {
+        let more = self.more_entries.iter().map(|entry| entry.callers);
+        [self.fleet.callers].into_iter().chain(more).collect()
+    }
+
+    /// Sends requests to all entries for some time; returns their answers.
+    async fn load(
+        &self,
+        name: &str,
+        seconds: u32,
+        request: fn(&str) -> CallerRequest,
+    ) -> Vec<Answer> {
+        let mut calls = JoinSet::new();
+        let begun = Instant::now();
+        for round in 0..seconds * LOAD_PER_ENTRY {
+            let at = begun + Duration::from_secs(1) * round / LOAD_PER_ENTRY;
+            tokio::time::sleep_until(at.into()).await;
+            for (entry, address) in self.callers().into_iter().enumerate() {
+                let req = request(&format!("{entry}-{name}{round}"));
+                calls.spawn(async move { send(address, req).await });
+            }
+        }
+        calls.join_all().await
+    }
+}
+
+async fn send(address: SocketAddr, req: CallerRequest) -> Answer {
+    let mut caller = Caller::connect(address).await.expect("the entry accepts connections");
+    caller.call(&req).await.expect("the request gets an answer")
+}
+
+fn safe_call(id: &str) -> CallerRequest {
+    CallerRequest::get(&format!("/safe/{id}"), id)
+}
+
+fn stream(id: &str) -> CallerRequest {
+    stream_request(&format!("/resume/{id}"), id)
+}
+
+/// Returns what reached a target; the answer to each request is passed on at once.
+fn deliveries(target: &TargetStandIn) -> Vec<Delivery> {
+    let delivery = |received: &ReceivedRequest| {
+        let entry = received.attempt_id().split_once('-').expect("the id names its entry").0;
+        let at = received.received_at;
+        Delivery { entry: entry.parse().unwrap(), at, told_at: Some(at) }
+    };
+    target.received().iter().map(delivery).collect()
+}
+
+/// Asserts that a target never got more requests than its limits allow.
+fn assert_within_limits(target: &TargetStandIn, limits: &NamedLimits) {
+    let history = limits.history();
+    let since = history[0].0;
+    let mut counted = deliveries(target);
+    counted.retain(|delivery| delivery.at > since);
+    let excesses = excesses(&counted, &history, |_, _, _| false);
+    assert!(excesses.is_empty(), "{} windows, first {:?}", excesses.len(), excesses[0]);
+}
+
+fn count_status(answers: &[Answer], status: u16) -> usize {
+    answers.iter().filter(|answer| answer.status == status).count()
+}
+
+fn assert_all_answered(answers: &[Answer]) {
+    assert_eq!(count_status(answers, 200), answers.len(), "the other target takes the rest");
+}
+
+/// Requests that reached a target since a moment.
+fn received_since(target: &TargetStandIn, since: Instant) -> usize {
+    target.received().iter().filter(|received| received.received_at > since).count()
+}
+
+/// Defines a test for each number of entries and limit, with the least share of what the limit
+/// allows that has to be used.
+macro_rules! sum_cases {
+    ($($case:ident: $entries:literal, $limit:literal, $request:expr, $used:literal;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $case() {
+            let limits = NamedLimits::default();
+            let needy = limited_target(&limits, |received| answer(received)).await;
+            let other = target(answer).await;
+            let fleet = LimitFleet::open($entries, 2, &[&needy, &other]).await;
+            limits.set(Some($limit));
+            assert_all_answered(&fleet.load("a", 3, $request).await);
+            let since = Instant::now();
+            assert_all_answered(&fleet.load("b", 10, $request).await);
+            assert_within_limits(&needy, &limits);
+            let allowed = since.elapsed().as_secs_f64() * $limit.parse::<f64>().unwrap();
+            let used = received_since(&needy, since) as f64 / allowed;
+            assert!(used > $used, "{used} of what the limit allows is used");
+        })*
+    };
+}
+
+/// Answers streams with three events and calls with `done`.
+fn answer(received: &ReceivedRequest) -> Vec<Step> {
+    match received.header("token-usage") {
+        Some(_) => events(received, 0, 3, Duration::ZERO),
+        None => ok(received),
+    }
+}
+
+sum_cases! {
+    four_entries_keep_a_limit_of_one_together: 4, "1", safe_call, 0.6;
+    twelve_entries_keep_a_limit_of_half_a_request: 12, "0.5", safe_call, 0.6;
+    streams_keep_a_limit_in_their_heads: 3, "2", stream, 0.6;
+    a_high_limit_is_used: 3, "12", safe_call, 0.6;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_named_in_refusals_is_kept() {
+    let limits = NamedLimits::default();
+    let needy = limited_target(&limits, |_| vec![Step::Send(not_run())]).await;
+    let other = target(ok).await;
+    let fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    limits.set(Some("1"));
+    fleet.load("a", 8, safe_call).await;
+    assert_within_limits(&needy, &limits);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn beyond_the_limits_of_all_targets_callers_are_refused_at_once() {
+    let limits = NamedLimits::default();
+    let needy = limited_target(&limits, ok).await;
+    let fleet = LimitFleet::open(2, 2, &[&needy]).await;
+    limits.set(Some("2"));
+    fleet.load("a", 2, safe_call).await;
+    let since = Instant::now();
+    let answers = fleet.load("b", 8, safe_call).await;
+    assert_within_limits(&needy, &limits);
+    assert!(received_since(&needy, since) > 8, "what the limit allows is used");
+    assert_eq!(count_status(&answers, 200) + count_status(&answers, 503), answers.len());
+    for refused in answers.iter().filter(|answer| answer.status == 503) {
+        assert_eq!(refused.header("rosemarymoor-refusal"), Some("not-run"));
+        let delay: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+        assert!((0.05..5.0).contains(&delay), "{delay}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_ends_is_forgotten_by_all_entries() {
+    let limits = NamedLimits::default();
+    let needy = limited_target(&limits, ok).await;
+    let other = target(ok).await;
+    let fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    limits.set(Some("1"));
+    fleet.load("a", 4, safe_call).await;
+    assert_within_limits(&needy, &limits);
+    limits.set(None);
+    fleet.load("b", 4, safe_call).await;
+    let since = Instant::now();
+    assert_all_answered(&fleet.load("c", 4, safe_call).await);
+    let received = received_since(&needy, since);
+    assert!(received > 30, "{received} of 120 requests go to the target again");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_changes_is_followed() {
+    let limits = NamedLimits::default();
+    let needy = limited_target(&limits, ok).await;
+    let other = target(ok).await;
+    let fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    limits.set(Some("1"));
+    fleet.load("a", 4, safe_call).await;
+    limits.set(Some("8"));
+    fleet.load("b", 4, safe_call).await;
+    let since = Instant::now();
+    fleet.load("c", 4, safe_call).await;
+    assert!(received_since(&needy, since) > 16, "the higher limit is used");
+    limits.set(Some("0.5"));
+    fleet.load("d", 8, safe_call).await;
+    assert_within_limits(&needy, &limits);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_comes_keeps_the_limit() {
+    let limits = NamedLimits::default();
+    let needy = limited_target(&limits, ok).await;
+    let other = target(ok).await;
+    let mut fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    limits.set(Some("0.5"));
+    fleet.load("a", 4, safe_call).await;
+    for number in 4..8 {
+        let entry = fleet.fleet.start_entry(&format!("entry-{number}")).await.unwrap();
+        fleet.more_entries.push(entry);
+        assert_all_answered(&fleet.load(&format!("b{number}-"), 3, safe_call).await);
+    }
+    assert_within_limits(&needy, &limits);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_limit_is_kept_when_budget_servers_end() {
+    let limits = NamedLimits::default();
+    let needy = limited_target(&limits, ok).await;
+    let other = target(ok).await;
+    let mut fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    limits.set(Some("1"));
+    fleet.load("a", 4, safe_call).await;
+    fleet.servers.remove(0);
+    assert_all_answered(&fleet.load("b", 6, safe_call).await);
+    fleet.servers.remove(0);
+    assert_all_answered(&fleet.load("c", 6, safe_call).await);
+    assert_within_limits(&needy, &limits);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_cannot_be_read_is_ignored() {
+    let limits = NamedLimits::default();
+    let needy = limited_target(&limits, ok).await;
+    let fleet = LimitFleet::open(1, 0, &[&needy]).await;
+    limits.set(Some("-1"));
+    assert_all_answered(&fleet.load("a", 2, safe_call).await);
+    let log = fleet.fleet.entry.log();
+    assert_eq!(log.matches("event=limit_malformed").count(), 1);
+    assert!(fleet.fleet.scrape().await.contains("malformed_inputs_total{kind=\"limit\""));
+}
