entry: permits of a budget server keep a target's limit over all entries

A limit of each entry's own would not do: its sum is over all of them, and with 12 or 60 entries a burst of one each exceeds 0.5 a second.

One budget server, ranked by the target, issues the permits for it, at the rate that the target named and in batches of at most 100 ms. Every request to a target passes next_target: first tries, retries and resumptions. An entry that is denied takes another target, and asks again when there may be a permit; where every target of a service is closed, callers are refused at once with that time. What entries hear of a limit, its changes and its end, goes to the two servers and with their replies to the others.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -25,6 +25,7 @@
 pub mod poison;
 pub mod refusal;
 pub mod resumption;
+pub mod send_permits;
 pub mod settings;
 pub mod settlement_queue;
 pub mod shared_watch;
--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -12,7 +12,6 @@
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
 use rosemarymoor_lib::dispatch::choice::prefill_ms;
-use rosemarymoor_lib::dispatch::target_limit::LimitChange;
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_lib::time::Millis;
@@ -23,6 +22,7 @@
 
 use super::entry::Entry;
 use super::handler::Call;
+use super::send_permits;
 use crate::http_pool::{Exchange, SendError};
 
 /// Timeout for a new connection to a target, and for draining an unwanted answer.
@@ -161,36 +161,19 @@
 
     /// Applies what the target says about the requests that it takes.
     fn apply_limit(&self, notice: LimitNotice) {
-        let now = self.entry.now();
         let limit = match notice {
             LimitNotice::Unlimited => None,
             LimitNotice::PerSecond(limit) => Some(limit),
             LimitNotice::Malformed => return self.record_malformed_limit(),
         };
-        let mut table = self.entry.targets();
-        let known = table.limit_mut(self.target);
-        let change =
-            known.map_or(LimitChange::Unchanged, |known| known.apply(limit, self.sent_at, now));
-        drop(table);
-        let target = &self.target_id;
-        match change {
-            LimitChange::Unchanged => {}
-            LimitChange::Limited(per_second) => {
-                self.entry.metrics.count_target_notice("limit");
-                log::info!("event=target_limited target={target} per_second={per_second}");
-            }
-            LimitChange::Ended => {
-                self.entry.metrics.count_target_notice("limit_ended");
-                log::info!("event=target_unlimited target={target}");
-            }
-        }
+        send_permits::apply_limit(&self.entry, self.target, limit, self.sent_at);
     }
 
     fn record_malformed_limit(&self) {
         self.entry.metrics.count_malformed_input("limit");
         let now = self.entry.now();
         let mut table = self.entry.targets();
-        if table.limit_mut(self.target).is_some_and(|known| known.may_log_malformed(now)) {
+        if table.get_mut(self.target).is_some_and(|target| target.limit.may_log_malformed(now)) {
             log::warn!("event=limit_malformed target={}", self.target_id);
         }
     }
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -11,6 +11,8 @@
 //!   a request;
 //! - `POST /begun` accepts a list of [`BegunStream`], `POST /origin` a [`StreamId`] and answers with the
 //!   stream's origin or `null`;
+//! - `POST /permit` accepts a [`PermitRequest`] and answers with the permits to send to a target,
+//!   `POST /limit` a [`LimitReport`];
 //! - every path under `/store` is a call to the platform's store, relayed unchanged, but for
 //!   watches, of which equal ones share a call;
 //!   status 502 means that the store did not answer, so that a write may have been applied;
@@ -30,6 +32,7 @@
     Headroom, ReservationReply, ReservationRequest, Settlement, WitnessReport,
 };
 use rosemarymoor_lib::dispatch::crash_tracker::Crash;
+use rosemarymoor_lib::dispatch::send_permits::{LimitReport, PermitRequest};
 use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId};
 use rosemarymoor_lib::kv_feed::KvFeed;
 use rosemarymoor_lib::kv_store::{KvStore, Outcome};
@@ -43,6 +46,7 @@
 use super::peer_client::PeerClient;
 use super::peers::PEER_PREFIX;
 use super::poison::{self, CRASH_PATH, PoisonedRequests};
+use super::send_permits::{LIMIT_PATH, PERMIT_PATH, SharedIssuer};
 use super::settings::DirectSettings;
 use super::shared_watch::SharedWatches;
 use super::store_path::{DirectPath, RELAY_PREFIX, STORE_NOT_REACHED, STORE_SILENT};
@@ -79,6 +83,7 @@
     kv: Arc<dyn KvStore>,
     poison: PoisonedRequests,
     streams: BegunStreams,
+    permits: SharedIssuer,
 }
 
 /// Runs a budget server until it is requested to stop; returns the exit code.
@@ -105,6 +110,7 @@
         kv: kv.clone(),
         poison: PoisonedRequests::open(cx.clock),
         streams: BegunStreams::open(cx.clock),
+        permits: SharedIssuer::open(cx.clock),
     });
     let listener = match http_server::bind(settings.internal) {
         Ok(listener) => listener,
@@ -169,6 +175,8 @@
             (Method::POST, WITNESS_PATH) => self.apply_witnesses(&body).await,
             (Method::POST, CRASH_PATH) => self.record_crash(&body),
             (Method::POST, BEGUN_PATH) => self.record_streams(&body),
+            (Method::POST, PERMIT_PATH) => self.issue_permits(&body),
+            (Method::POST, LIMIT_PATH) => self.apply_limit(&body),
             (Method::POST, ORIGIN_PATH) => self.find_origin(&body),
             _ => empty(StatusCode::NOT_FOUND),
         }
@@ -244,6 +252,21 @@
         json(&self.streams.find(id))
     }
 
+    fn issue_permits(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(req) = decode::<PermitRequest>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        json(&self.permits.issue(&req))
+    }
+
+    fn apply_limit(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(report) = decode::<LimitReport>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        self.permits.apply_report(&report);
+        empty(StatusCode::OK)
+    }
+
     /// Relays a call to the store; `path` includes the query.
     async fn relay(&self, method: Method, path: String, body: Bytes) -> Response<Full<Bytes>> {
         let call = StoreCall { method, path, body, timeout: RELAY_TIMEOUT };
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -16,6 +16,7 @@
 use super::entry::Entry;
 use super::handler::Call;
 use super::refusal;
+use super::send_permits;
 use super::stream;
 use crate::http_server::{AnswerBody, full_body};
 
@@ -29,15 +30,22 @@
 /// Remaining time below which no further attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
+/// Largest number of targets with a limit for which a request asks for a permit, one after the other.
+const MAX_PERMIT_REQUESTS: usize = 8;
+
 /// Shortest retry delay reported with the refusal of a request that no target ran.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 400;
 
+/// Shortest retry delay reported while all targets have asked to wait or have reached their limits,
+/// before jitter.
+const MIN_WAIT_RETRY_AFTER_MS: u64 = 100;
+
 /// Upper bound of the jitter added to [`NOT_RUN_RETRY_AFTER_MS`], so that callers do not retry
 /// at the same time.
 const RETRY_JITTER_MS: u64 = 300;
 
-/// Upper bound of the jitter, in percent of the pause that all targets have asked for.
-const PAUSE_JITTER_PERCENT: u64 = 25;
+/// Upper bound of the jitter, in percent of the time until a target takes requests again.
+const WAIT_JITTER_PERCENT: u64 = 25;
 
 /// Attempts made for one request.
 #[derive(Default)]
@@ -83,7 +91,7 @@
 pub async fn deliver(entry: &Arc<Entry>, mut call: Call) -> Response<AnswerBody> {
     let mut attempts = Attempts::default();
     let mut failed_answer: Option<CompleteAnswer> = None;
-    while let Some(target) = next_target(entry, &call, &mut attempts) {
+    while let Some(target) = next_target(entry, &call, &mut attempts).await {
         let timeout = attempt_timeout(&call, &attempts);
         let sent = attempt::send(entry, &call, target, None, timeout).await;
         let (started, kind) = match sent {
@@ -135,33 +143,49 @@
 /// Chooses the target of the next attempt and adds it to `attempts`.
 ///
 /// Returns `None` if no further attempt is allowed or no target is left.
-pub fn next_target(entry: &Entry, call: &Call, attempts: &mut Attempts) -> Option<TargetKey> {
+pub async fn next_target(entry: &Entry, call: &Call, attempts: &mut Attempts) -> Option<TargetKey> {
     let is_retry = !attempts.targets.is_empty();
     if is_retry && (!attempts.may_retry(call) || entry.poison.is_refused(call.fingerprint)) {
         return None;
     }
-    let now = entry.now();
+    if is_retry && choose(entry, call, attempts).is_some() && !try_retry(entry, call) {
+        return None;
+    }
+    for _ in 0..MAX_PERMIT_REQUESTS {
+        let chosen = choose(entry, call, attempts)?;
+        if send_permits::acquire(entry, chosen).await {
+            attempts.targets.push(chosen);
+            log_placement(entry, call, chosen, attempts.targets.len());
+            return Some(chosen);
+        }
+    }
+    None
+}
+
+/// Records a retry if the retry budget allows it.
+fn try_retry(entry: &Entry, call: &Call) -> bool {
     let entry_count = entry.peers.entry_count();
+    let is_allowed = entry.retries().try_retry(&call.service, entry_count, entry.now());
+    if !is_allowed {
+        log::info!("event=retry_denied request={} reason=retry_budget", call.head.attempt_id);
+    }
+    is_allowed
+}
+
+/// Returns the target of the lowest cost for the next attempt, if any takes a request now.
+fn choose(entry: &Entry, call: &Call, attempts: &Attempts) -> Option<TargetKey> {
+    let now = entry.now();
     let criteria = SelectionCriteria {
         service: &call.service,
         software: call.origin.as_ref().map(|origin| origin.software.as_str()),
         data_center: &entry.data_center,
         prompt: call.shared_prompt(),
         random: rank::key_of(&call.head.attempt_id),
-        entry_count,
+        entry_count: entry.peers.entry_count(),
     };
-    let chosen = {
-        let mut table = entry.targets();
-        table.expire(now);
-        choice::choose(&table, criteria, &attempts.targets, now)?
-    };
-    if is_retry && !entry.retries().try_retry(&call.service, entry_count, now) {
-        log::info!("event=retry_denied request={} reason=retry_budget", call.head.attempt_id);
-        return None;
-    }
-    attempts.targets.push(chosen);
-    log_placement(entry, call, chosen, attempts.targets.len());
-    Some(chosen)
+    let mut table = entry.targets();
+    table.expire(now);
+    choice::choose(&table, criteria, &attempts.targets, now)
 }
 
 fn log_placement(entry: &Entry, call: &Call, chosen: TargetKey, attempt: usize) {
@@ -263,10 +287,11 @@
     }
     let random = rank::key_of(&call.head.attempt_id);
     let jitter_ms = random % RETRY_JITTER_MS;
-    if let Some(pause_ms) = entry.targets().shortest_pause_ms(&call.service, entry.now()) {
-        let jitter_ms = jitter_ms.max(pause_ms * (random % PAUSE_JITTER_PERCENT) / 100);
-        let refusal = Refusal::new(ResultCode::QueueFull, "all targets have asked to wait");
-        return refusal.retry_after(pause_ms + jitter_ms);
+    if let Some(wait_ms) = entry.targets().shortest_wait_ms(&call.service, entry.now()) {
+        let jitter_ms = jitter_ms.max(wait_ms * (random % WAIT_JITTER_PERCENT) / 100);
+        let detail = "all targets have asked to wait or have reached their limits";
+        let retry_after_ms = wait_ms.max(MIN_WAIT_RETRY_AFTER_MS) + jitter_ms;
+        return Refusal::new(ResultCode::QueueFull, detail).retry_after(retry_after_ms);
     }
     let (code, detail) = match attempts.last_error {
         None if call.origin.is_some() => {
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -30,6 +30,7 @@
 use super::peer_client::PeerClient;
 use super::peers::Peers;
 use super::poison::PoisonedRequests;
+use super::send_permits::PermitClient;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RelayedPath};
 use crate::http_pool::HttpPool;
@@ -56,6 +57,8 @@
     pub budgets: BudgetClient,
     /// What began the streams that may go on.
     pub streams: StreamDirectory,
+    /// Permits to send to targets that have named a limit.
+    pub permits: PermitClient,
     pub peers: Arc<Peers>,
     pub poison: PoisonedRequests,
     pub load: LoadMonitor,
@@ -165,6 +168,7 @@
         budget_retry_after: Mutex::new(RetryAfter::default()),
         pool: cx.pool.clone(),
         budgets: BudgetClient::open(client.clone(), local_ceilings, load.clone()),
+        permits: PermitClient::open(client.clone()),
         streams: StreamDirectory::open(BegunStreams::open(cx.clock), client),
         peers: cx.peers.clone(),
         poison: PoisonedRequests::open(cx.clock),
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -45,6 +45,7 @@
     unfinished_events: Counter<u64>,
     taken_up: Counter<u64>,
     target_notices: Counter<u64>,
+    permits: Counter<u64>,
     malformed_inputs: Counter<u64>,
     reservations: Counter<u64>,
     tokens_charged: Counter<u64>,
@@ -69,6 +70,7 @@
             unfinished_events: counter("unfinished_events"),
             taken_up: counter("streams_taken_up"),
             target_notices: counter("target_notices"),
+            permits: counter("send_permits"),
             malformed_inputs: counter("malformed_inputs"),
             reservations: counter("money_asked"),
             tokens_charged: counter("tokens_charged"),
@@ -129,6 +131,12 @@
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request for a permit to send to a target with a limit, by its outcome: `granted`,
+    /// `denied`, `unassisted` or `unanswered`.
+    pub fn count_permit(&self, outcome: &'static str) {
+        self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a value from outside that cannot be decoded, by its kind.
     pub fn count_malformed_input(&self, kind: &'static str) {
         self.malformed_inputs.add(1, &[KeyValue::new("kind", kind)]);
--- a/daemon/src/direct/peers.rs
+++ b/daemon/src/direct/peers.rs
@@ -7,6 +7,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::dispatch::send_permits::IssuerRank;
 use rosemarymoor_lib::kv_feed::{Changes, KeyChange, Listing};
 use rosemarymoor_lib::time::{Millis, MonotonicClock};
 use serde::{Deserialize, Serialize};
@@ -113,6 +114,23 @@
         servers.into_iter().map(|peer| peer.record.clone()).collect()
     }
 
+    /// Returns the two budget servers that issue permits for a key, in the order in which all entries
+    /// rank them; without those in backoff after a failed call.
+    pub fn permit_issuers(&self, key: u64) -> Vec<(IssuerRank, PeerRecord)> {
+        let now = self.clock.now();
+        let name = DirectRole::BudgetServer.name();
+        let peers = self.lock();
+        let mut servers: Vec<&Peer> =
+            peers.iter().filter(|peer| peer.record.role == name).collect();
+        rank::order(key, &mut servers, |peer| peer.record.name.as_str());
+        [IssuerRank::First, IssuerRank::Second]
+            .into_iter()
+            .zip(servers)
+            .filter(|(_, peer)| now >= peer.backoff_until)
+            .map(|(rank, peer)| (rank, peer.record.clone()))
+            .collect()
+    }
+
     /// Returns the budget server that shares watches between entries of a data centre; `None` if
     /// there are too few of them to gain by it, or no server there.
     ///
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -206,7 +206,7 @@
         {
             return Err(err);
         }
-        while let Some(target) = next_target(&self.entry, &self.call, &mut self.attempts) {
+        while let Some(target) = next_target(&self.entry, &self.call, &mut self.attempts).await {
             match self.resume_at(target).await {
                 Ok(answer) => {
                     self.reader = Some(EventReader::open(answer, self.call.origin.as_ref()));
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -7,7 +7,7 @@
 //! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
 //! [`crash_tracker`] finds requests that crash their targets; [`retry_after`]
 //! computes the delay that refused callers are given; [`target_limit`] knows
-//! how many requests a target takes; [`event_stream`] splits an
+//! how many requests a target takes, and [`send_permits`] issues the permits to send them; [`event_stream`] splits an
 //! answer into server-sent events, and [`stream_origins`] knows which software version
 //! began a stream.
 
@@ -19,6 +19,7 @@
 pub mod rank;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod send_permits;
 pub mod stream_origins;
 pub mod target_limit;
 pub mod targets;
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -55,8 +55,8 @@
     pub entry_count: u64,
 }
 
-/// Returns the target with the lowest cost that is not in `attempted` and has not asked for a
-/// pause.
+/// Returns the target with the lowest cost that is not in `attempted`, has not asked for a pause and
+/// has not reached its limit.
 ///
 /// Returns `None` if no such target takes new work.
 pub fn choose(
@@ -67,7 +67,7 @@
 ) -> Option<TargetKey> {
     let mut candidates: Vec<&Target> = table
         .of_service(criteria.service)
-        .filter(|target| !attempted.contains(&target.key) && target.pause_left_ms(now) == 0)
+        .filter(|target| !attempted.contains(&target.key) && target.closed_for_ms(now) == 0)
         .filter(|target| criteria.software.is_none_or(|software| target.has_software(software)))
         .collect();
     let rank_key = criteria.prompt.unwrap_or(criteria.random);
--- /dev/null
+++ b/lib/src/dispatch/send_permits.rs
@@ -0,0 +1,186 @@
+//! Permits to send to targets that have named a limit, which holds for all entries together.
+//!
+//! One budget server issues the permits for a target, so that their sum keeps to the limit whatever
+//! the number of entries is. A second server, and the entries themselves if neither answers, issue
+//! so few that the sum holds even while some entries reach the first server and others do not. An
+//! issuer that starts anew begins without a permit.
+
+use serde::{Deserialize, Serialize};
+
+use super::target_limit::KnownLimit;
+use crate::time::Millis;
+
+/// Share of the limit that the second server issues.
+const SECOND_SHARE: f64 = 0.3;
+
+/// Share of the limit that all entries together send while no server answers them.
+const UNASSISTED_SHARE: f64 = 0.05;
+
+/// Lowest rate of permits, in requests a second: an answer is needed to learn that a limit ended.
+const MIN_RATE: f64 = 0.05;
+
+/// Time for which a permit is valid, in milliseconds.
+pub const PERMIT_VALIDITY_MS: u64 = 150;
+
+/// Time whose permits are issued at once, in seconds, if that is more than one.
+const BATCH_S: f64 = 0.1;
+
+/// Time after which an issuer forgets a target that nobody asks for, in milliseconds.
+const RETENTION_MS: u64 = 300_000;
+
+/// Process of a target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TargetProcess {
+    pub id: String,
+    /// Wall-clock start in Unix milliseconds.
+    pub started_ms: u64,
+}
+
+/// Place of an issuer among those of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum IssuerRank {
+    First,
+    Second,
+}
+
+/// What an entry knows of a target's limit, as it tells an issuer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    pub target: TargetProcess,
+    pub limit: KnownLimit,
+}
+
+/// Request of an entry for permits.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    pub report: LimitReport,
+    /// Place of the issuer as the entry ranks it.
+    pub rank: IssuerRank,
+}
+
+/// Reply of an issuer.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitReply {
+    /// Latest that is known of the limit.
+    pub limit: KnownLimit,
+    /// Requests that the entry may send within [`PERMIT_VALIDITY_MS`].
+    pub granted: u32,
+    /// Time until there may be a permit again, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Permits that accrue at a rate.
+#[derive(Clone, Copy, Debug)]
+pub struct PermitBucket {
+    permits: f64,
+    updated_at: Millis,
+}
+
+impl PermitBucket {
+    /// Creates a bucket with a part of a permit.
+    pub fn new(permits: f64, now: Millis) -> PermitBucket {
+        PermitBucket { permits, updated_at: now }
+    }
+
+    /// Takes up to `batch` permits, which accrue at `per_second`; returns 0 if there is none.
+    fn take(&mut self, per_second: f64, batch: f64, now: Millis) -> u32 {
+        let accrued = now.since(self.updated_at) as f64 / 1_000.0 * per_second;
+        self.permits = (self.permits + accrued).min(batch);
+        self.updated_at = now;
+        let taken = self.permits.floor();
+        self.permits -= taken;
+        taken as u32
+    }
+
+    /// Returns the time until there is a permit, in milliseconds.
+    fn wait_ms(&self, per_second: f64) -> u64 {
+        ((1.0 - self.permits).max(0.0) / per_second * 1_000.0).ceil() as u64
+    }
+}
+
+/// Takes a permit of an entry that no issuer answers; `entry_count` is the number of entries.
+pub fn take_unassisted(
+    bucket: &mut PermitBucket,
+    per_second: f64,
+    entry_count: u64,
+    now: Millis,
+) -> bool {
+    let rate = (per_second * UNASSISTED_SHARE).max(MIN_RATE) / entry_count.max(1) as f64;
+    bucket.take(rate, 1.0, now) > 0
+}
+
+/// Target as an issuer knows it.
+#[derive(Clone, Debug)]
+struct Row {
+    target: TargetProcess,
+    /// Latest that entries have told of the limit.
+    per_second: Option<f64>,
+    heard_at: Millis,
+    bucket: PermitBucket,
+    used_at: Millis,
+}
+
+/// Issues permits for the targets that entries ask for.
+#[derive(Clone, Debug, Default)]
+pub struct PermitIssuer {
+    /// Sorted by target.
+    rows: Vec<Row>,
+}
+
+impl PermitIssuer {
+    /// Applies what an entry knows of a limit.
+    pub fn apply_report(&mut self, report: &LimitReport, now: Millis) {
+        self.row(report, now);
+    }
+
+    /// Issues the permits that there are, or says how long to wait.
+    pub fn issue(&mut self, req: &PermitRequest, now: Millis) -> PermitReply {
+        let row = self.row(&req.report, now);
+        let limit = KnownLimit::new(row.per_second, row.heard_at, now);
+        let Some(per_second) = row.per_second else {
+            return PermitReply { limit, granted: 0, wait_ms: 0 };
+        };
+        let share = match req.rank {
+            IssuerRank::First => 1.0,
+            IssuerRank::Second => SECOND_SHARE,
+        };
+        let rate = (per_second * share).max(MIN_RATE);
+        let granted = row.bucket.take(rate, (rate * BATCH_S).max(1.0), now);
+        let wait_ms = if granted > 0 { 0 } else { row.bucket.wait_ms(rate).max(1) };
+        PermitReply { limit, granted, wait_ms }
+    }
+
+    /// Returns the row of a target after a report.
+    fn row(&mut self, report: &LimitReport, now: Millis) -> &mut Row {
+        let LimitReport { target, limit } = report;
+        let heard_at = limit.heard_at(now);
+        let at = match self.rows.binary_search_by(|row| row.target.cmp(target)) {
+            Ok(at) => at,
+            Err(_) => self.insert(target, limit.per_second, heard_at, now),
+        };
+        let row = &mut self.rows[at];
+        row.used_at = now;
+        if heard_at > row.heard_at {
+            row.heard_at = heard_at;
+            row.per_second = limit.per_second;
+        }
+        row
+    }
+
+    /// Inserts a target and returns its index; removes those that nobody asks for any more.
+    fn insert(
+        &mut self,
+        target: &TargetProcess,
+        per_second: Option<f64>,
+        heard_at: Millis,
+        now: Millis,
+    ) -> usize {
+        self.rows.retain(|row| now.since(row.used_at) < RETENTION_MS);
+        let at = self.rows.partition_point(|row| row.target < *target);
+        let bucket = PermitBucket::new(0.0, now);
+        let target = target.clone();
+        self.rows.insert(at, Row { target, per_second, heard_at, bucket, used_at: now });
+        at
+    }
+}
--- a/lib/src/dispatch/target_limit.rs
+++ b/lib/src/dispatch/target_limit.rs
@@ -1,14 +1,47 @@
-//! Limit of requests that a target has named, as one entry knows it.
+//! Limit of requests that a target has named, and the permits to send to it, as one entry knows
+//! them.
 //!
 //! A target names its limit in each answer for as long as it has one. Answers may overtake each
 //! other: one without a limit ends it only if its request was sent after the limit was heard last.
 
+use serde::{Deserialize, Serialize};
+
+use super::send_permits::{PERMIT_VALIDITY_MS, PermitBucket, PermitReply, take_unassisted};
 use crate::time::Millis;
 
 /// Time between two log lines about limits of one target that cannot be read, in milliseconds.
 const MALFORMED_LOG_INTERVAL_MS: u64 = 60_000;
 
-/// Change of a target's limit that an answer brings.
+/// Bounds of the time until an entry asks for permits again, in milliseconds: a reply also brings
+/// the news that a limit has changed or ended.
+const MIN_ASK_INTERVAL_MS: u64 = 20;
+const MAX_ASK_INTERVAL_MS: u64 = 1_000;
+
+/// Time until an entry asks again after no issuer answered, in milliseconds.
+const UNANSWERED_INTERVAL_MS: u64 = 500;
+
+/// What a process knows of a limit, as it tells others.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KnownLimit {
+    /// Requests a second; `None` if the target no longer names a limit.
+    pub per_second: Option<f64>,
+    /// Time since the target said so, in milliseconds.
+    age_ms: u64,
+}
+
+impl KnownLimit {
+    /// Returns what was heard at a time on the clock of this process.
+    pub fn new(per_second: Option<f64>, heard_at: Millis, now: Millis) -> KnownLimit {
+        KnownLimit { per_second, age_ms: now.since(heard_at) }
+    }
+
+    /// Returns when it was heard, on the clock of this process.
+    pub fn heard_at(&self, now: Millis) -> Millis {
+        Millis(now.0.saturating_sub(self.age_ms))
+    }
+}
+
+/// Change of a target's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitChange {
     /// It is as it was.
@@ -19,43 +52,104 @@
     Ended,
 }
 
-/// Limit that is in force.
+/// Whether a request may be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SendDecision {
+    /// It may: there is no limit, or a permit was taken.
+    Send,
+    /// It may not, for this entry was refused a permit a moment ago.
+    Wait,
+    /// A permit has to be asked for.
+    Ask(KnownLimit),
+}
+
+/// Latest that an entry has heard of a limit.
 #[derive(Clone, Copy, Debug)]
-struct NamedLimit {
-    /// Requests a second, of all entries together.
-    per_second: f64,
+struct HeardLimit {
+    per_second: Option<f64>,
     heard_at: Millis,
 }
 
 /// What an entry knows of a target's limit.
 #[derive(Clone, Debug, Default)]
 pub struct TargetLimit {
-    named: Option<NamedLimit>,
+    heard: Option<HeardLimit>,
+    /// Permits that are left, and until when they are valid.
+    permits: u32,
+    permits_until: Millis,
+    /// When permits may be asked for again, and when there may be one.
+    ask_at: Millis,
+    ready_at: Millis,
+    /// Permits of this entry's own, while no issuer answers.
+    unassisted: Option<PermitBucket>,
     /// When a limit that cannot be read was logged last.
     malformed_logged_at: Option<Millis>,
 }
 
 impl TargetLimit {
     /// Returns the requests a second that the target takes from all entries together; `None` if it
-    /// has not named a limit.
+    /// names no limit.
     pub fn per_second(&self) -> Option<f64> {
-        self.named.map(|named| named.per_second)
+        self.heard.and_then(|heard| heard.per_second)
     }
 
     /// Applies what an answer says; `sent_at` is when its request was sent.
     pub fn apply(&mut self, limit: Option<f64>, sent_at: Millis, now: Millis) -> LimitChange {
-        let Some(per_second) = limit else {
-            if self.named.is_none_or(|named| sent_at < named.heard_at) {
-                return LimitChange::Unchanged;
-            }
-            self.named = None;
-            return LimitChange::Ended;
+        let is_outdated = self.heard.is_some_and(|heard| sent_at < heard.heard_at);
+        if limit.is_none() && (self.per_second().is_none() || is_outdated) {
+            return LimitChange::Unchanged;
+        }
+        self.replace(limit, now)
+    }
+
+    /// Applies the reply of an issuer to a request for permits.
+    pub fn apply_reply(&mut self, reply: &PermitReply, now: Millis) -> LimitChange {
+        let heard_at = reply.limit.heard_at(now);
+        let is_newer = self.heard.is_none_or(|heard| heard.heard_at < heard_at);
+        let change = match is_newer {
+            true => self.replace(reply.limit.per_second, heard_at),
+            false => LimitChange::Unchanged,
+        };
+        self.unassisted = None;
+        self.permits = reply.granted;
+        self.permits_until = now.plus(PERMIT_VALIDITY_MS);
+        let wait_ms = if reply.granted > 0 { 0 } else { reply.wait_ms };
+        self.wait(wait_ms, MAX_ASK_INTERVAL_MS, now);
+        change
+    }
+
+    /// Records that no issuer answered; returns whether this entry may send by itself.
+    pub fn take_unassisted(&mut self, entry_count: u64, random: f64, now: Millis) -> bool {
+        let Some(per_second) = self.per_second() else { return true };
+        self.wait(UNANSWERED_INTERVAL_MS, UNANSWERED_INTERVAL_MS, now);
+        // The first permits of the entries are due at different times.
+        let bucket = self.unassisted.get_or_insert_with(|| PermitBucket::new(random, now));
+        take_unassisted(bucket, per_second, entry_count, now)
+    }
+
+    /// Decides on a request, and takes a permit for it if there is one.
+    pub fn decide(&mut self, now: Millis) -> SendDecision {
+        let Some(HeardLimit { per_second: Some(per_second), heard_at }) = self.heard else {
+            return SendDecision::Send;
         };
-        let before = self.named.replace(NamedLimit { per_second, heard_at: now });
-        match before {
-            Some(before) if before.per_second == per_second => LimitChange::Unchanged,
-            _ => LimitChange::Limited(per_second),
+        if self.has_permit(now) {
+            self.permits -= 1;
+            return SendDecision::Send;
+        }
+        if now < self.ask_at {
+            return SendDecision::Wait;
         }
+        SendDecision::Ask(KnownLimit::new(Some(per_second), heard_at, now))
+    }
+
+    /// Returns whether a request may be sent, as far as is known without asking.
+    pub fn is_open(&self, now: Millis) -> bool {
+        self.per_second().is_none() || self.has_permit(now) || now >= self.ask_at
+    }
+
+    /// Returns the time until there may be a permit, in milliseconds; 0 without a limit.
+    pub fn wait_ms(&self, now: Millis) -> u64 {
+        if self.is_open(now) { 0 } else { self.ready_at.max(self.ask_at).since(now) }
     }
 
     /// Returns whether a limit that cannot be read is to be logged now, at most once a minute.
@@ -67,4 +161,26 @@
         self.malformed_logged_at = Some(now);
         true
     }
+
+    fn has_permit(&self, now: Millis) -> bool {
+        self.permits > 0 && now < self.permits_until
+    }
+
+    fn wait(&mut self, wait_ms: u64, max_ask_interval_ms: u64, now: Millis) {
+        self.ready_at = now.plus(wait_ms);
+        self.ask_at = match wait_ms {
+            0 => now,
+            _ => now.plus(wait_ms.clamp(MIN_ASK_INTERVAL_MS, max_ask_interval_ms)),
+        };
+    }
+
+    fn replace(&mut self, limit: Option<f64>, heard_at: Millis) -> LimitChange {
+        let before = self.per_second();
+        self.heard = Some(HeardLimit { per_second: limit, heard_at });
+        match limit {
+            _ if limit == before => LimitChange::Unchanged,
+            Some(per_second) => LimitChange::Limited(per_second),
+            None => LimitChange::Ended,
+        }
+    }
 }
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use super::send_permits::TargetProcess;
 use super::target_limit::TargetLimit;
 use crate::time::Millis;
 
@@ -166,6 +167,18 @@
         self.paused_until.since(now)
     }
 
+    /// Returns the time in milliseconds until it takes a request of this entry, as far as that is
+    /// known; 0 if it may take one now.
+    pub fn closed_for_ms(&self, now: Millis) -> u64 {
+        self.pause_left_ms(now).max(self.limit.wait_ms(now))
+    }
+
+    /// Returns which process it is.
+    pub fn process(&self) -> TargetProcess {
+        let Registration { id, started_ms, .. } = &self.registration;
+        TargetProcess { id: id.clone(), started_ms: *started_ms }
+    }
+
     /// Returns whether it runs this software version, as far as it registered one.
     pub fn has_software(&self, software: &str) -> bool {
         self.registration.software.as_deref() == Some(software)
@@ -227,7 +240,8 @@
         Some(&self.targets[at])
     }
 
-    fn get_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
+    /// Returns the target with this key for a change.
+    pub fn get_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
         let at = self.targets.binary_search_by_key(&key, |target| target.key).ok()?;
         Some(&mut self.targets[at])
     }
@@ -251,9 +265,9 @@
     }
 
     /// Returns the shortest time in milliseconds until a target of a service accepts requests
-    /// again, if there are any and all of them have asked for a pause.
-    pub fn shortest_pause_ms(&self, service: &str, now: Millis) -> Option<u64> {
-        self.of_service(service).map(|target| target.pause_left_ms(now)).min().filter(|ms| *ms > 0)
+    /// again, if there are any and all of them have asked for a pause or have reached their limits.
+    pub fn shortest_wait_ms(&self, service: &str, now: Millis) -> Option<u64> {
+        self.of_service(service).map(|target| target.closed_for_ms(now)).min().filter(|ms| *ms > 0)
     }
 
     /// Adds or updates a target and returns whether its registration changed.
@@ -291,11 +305,6 @@
         }
     }
 
-    /// Returns what is known of a target's limit.
-    pub fn limit_mut(&mut self, key: TargetKey) -> Option<&mut TargetLimit> {
-        self.get_mut(key).map(|target| &mut target.limit)
-    }
-
     /// Drops a target, or marks it as missing during a store outage and its grace time.
     pub fn deregister(&mut self, id: &str) {
         if self.grace_until.is_none() && !self.store_unavailable {
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -481,10 +481,10 @@
         let chosen = choice::choose(&table, criteria(None, random), &[], NOW.plus(2_999));
         assert_eq!(chosen, Some(two));
     }
-    assert_eq!(table.shortest_pause_ms("models", NOW), None, "one target takes work");
+    assert_eq!(table.shortest_wait_ms("models", NOW), None, "one target takes work");
     table.pause(two, NOW.plus(1_000));
     assert_eq!(choice::choose(&table, criteria(None, 1), &[], NOW), None);
-    assert_eq!(table.shortest_pause_ms("models", NOW), Some(1_000));
+    assert_eq!(table.shortest_wait_ms("models", NOW), Some(1_000));
     // A later and shorter request does not end the first.
     table.pause(one, NOW.plus(500));
     let after_two = NOW.plus(1_000);
