soak: targets name limits, and their sums over all entries are checked

--limits: targets name 0.5 to 3 requests a second at random times, change and end them while the other faults run; beyond_limit counts windows in which one got more than the users' rule allows from entries that it had told. After the faults callers send until the entries know that the limits ended, since only answers tell them. Permits: a server that does not answer in time for a permit no longer counts as failed for reservations, and a request asks in vain twice before it goes to a target that needs none.

--- a/bench/src/measures/soak.rs
+++ b/bench/src/measures/soak.rs
@@ -48,6 +48,7 @@
         budget_servers: options.sidecars.unwrap_or(defaults.budget_servers),
         restores: options.restores,
         notices: options.notices,
+        limits: options.limits,
         logs: options.logs.as_ref().map(PathBuf::from),
         ..defaults
     }
--- a/bench/src/options.rs
+++ b/bench/src/options.rs
@@ -76,6 +76,8 @@
     pub restores: bool,
     #[options(no_short, help = "targets say that they leave and ask for pauses (soak only)")]
     pub notices: bool,
+    #[options(no_short, help = "targets name limits of requests a second (soak only)")]
+    pub limits: bool,
     #[options(no_short, meta = "DIR", help = "save the processes' logs in this folder")]
     pub logs: Option<String>,
 }
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -30,6 +30,10 @@
 /// Remaining time below which no further attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
+/// Number of targets for which a request asks in vain for a permit before it goes to one that needs
+/// none.
+const PERMIT_REQUESTS_BEFORE_OTHERS: usize = 2;
+
 /// Largest number of targets with a limit for which a request asks for a permit, one after the other.
 const MAX_PERMIT_REQUESTS: usize = 8;
 
@@ -148,11 +152,13 @@
     if is_retry && (!attempts.may_retry(call) || entry.poison.is_refused(call.fingerprint)) {
         return None;
     }
-    if is_retry && choose(entry, call, attempts).is_some() && !try_retry(entry, call) {
+    if is_retry && choose(entry, call, attempts, false).is_some() && !try_retry(entry, call) {
         return None;
     }
-    for _ in 0..MAX_PERMIT_REQUESTS {
-        let chosen = choose(entry, call, attempts)?;
+    for asked in 0..MAX_PERMIT_REQUESTS {
+        let without_asking = asked >= PERMIT_REQUESTS_BEFORE_OTHERS;
+        let chosen = choose(entry, call, attempts, without_asking)
+            .or_else(|| choose(entry, call, attempts, false))?;
         if send_permits::acquire(entry, chosen).await {
             attempts.targets.push(chosen);
             log_placement(entry, call, chosen, attempts.targets.len());
@@ -173,7 +179,12 @@
 }
 
 /// Returns the target of the lowest cost for the next attempt, if any takes a request now.
-fn choose(entry: &Entry, call: &Call, attempts: &Attempts) -> Option<TargetKey> {
+fn choose(
+    entry: &Entry,
+    call: &Call,
+    attempts: &Attempts,
+    without_asking: bool,
+) -> Option<TargetKey> {
     let now = entry.now();
     let criteria = SelectionCriteria {
         service: &call.service,
@@ -181,6 +192,7 @@
         data_center: &entry.data_center,
         prompt: call.shared_prompt(),
         random: rank::key_of(&call.head.attempt_id),
+        without_asking,
         entry_count: entry.peers.entry_count(),
     };
     let mut table = entry.targets();
--- a/daemon/src/direct/send_permits.rs
+++ b/daemon/src/direct/send_permits.rs
@@ -1,8 +1,9 @@
 //! Permits to send to targets that have named a limit: entries ask two budget servers for them,
 //! which all entries rank in the same order by the target.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::send_permits::{
@@ -24,6 +25,9 @@
 /// Longest wait for an answer to a request for permits; a caller waits for it.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time for which a server that did not answer is not asked again.
+const FAILED_ISSUER_BACKOFF: Duration = Duration::from_secs(2);
+
 /// Timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -67,12 +71,15 @@
 #[derive(Clone)]
 pub struct PermitClient {
     client: PeerClient,
+    /// Servers that did not answer, and until when they are not asked. They may well answer to
+    /// reservations, for which entries wait longer.
+    backoffs: Arc<Mutex<Vec<(SocketAddr, Instant)>>>,
 }
 
 impl PermitClient {
     /// Opens the access to the listed budget servers.
     pub fn open(client: PeerClient) -> PermitClient {
-        PermitClient { client }
+        PermitClient { client, backoffs: Arc::default() }
     }
 
     /// Reports in the background what a target has said of its limit.
@@ -92,14 +99,14 @@
     async fn request(&self, report: LimitReport) -> Option<PermitReply> {
         let key = rank::key_of(&report.target.id);
         for (rank, server) in self.client.peers.permit_issuers(key) {
+            if self.is_backing_off(server.internal) {
+                continue;
+            }
             let req = PermitRequest { report: report.clone(), rank };
             match self.client.post(&server, PERMIT_PATH, &req, PERMIT_TIMEOUT).await {
-                Ok((_, body)) => {
-                    self.client.peers.record_answer(server.internal);
-                    return serde_json::from_slice(&body).ok();
-                }
+                Ok((_, body)) => return serde_json::from_slice(&body).ok(),
                 Err(err) => {
-                    self.client.peers.record_failure(server.internal);
+                    self.back_off(server.internal);
                     log::info!(
                         "event=permit_not_answered target={} server={} reason={err:?}",
                         report.target.id,
@@ -110,6 +117,21 @@
         }
         None
     }
+
+    fn is_backing_off(&self, server: SocketAddr) -> bool {
+        self.backoffs().iter().any(|(failed, until)| *failed == server && Instant::now() < *until)
+    }
+
+    fn back_off(&self, server: SocketAddr) {
+        let now = Instant::now();
+        let mut backoffs = self.backoffs();
+        backoffs.retain(|(failed, until)| *failed != server && now < *until);
+        backoffs.push((server, now + FAILED_ISSUER_BACKOFF));
+    }
+
+    fn backoffs(&self) -> MutexGuard<'_, Vec<(SocketAddr, Instant)>> {
+        self.backoffs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Returns whether a request may be sent to a target now; asks for a permit if that is needed.
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -51,6 +51,8 @@
     pub prompt: Option<u64>,
     /// Random number that breaks ties between targets of equal cost.
     pub random: u64,
+    /// Whether targets are left out for which a permit would have to be asked for.
+    pub without_asking: bool,
     /// Number of entries, whose unobserved requests add to the targets' load.
     pub entry_count: u64,
 }
@@ -68,6 +70,7 @@
     let mut candidates: Vec<&Target> = table
         .of_service(criteria.service)
         .filter(|target| !attempted.contains(&target.key) && target.closed_for_ms(now) == 0)
+        .filter(|target| !criteria.without_asking || target.limit.is_ready(now))
         .filter(|target| criteria.software.is_none_or(|software| target.has_software(software)))
         .collect();
     let rank_key = criteria.prompt.unwrap_or(criteria.random);
--- a/lib/src/dispatch/target_limit.rs
+++ b/lib/src/dispatch/target_limit.rs
@@ -147,6 +147,11 @@
         self.per_second().is_none() || self.has_permit(now) || now >= self.ask_at
     }
 
+    /// Returns whether a request may be sent without asking for a permit.
+    pub fn is_ready(&self, now: Millis) -> bool {
+        self.per_second().is_none() || self.has_permit(now)
+    }
+
     /// Returns the time until there may be a permit, in milliseconds; 0 without a limit.
     pub fn wait_ms(&self, now: Millis) -> u64 {
         if self.is_open(now) { 0 } else { self.ready_at.max(self.ask_at).since(now) }
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -262,6 +262,7 @@
         data_center: "leics",
         prompt,
         random,
+        without_asking: false,
         entry_count: 4,
     }
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -45,6 +45,14 @@
 /// Shortest time from the start of a target's drain to the end of its registration.
 const MIN_DRAIN_TIME: Duration = Duration::from_secs(4);
 
+/// Limits of requests a second that targets name.
+const LIMITS: [f64; 4] = [0.5, 1.0, 2.0, 3.0];
+
+/// Longest pause between two changes of a limit, and time for which one is named, in milliseconds.
+const MAX_LIMIT_PAUSE_MS: u64 = 1_500;
+const MIN_LIMIT_MS: u64 = 3_000;
+const MAX_LIMIT_MS: u64 = 12_000;
+
 /// Kinds of faults.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -101,6 +109,9 @@
     if plan.restores {
         tasks.spawn(restore_store(fleet.clone(), plan.seed, until));
     }
+    if plan.limits {
+        tasks.spawn(limit_targets(fleet.clone(), plan.seed, until));
+    }
     let mut count = 0;
     while Instant::now() < until {
         tokio::time::sleep(Duration::from_millis(rng.random_below(MAX_FAULT_INTERVAL_MS))).await;
@@ -134,6 +145,27 @@
     Ok(())
 }
 
+/// Lets targets name limits at random times, with a seeded sequence of its own; a limit may change
+/// while it is named. All limits have ended when it returns.
+async fn limit_targets(fleet: Arc<Fleet>, seed: u64, until: Instant) -> io::Result<()> {
+    let rng = SeededRng::new(seed.rotate_left(17));
+    let mut named: Vec<(Arc<Target>, Instant)> = Vec::new();
+    while Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(rng.random_below(MAX_LIMIT_PAUSE_MS))).await;
+        let is_over = |(_, end): &(Arc<Target>, Instant)| *end <= Instant::now();
+        named.iter().filter(|named| is_over(named)).for_each(|(target, _)| target.set_limit(None));
+        named.retain(|named| !is_over(named));
+        let targets = fleet.targets();
+        let target = targets[rng.random_below(targets.len() as u64) as usize].clone();
+        target.set_limit(Some(LIMITS[rng.random_below(LIMITS.len() as u64) as usize]));
+        let time = MIN_LIMIT_MS + rng.random_below(MAX_LIMIT_MS - MIN_LIMIT_MS);
+        named.retain(|(other, _)| other.number != target.number);
+        named.push((target, Instant::now() + Duration::from_millis(time)));
+    }
+    named.iter().for_each(|(target, _)| target.set_limit(None));
+    Ok(())
+}
+
 /// Injects one fault and returns when it has ended.
 async fn inject(
     fleet: Arc<Fleet>,
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -1,6 +1,7 @@
 //! Checks the invariants of a run after its processes have ended, from what callers received,
 //! what targets ran and what the ledger counts.
 
+mod limits;
 mod notices;
 
 use std::collections::BTreeMap;
@@ -63,6 +64,9 @@
     /// Times that more than two requests reached a target from an entry in a pause that it had
     /// asked that entry for.
     pub sent_in_pause: u64,
+    /// Windows in which a target got more requests than its limit allows, over the entries that it
+    /// had told.
+    pub beyond_limit: u64,
     /// Times that an entry went back to an older configuration.
     pub config_reverted: u64,
     /// Configurations that an entry did not apply in time.
@@ -106,6 +110,7 @@
     if plan.notices {
         verifier.verify_notices(&exchanges);
     }
+    verifier.verify_limits(&exchanges);
     for workspace in 0..WORKSPACES.len() {
         verifier.verify_billing(&exchanges, workspace);
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -46,6 +46,8 @@
     /// Whether draining targets say in their answers that they are leaving, and rejections ask for
     /// a pause.
     pub notices: bool,
+    /// Whether targets name limits of requests at random times.
+    pub limits: bool,
     /// Folder to which the logs of a run with violations are copied.
     pub logs: Option<PathBuf>,
 }
@@ -64,6 +66,7 @@
             callers: 24,
             restores: false,
             notices: false,
+            limits: false,
             logs: None,
         }
     }
@@ -104,6 +107,9 @@
     let faults = faults::run(&fleet, plan).await?;
     fleet.await_recovery().await;
     callers.stop().await;
+    if plan.limits {
+        load::teach_ends_of_limits(&fleet).await;
+    }
     load::run_fault_free_part(&fleet).await;
     fleet.stop_all().await;
     let report = invariants::verify(&fleet, plan, faults);
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -44,6 +44,9 @@
 /// Largest number of events of a stream.
 const MAX_EVENTS: u64 = 60;
 
+/// Requests after which entries know that limits have ended.
+const END_OF_LIMIT_REQUESTS: u64 = 400;
+
 /// Requests of the fault-free part.
 const FAULT_FREE_REQUESTS: u64 = 60;
 
@@ -254,6 +257,19 @@
     }
 }
 
+/// Sends requests until the entries know that limits have ended, which only answers tell them.
+pub async fn teach_ends_of_limits(fleet: &Arc<Fleet>) {
+    let rng = SeededRng::new(1);
+    for number in 0..END_OF_LIMIT_REQUESTS {
+        let entry = number as usize % fleet.entries.len();
+        let request = Request::random(&rng, format!("end-{number}"));
+        let request = Request { workspace: FUNDED_WORKSPACE, events: 1, ..request };
+        if let Some((entry, mut caller)) = connect(fleet, entry).await {
+            fleet.record.add_exchange(request.send(&mut caller, entry, None).await);
+        }
+    }
+}
+
 /// Runs the part without faults: every request has to be answered completely, and the ledger has
 /// to charge exactly the tokens that the callers got.
 pub async fn run_fault_free_part(fleet: &Arc<Fleet>) {
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -4,12 +4,12 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use rosemarymoor_platform_standins::fixtures::script;
 use rosemarymoor_platform_standins::target::{
-    ReceivedRequest, Step, TargetStandIn, chunk, event, last_chunk, leaving, not_run,
+    ReceivedRequest, Step, TargetStandIn, chunk, event, last_chunk, leaving, limited, not_run,
     not_run_with_pause, signed, stream_head, stream_head_until_close,
 };
 use rosemarymoor_testutils::fault_proxy::Link;
@@ -79,8 +79,12 @@
     not_run_ids: Arc<Mutex<BTreeSet<String>>>,
     /// When the target started to drain; `None` before.
     draining_since: Arc<Mutex<Option<Instant>>>,
+    limits: NamedLimits,
 }
 
+/// Limits of requests a second that a target names, each with the time from which on it does.
+type NamedLimits = Arc<Mutex<Vec<(Instant, Option<f64>)>>>;
+
 impl Target {
     /// Starts a target without registering it. `seed` decides which requests it corrupts; with
     /// `notices` its answers say that it is leaving, and its rejections ask for a pause.
@@ -96,6 +100,8 @@
     ) -> io::Result<Target> {
         let draining_since: Arc<Mutex<Option<Instant>>> = Arc::default();
         let drain = draining_since.clone();
+        let limits = NamedLimits::default();
+        let named = limits.clone();
         let is_faulty = Arc::new(AtomicBool::new(false));
         let not_run_ids = Arc::new(Mutex::new(BTreeSet::new()));
         let version = VERSIONS[number % VERSIONS.len()];
@@ -117,7 +123,8 @@
             };
             let steps = answer(received, corruption, form);
             let is_draining = drain.lock().unwrap_or_else(PoisonError::into_inner).is_some();
-            if notices { add_notices(steps, corruption, is_draining) } else { steps }
+            let steps = if notices { add_notices(steps, corruption, is_draining) } else { steps };
+            add_limit(steps, current(&named))
         });
         let stand_in = TargetStandIn::spawn(answer).await?;
         let link = Link::bind_tcp(stand_in.address()).await?;
@@ -132,9 +139,27 @@
             is_faulty,
             not_run_ids,
             draining_since,
+            limits,
         })
     }
 
+    /// Names a limit from now on, or none.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        lock(&self.limits).push((Instant::now(), limit));
+    }
+
+    /// Returns the limits that the target has named.
+    pub fn limits(&self) -> Vec<(Instant, Option<f64>)> {
+        lock(&self.limits).clone()
+    }
+
+    /// Returns whether the target named a limit at a moment.
+    pub fn is_limited_at(&self, at: Instant) -> bool {
+        let limits = lock(&self.limits);
+        let index = limits.partition_point(|named| named.0 <= at);
+        index > 0 && limits[index - 1].1.is_some()
+    }
+
     /// Records that the target accepts no more work from now on.
     pub fn start_draining(&self) {
         *self.draining_since.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
@@ -151,6 +176,27 @@
     }
 }
 
+fn lock(limits: &NamedLimits) -> MutexGuard<'_, Vec<(Instant, Option<f64>)>> {
+    limits.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the limit that is in force.
+fn current(limits: &NamedLimits) -> Option<f64> {
+    lock(limits).last().and_then(|named| named.1)
+}
+
+/// Adds the limit in force to the head of an answer.
+fn add_limit(mut steps: Vec<Step>, limit: Option<f64>) -> Vec<Step> {
+    let head = steps.iter_mut().find_map(|step| match step {
+        Step::Send(bytes) => Some(bytes),
+        _ => None,
+    });
+    if let (Some(head), Some(limit)) = (head, limit) {
+        *head = limited(head, &limit.to_string());
+    }
+    steps
+}
+
 /// Adds to the head of an answer what the target says about itself.
 fn add_notices(steps: Vec<Step>, corruption: Option<Corruption>, is_draining: bool) -> Vec<Step> {
     if corruption == Some(Corruption::NotRun) {
