sidecar: the limit that a target names holds for calls, load reports and probes

The sidecar is the target's only caller: its gate starts calls at three quarters of the limit, load reports get the rest, probes and cancellations are counted as calls, and a request that would wait for more than 100 ms is refused at once with Retry-After, so that the entry takes another target. The header is decoded in one place for both flows.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -13,9 +13,10 @@
 use hyper::{Request, StatusCode};
 use rosemarymoor_lib::dispatch::choice::prefill_ms;
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
+use rosemarymoor_lib::limit_notice::LimitNotice;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_lib::time::Millis;
-use rosemarymoor_platform::answer::{self, AnswerKind, LimitNotice, TargetNotice};
+use rosemarymoor_platform::answer::{self, AnswerKind, TargetNotice};
 use rosemarymoor_platform::request::{
     PromptPart, TargetHead, strip_connection_headers, target_headers,
 };
--- a/daemon/src/sidecar/context.rs
+++ b/daemon/src/sidecar/context.rs
@@ -84,7 +84,9 @@
         };
         let incarnation = rand::rng().random();
         let clock = MonotonicClock::start();
-        let gate = GateHandle::spawn(clock, incarnation, target.clone(), poison.clone());
+        let malformed_limits = meter.u64_counter("malformed_limits").build();
+        let gate =
+            GateHandle::spawn(clock, incarnation, target.clone(), poison.clone(), malformed_limits);
         let orders = OrderSender::open(target_settings.name.clone(), target.clone(), kv);
         Arc::new(Sidecar {
             settings,
--- a/daemon/src/sidecar/gate.rs
+++ b/daemon/src/sidecar/gate.rs
@@ -2,15 +2,17 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use opentelemetry::metrics::Counter;
 use rosemarymoor_lib::admission::{AdmissionLimits, Arrival, Ticket};
 use rosemarymoor_lib::control::{self, ControlSender};
 use rosemarymoor_lib::gate::{Gate, GateEffect, GateEvent, GateState, LoadReason};
+use rosemarymoor_lib::limit_notice::LimitNotice;
 use rosemarymoor_lib::result_code::Refusal;
 use rosemarymoor_lib::target_client::{TargetClient, TargetLoad};
-use rosemarymoor_lib::time::{MonotonicClock, wall_clock_ms};
+use rosemarymoor_lib::time::{Millis, MonotonicClock, wall_clock_ms};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
@@ -18,6 +20,8 @@
 
 /// Longest wait for a load report of the target.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two log lines about limits that cannot be read.
+const MALFORMED_LOG_INTERVAL: Duration = Duration::from_secs(60);
 /// Longest wait until the cause of a broken target connection is known and propagated.
 const LOSS_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -44,6 +48,9 @@
     target: Arc<dyn TargetClient>,
     poison: Arc<PoisonPropagation>,
     next_ticket: AtomicU64,
+    clock: MonotonicClock,
+    malformed_limits: Counter<u64>,
+    malformed_logged_at: Mutex<Option<Instant>>,
 }
 
 /// Handle of the running gate; clones share it.
@@ -63,6 +70,7 @@
         incarnation: u64,
         target: Arc<dyn TargetClient>,
         poison: Arc<PoisonPropagation>,
+        malformed_limits: Counter<u64>,
     ) -> GateHandle {
         let shared = Arc::new(Shared {
             sender: OnceLock::new(),
@@ -72,6 +80,9 @@
             target,
             poison,
             next_ticket: AtomicU64::new(0),
+            clock,
+            malformed_limits,
+            malformed_logged_at: Mutex::default(),
         });
         let handle = GateHandle { shared };
         let driver = Driver { handle: handle.clone(), runtime: Handle::current() };
@@ -111,10 +122,35 @@
         TicketHandle { gate: self.clone(), ticket, rx, ended: false }
     }
 
+    /// Sends the gate what an answer says about the requests that the target takes; the request was
+    /// sent at `sent_at`.
+    pub fn apply_limit(&self, notice: LimitNotice, sent_at: Millis) {
+        let limit = match notice {
+            LimitNotice::Unlimited => None,
+            LimitNotice::PerSecond(limit) => Some(limit),
+            LimitNotice::Malformed => return self.record_malformed_limit(),
+        };
+        self.send(GateEvent::RequestLimit { limit, sent_at });
+    }
+
+    fn record_malformed_limit(&self) {
+        self.shared.malformed_limits.add(1, &[]);
+        let mut logged_at = self.shared.malformed_logged_at.lock().expect("no holder panics");
+        if logged_at.is_none_or(|at| at.elapsed() >= MALFORMED_LOG_INTERVAL) {
+            *logged_at = Some(Instant::now());
+            log::warn!("event=limit_malformed");
+        }
+    }
+
     /// Reads the target's load and sends it to the gate.
     pub async fn read_load(&self, reason: LoadReason) {
-        let load = tokio::time::timeout(LOAD_TIMEOUT, self.shared.target.load()).await;
-        let load = load.ok().flatten();
+        let sent_at = self.shared.clock.now();
+        let answer = tokio::time::timeout(LOAD_TIMEOUT, self.shared.target.load()).await;
+        let answer = answer.ok().flatten();
+        if let Some(answer) = &answer {
+            self.apply_limit(answer.limit, sent_at);
+        }
+        let load = answer.map(|answer| answer.load);
         self.shared.load.store(Arc::new(load.clone()));
         self.send(GateEvent::Load { load, reason, wall_ms: wall_clock_ms() });
     }
@@ -157,6 +193,12 @@
                         .for_each(|ticket| handle.notify(ticket, TicketEvent::LossResolved));
                 });
             }
+            GateEffect::RequestLimitChanged { per_second: Some(per_second) } => {
+                log::info!("event=target_limited per_second={per_second} reason=answer");
+            }
+            GateEffect::RequestLimitChanged { per_second: None } => {
+                log::info!("event=target_unlimited reason=answer");
+            }
             GateEffect::TargetLeaves => log::info!("decision=leave reason=target-says-so"),
             GateEffect::Publish(state) => handle.shared.state.store(Arc::new(state)),
         }
--- a/daemon/src/sidecar/job.rs
+++ b/daemon/src/sidecar/job.rs
@@ -9,6 +9,7 @@
 use rosemarymoor_lib::answer_store::{Answer, AnswerEnd};
 use rosemarymoor_lib::answer_usage::{Usage, UsageMeter};
 use rosemarymoor_lib::budget::SpendWitness;
+use rosemarymoor_lib::gate::GateEvent;
 use rosemarymoor_lib::result_code::{Refusal, RefusalKind, ResultCode};
 use rosemarymoor_lib::target_client::{AnswerHead, TargetAnswer, TargetCall, TargetError};
 use rosemarymoor_lib::wire::{Class, Price, RunRequest};
@@ -153,6 +154,7 @@
         body: req.call.body.clone(),
     };
     log::info!("decision=run request={} attempt={} class={}", req.request, req.attempt, req.class);
+    let sent_at = cx.clock.now();
     let mut calling = cx.target.call(call);
     let called = loop {
         tokio::select! {
@@ -165,7 +167,10 @@
         }
     };
     match called {
-        Ok(target_answer) => read_answer(cx, answer, req, target_answer, limit).await,
+        Ok(target_answer) => {
+            cx.gate.apply_limit(target_answer.limit, sent_at);
+            read_answer(cx, answer, req, target_answer, limit).await
+        }
         Err(Some(TargetError::NotStarted)) => CallOutcome::empty(StopReason::NotStarted),
         Err(Some(TargetError::MaybeRan)) => {
             CallOutcome::empty(limit.stop.unwrap_or(StopReason::Lost))
@@ -182,7 +187,7 @@
     target_answer: TargetAnswer,
     mut limit: CallLimit,
 ) -> CallOutcome {
-    let TargetAnswer { head, ends_with_connection, mut body } = target_answer;
+    let TargetAnswer { head, ends_with_connection, mut body, .. } = target_answer;
     if !is_answer_to(req, &head) {
         cx.counters.crossed.add(1, &[]);
         log::warn!("event=crossed request={} attempt={}", req.request, req.attempt);
@@ -201,7 +206,7 @@
                     meter.feed(&bytes);
                     answer.update(|log| log.body.extend_from_slice(&bytes));
                     if answer.read(|log| log.body.len()) > MAX_ANSWER_BYTES {
-                        cx.target.cancel(&req.request.to_string()).await;
+                        cancel(cx, req).await;
                         break Some(StopReason::TooLarge);
                     }
                 }
@@ -271,12 +276,18 @@
         }
         log::info!("decision=cancel request={} reason={stop:?}", req.request);
         self.stop = Some(stop);
-        cx.target.cancel(&req.request.to_string()).await;
+        cancel(cx, req).await;
         self.deadline = Instant::now() + CANCEL_GRACE;
         true
     }
 }
 
+/// Asks the target to cancel the request.
+async fn cancel(cx: &Sidecar, req: &RunRequest) {
+    cx.gate.send(GateEvent::ControlRequest);
+    cx.target.cancel(&req.request.to_string()).await;
+}
+
 /// Returns whether the target's answer belongs to the request.
 fn is_answer_to(req: &RunRequest, head: &AnswerHead) -> bool {
     match &head.echo {
--- a/daemon/src/sidecar/watch.rs
+++ b/daemon/src/sidecar/watch.rs
@@ -11,6 +11,7 @@
 use rosemarymoor_lib::host_list::{Host, HostList};
 use rosemarymoor_lib::host_list_http::HostListHttp;
 use rosemarymoor_lib::host_watcher::{HostWatcher, POLL_INTERVAL};
+use rosemarymoor_lib::time::Millis;
 use tokio::task::JoinHandle;
 
 use super::context::Sidecar;
@@ -61,12 +62,17 @@
 /// Polls the target's load, applies changed limits and evicts old answers.
 async fn watch_target(cx: Arc<Sidecar>) {
     let mut limits = AdmissionLimits::default();
+    let mut reported_at: Option<Millis> = None;
     loop {
         if let Some(changed) = configured_limits(&cx).filter(|cfg| *cfg != limits) {
             limits = changed;
             cx.gate.send(GateEvent::Limits(limits));
         }
-        cx.gate.read_load(LoadReason::Poll).await;
+        let interval_ms = cx.gate.state().min_report_interval_ms;
+        if reported_at.is_none_or(|at| cx.clock.now().since(at) >= interval_ms) {
+            reported_at = Some(cx.clock.now());
+            cx.gate.read_load(LoadReason::Poll).await;
+        }
         cx.answers.sweep(cx.clock.now());
         tokio::time::sleep(LOAD_INTERVAL).await;
     }
--- a/daemon/tests/test_sidecar.rs
+++ b/daemon/tests/test_sidecar.rs
@@ -1,6 +1,7 @@
 //! Streams, joins, cancels, crashes, drains and orders of sidecars with stand-in targets.
 
 mod sidecar_env;
+mod sidecar_limits;
 
 use std::time::Duration;
 
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -173,16 +173,31 @@
     /// Starts queued requests on the free slots and refuses those that can no longer finish
     /// before their deadline.
     pub fn schedule(&mut self, now: Millis, decisions: &mut Vec<Decision>) {
+        self.schedule_up_to(usize::MAX, now, decisions);
+    }
+
+    /// Does as [`Admission::schedule`] with a limited number of starts; returns their number.
+    pub fn schedule_up_to(
+        &mut self,
+        max_starts: usize,
+        now: Millis,
+        decisions: &mut Vec<Decision>,
+    ) -> usize {
         for queue in &mut self.queues {
             for ticket in queue.take_expired(now) {
                 decisions.push(Decision::Refuse(ticket, deadline_too_short(0)));
             }
         }
-        while let Some(waiting) = self.next() {
+        let mut starts = 0;
+        while starts < max_starts
+            && let Some(waiting) = self.next()
+        {
             let (ticket, class, alone) = (waiting.ticket, waiting.class, waiting.alone);
             self.running.push(Running { ticket, class, started_at: now, alone });
             decisions.push(Decision::Start(ticket));
+            starts += 1;
         }
+        starts
     }
 
     fn next(&mut self) -> Option<Waiting> {
--- a/lib/src/dispatch/send_permits.rs
+++ b/lib/src/dispatch/send_permits.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::target_limit::KnownLimit;
+use crate::permit_bucket::PermitBucket;
 use crate::time::Millis;
 
 /// Share of the limit that the second server issues.
@@ -70,35 +71,6 @@
     pub wait_ms: u64,
 }
 
-/// Permits that accrue at a rate.
-#[derive(Clone, Copy, Debug)]
-pub struct PermitBucket {
-    permits: f64,
-    updated_at: Millis,
-}
-
-impl PermitBucket {
-    /// Creates a bucket with a part of a permit.
-    pub fn new(permits: f64, now: Millis) -> PermitBucket {
-        PermitBucket { permits, updated_at: now }
-    }
-
-    /// Takes up to `batch` permits, which accrue at `per_second`; returns 0 if there is none.
-    fn take(&mut self, per_second: f64, batch: f64, now: Millis) -> u32 {
-        let accrued = now.since(self.updated_at) as f64 / 1_000.0 * per_second;
-        self.permits = (self.permits + accrued).min(batch);
-        self.updated_at = now;
-        let taken = self.permits.floor();
-        self.permits -= taken;
-        taken as u32
-    }
-
-    /// Returns the time until there is a permit, in milliseconds.
-    fn wait_ms(&self, per_second: f64) -> u64 {
-        ((1.0 - self.permits).max(0.0) / per_second * 1_000.0).ceil() as u64
-    }
-}
-
 /// Takes a permit of an entry that no issuer answers; `entry_count` is the number of entries.
 pub fn take_unassisted(
     bucket: &mut PermitBucket,
@@ -107,7 +79,12 @@
     now: Millis,
 ) -> bool {
     let rate = (per_second * UNASSISTED_SHARE).max(MIN_RATE) / entry_count.max(1) as f64;
-    bucket.take(rate, 1.0, now) > 0
+    bucket.refill(rate, 1.0, now);
+    let is_taken = bucket.available() > 0;
+    if is_taken {
+        bucket.spend(1);
+    }
+    is_taken
 }
 
 /// Target as an issuer knows it.
@@ -146,8 +123,10 @@
             IssuerRank::Second => SECOND_SHARE,
         };
         let rate = (per_second * share).max(MIN_RATE);
-        let granted = row.bucket.take(rate, (rate * BATCH_S).max(1.0), now);
-        let wait_ms = if granted > 0 { 0 } else { row.bucket.wait_ms(rate).max(1) };
+        row.bucket.refill(rate, (rate * BATCH_S).max(1.0), now);
+        let granted = row.bucket.available();
+        row.bucket.spend(granted);
+        let wait_ms = if granted > 0 { 0 } else { row.bucket.wait_ms(1, rate).max(1) };
         PermitReply { limit, granted, wait_ms }
     }
 
--- a/lib/src/dispatch/target_limit.rs
+++ b/lib/src/dispatch/target_limit.rs
@@ -6,7 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::send_permits::{PERMIT_VALIDITY_MS, PermitBucket, PermitReply, take_unassisted};
+use super::send_permits::{PERMIT_VALIDITY_MS, PermitReply, take_unassisted};
+use crate::permit_bucket::PermitBucket;
 use crate::time::Millis;
 
 /// Time between two log lines about limits of one target that cannot be read, in milliseconds.
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -5,6 +5,10 @@
 //! been asked for its generation. Only if the target is unreachable or has restarted
 //! are the interrupted requests recorded as suspects of a crash.
 
+mod request_limit;
+
+use request_limit::RequestLimit;
+
 use crate::admission::{Admission, AdmissionLimits, Arrival, Decision, Ticket};
 use crate::control::System;
 use crate::poison::{CrashId, PoisonDecision, PoisonRow, PoisonTable};
@@ -39,6 +43,11 @@
     Poison(Vec<PoisonRow>),
     /// The sidecar must accept no new requests.
     Leave,
+    /// An answer to a request that was sent at `sent_at` names a limit of requests a second, or
+    /// none.
+    RequestLimit { limit: Option<f64>, sent_at: Millis },
+    /// A request other than a call is sent to the target.
+    ControlRequest,
     /// The limits of the target changed.
     Limits(AdmissionLimits),
 }
@@ -53,7 +62,7 @@
 }
 
 /// Effect that the driver of a [`Gate`] carries out.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum GateEffect {
     /// Report the request as accepted and queued.
     Queue(Ticket),
@@ -65,6 +74,8 @@
     Probe,
     /// Propagate the rows, and only then end the interrupted requests.
     PropagatePoison { rows: Vec<PoisonRow>, interrupted: Vec<Ticket> },
+    /// Log that the target takes this many requests a second now, or any number.
+    RequestLimitChanged { per_second: Option<f64> },
     /// Log that the target reported itself as leaving.
     TargetLeaves,
     /// Publish the changed state.
@@ -82,6 +93,8 @@
     pub leaving: bool,
     /// Whether the target is considered down.
     pub target_down: bool,
+    /// Shortest time between two load reports under the target's limit, in milliseconds.
+    pub min_report_interval_ms: u64,
 }
 
 /// Queued, running or interrupted request.
@@ -111,6 +124,7 @@
     missed_reports: u32,
     down: bool,
     leaving: bool,
+    request_limit: RequestLimit,
     published: GateState,
 }
 
@@ -129,6 +143,7 @@
             missed_reports: 0,
             down: false,
             leaving: false,
+            request_limit: RequestLimit::default(),
             published: GateState::default(),
         }
     }
@@ -146,7 +161,10 @@
         let row = Row { ticket, fingerprint, alone: arrival.alone, generation: None };
         let offered = match self.refusal_for(decision) {
             Some(refusal) => Err(refusal),
-            None => self.admission.offer(arrival, now),
+            None => match self.request_limit.refusal(self.admission.queued(), now) {
+                Some(refusal) => Err(refusal),
+                None => self.admission.offer(arrival, now),
+            },
         };
         match offered {
             Ok(()) => {
@@ -191,6 +209,7 @@
     fn connection_lost(&mut self, ticket: Ticket, now: Millis, effects: &mut Vec<GateEffect>) {
         let Some(row) = self.end(ticket, false, now) else { return };
         if self.interrupted.is_empty() {
+            self.request_limit.spend(1);
             effects.push(GateEffect::Probe);
         }
         self.interrupted.push(row);
@@ -283,7 +302,10 @@
     fn schedule(&mut self, now: Millis, effects: &mut Vec<GateEffect>) {
         let mut decisions = Vec::new();
         if self.interrupted.is_empty() {
-            self.admission.schedule(now, &mut decisions);
+            let max_starts =
+                self.request_limit.available(now).map_or(usize::MAX, |max| max as usize);
+            let starts = self.admission.schedule_up_to(max_starts, now, &mut decisions);
+            self.request_limit.spend(starts as u32);
         }
         self.apply_decisions(decisions, effects);
         self.publish(effects);
@@ -323,6 +345,7 @@
             queued: self.admission.queued() as u32,
             leaving: self.leaving,
             target_down: self.down,
+            min_report_interval_ms: self.request_limit.min_report_interval_ms(),
         };
         if state != self.published {
             self.published = state;
@@ -355,6 +378,15 @@
                     self.recheck_poison(effects);
                 }
             }
+            GateEvent::RequestLimit { limit, sent_at } => {
+                let before = self.request_limit.per_second();
+                self.request_limit.apply(limit, sent_at, now);
+                let per_second = self.request_limit.per_second();
+                if per_second != before {
+                    effects.push(GateEffect::RequestLimitChanged { per_second });
+                }
+            }
+            GateEvent::ControlRequest => self.request_limit.spend(1),
             GateEvent::Leave => self.leaving = true,
             GateEvent::Limits(limits) => self.admission.set_limits(limits),
         }
--- a/lib/src/target_client.rs
+++ b/lib/src/target_client.rs
@@ -8,6 +8,8 @@
 use futures_util::stream::BoxStream;
 use serde::{Deserialize, Serialize};
 
+use crate::limit_notice::LimitNotice;
+
 /// Call to a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetCall {
@@ -42,9 +44,19 @@
     pub attempt: u32,
 }
 
+/// Load report of a target.
+#[derive(Clone, Debug)]
+pub struct LoadAnswer {
+    pub load: TargetLoad,
+    /// What its head says about the requests that the target takes.
+    pub limit: LimitNotice,
+}
+
 /// Answer of a target, whose body is still being received.
 pub struct TargetAnswer {
     pub head: AnswerHead,
+    /// What the head says about the requests that the target takes.
+    pub limit: LimitNotice,
     /// Whether only the end of the connection marks the end of the body.
     pub ends_with_connection: bool,
     /// Stream of the body; an error item means that the answer was cut off.
@@ -104,7 +116,7 @@
     async fn call(&self, call: TargetCall) -> Result<TargetAnswer, TargetError>;
 
     /// Reads the load report; returns `None` if the target did not answer.
-    async fn load(&self) -> Option<TargetLoad>;
+    async fn load(&self) -> Option<LoadAnswer>;
 
     /// Sends an order; returns `Ok(false)` if the target refused its fencing number.
     async fn order(&self, order: TargetOrder) -> Result<bool, TargetError>;
--- a/lib/src/target_http.rs
+++ b/lib/src/target_http.rs
@@ -12,12 +12,13 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
-use reqwest::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
+use reqwest::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use reqwest::{Client, Method, StatusCode};
 
 use crate::http_client::{self, ConnectionReuse};
+use crate::limit_notice;
 use crate::target_client::{
-    AnswerEcho, AnswerHead, TargetAnswer, TargetCall, TargetClient, TargetError, TargetLoad,
+    AnswerEcho, AnswerHead, LoadAnswer, TargetAnswer, TargetCall, TargetClient, TargetError,
     TargetOrder,
 };
 
@@ -28,6 +29,9 @@
 /// Header with the scheduling priority; lower values run first.
 pub const PRIORITY_HEADER: &str = "x-priority";
 
+/// Header with the requests a second that the target takes; it may be in any answer.
+pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("server-limit");
+
 /// Timeout for load reports and cancellations.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for an order, which covers the time that a target takes to load a model.
@@ -74,16 +78,18 @@
             content_type: header(response.headers(), CONTENT_TYPE.as_str()).unwrap_or_default(),
             echo: echo(response.headers()),
         };
+        let limit = limit_notice::decode(response.headers(), &LIMIT_HEADER);
         let ends_with_connection = !has_body_end(response.headers());
         let body = response.bytes_stream().map(|part| part.map_err(|_| TargetError::MaybeRan));
         let body = body.boxed() as BoxStream<'static, Result<Bytes, _>>;
-        Ok(TargetAnswer { head, ends_with_connection, body })
+        Ok(TargetAnswer { head, limit, ends_with_connection, body })
     }
 
-    async fn load(&self) -> Option<TargetLoad> {
+    async fn load(&self) -> Option<LoadAnswer> {
         let req = self.control.get(format!("{}/load", self.url)).timeout(CONTROL_TIMEOUT);
         let response = req.send().await.ok()?.error_for_status().ok()?;
-        response.json().await.ok()
+        let limit = limit_notice::decode(response.headers(), &LIMIT_HEADER);
+        Some(LoadAnswer { load: response.json().await.ok()?, limit })
     }
 
     async fn order(&self, order: TargetOrder) -> Result<bool, TargetError> {
--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -84,6 +84,8 @@
     pub time_factor: f64,
     /// Whether the load report says that the engine is leaving.
     pub leaving: bool,
+    /// Limit of requests a second that all answers name.
+    pub limit: Option<String>,
 }
 
 /// State of a run: running, or how it ended.
@@ -155,6 +157,8 @@
     /// Markers of the requests that crashed the engine.
     crashes: Mutex<Vec<String>>,
     crash_notify: tokio::sync::Notify,
+    /// When each request of any kind arrived.
+    arrivals: Mutex<Vec<Instant>>,
     rng: SeededRng,
 }
 
@@ -178,6 +182,7 @@
             generation: Mutex::new(1),
             crashes: Mutex::default(),
             crash_notify: tokio::sync::Notify::new(),
+            arrivals: Mutex::default(),
             rng: SeededRng::new(seed),
         });
         let server = Arc::new(Server::bind(Arc::new(Service(shared.clone()))).await?);
@@ -203,6 +208,11 @@
         self.shared.runs.lock().expect("no holder panics").clone()
     }
 
+    /// Returns when each request arrived, those for load reports and cancellations included.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.arrivals.lock().expect("no holder panics").clone()
+    }
+
     /// Returns the markers of the requests that crashed the engine.
     pub fn crashes(&self) -> Vec<String> {
         self.shared.crashes.lock().expect("no holder panics").clone()
@@ -232,13 +242,19 @@
 impl Handler for Service {
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         let path = req.uri().path().to_owned();
-        match (req.method(), path.as_str()) {
+        self.0.arrivals.lock().expect("no holder panics").push(Instant::now());
+        let mut reply: Reply = match (req.method(), path.as_str()) {
             (&Method::POST, "/v1/chat/completions") => generate::complete(&self.0, req).await,
             (&Method::GET, "/load") => Ok(self.0.load_report()),
             (&Method::POST, "/orders") => self.0.order(req).await,
             (&Method::POST, path) => Ok(self.0.cancel(path)),
             _ => Ok(empty(404)),
+        };
+        if let (Ok(resp), Some(limit)) = (&mut reply, self.0.faults().limit) {
+            let limit = limit.parse().expect("a limit is a header's value");
+            resp.headers_mut().insert("server-limit", limit);
         }
+        reply
     }
 }
 
