entry: a target that turns requests away one after the other is spared

Callers got 503 (3002) although another target served all that it got: a refusal without a pause weighed nothing in the choice, so that the refusing target was chosen as often as the other, and the retry budget denied the next try.

After three refusals without an answer between them a target gets no request for 50 to 600 ms, growing with each further one, and for 0.5 to 4 s others are preferred. Any answer ends it, so that a target which is full for a moment keeps its share. If all of a service refuse, they are asked again within 600 ms and callers are refused at once meanwhile.

--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -301,7 +301,7 @@
     let jitter_ms = random % RETRY_JITTER_MS;
     if let Some(wait_ms) = entry.targets().shortest_wait_ms(&call.service, entry.now()) {
         let jitter_ms = jitter_ms.max(wait_ms * (random % WAIT_JITTER_PERCENT) / 100);
-        let detail = "all targets have asked to wait or have reached their limits";
+        let detail = "all targets have asked to wait, have reached their limits or have no room";
         let retry_after_ms = wait_ms.max(MIN_WAIT_RETRY_AFTER_MS) + jitter_ms;
         return Refusal::new(ResultCode::QueueFull, detail).retry_after(retry_after_ms);
     }
--- a/daemon/tests/test_direct_limits.rs
+++ b/daemon/tests/test_direct_limits.rs
@@ -1,27 +1,18 @@
 //! Targets that name a limit of requests a second, which holds for all entries together.
 
-use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use rosemarymoor_platform_standins::caller::{Answer, Caller, CallerRequest};
+use rosemarymoor_platform_standins::caller::{Answer, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{events, ok, stream_request, target};
-use rosemarymoor_platform_standins::fleet::{EntryProcess, PlatformFleet, Process};
+use rosemarymoor_platform_standins::fleet_group::FleetGroup;
 use rosemarymoor_platform_standins::limits::{Delivery, excesses};
 use rosemarymoor_platform_standins::target::{
     ReceivedRequest, Step, TargetStandIn, limited, not_run,
 };
-use tokio::task::JoinSet;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
 
-/// Requests a second that each entry gets.
-const LOAD_PER_ENTRY: u32 = 10;
-
-/// Time until all entries know of a limit, and of each other.
-const SETTLING: Duration = Duration::from_secs(2);
-
 /// Limits as they are named, each with the time from which on it is; `None` for no limit.
 type History = Vec<(Instant, Option<String>)>;
 
@@ -67,62 +58,6 @@
     .await
 }
 
-/// Entries, targets and budget servers of a test.
-struct LimitFleet {
-    fleet: PlatformFleet,
-    more_entries: Vec<EntryProcess>,
-    servers: Vec<Process>,
-}
-
-impl LimitFleet {
-    async fn open(entries: usize, servers: usize, targets: &[&TargetStandIn]) -> LimitFleet {
-        let targets: Vec<_> =
-            targets.iter().flat_map(|target| [("calls", *target), ("models", *target)]).collect();
-        let fleet = PlatformFleet::open(Path::new(BINARY), &targets).await.unwrap();
-        let mut opened = LimitFleet { fleet, more_entries: Vec::new(), servers: Vec::new() };
-        for number in 0..servers {
-            let server = opened.fleet.start_budget_server(&format!("side-{number}")).await;
-            opened.servers.push(server.unwrap());
-        }
-        for number in 1..entries {
-            let entry = opened.fleet.start_entry(&format!("entry-{}", number + 1)).await;
-            opened.more_entries.push(entry.unwrap());
-        }
-        tokio::time::sleep(SETTLING).await;
-        opened
-    }
-
-    fn callers(&self) -> Vec<SocketAddr> {
-        let more = self.more_entries.iter().map(|entry| entry.callers);
-        [self.fleet.callers].into_iter().chain(more).collect()
-    }
-
-    /// Sends requests to all entries for some time; returns their answers.
-    async fn load(
-        &self,
-        name: &str,
-        seconds: u32,
-        request: fn(&str) -> CallerRequest,
-    ) -> Vec<Answer> {
-        let mut calls = JoinSet::new();
-        let begun = Instant::now();
-        for round in 0..seconds * LOAD_PER_ENTRY {
-            let at = begun + Duration::from_secs(1) * round / LOAD_PER_ENTRY;
-            tokio::time::sleep_until(at.into()).await;
-            for (entry, address) in self.callers().into_iter().enumerate() {
-                let req = request(&format!("{entry}-{name}{round}"));
-                calls.spawn(async move { send(address, req).await });
-            }
-        }
-        calls.join_all().await
-    }
-}
-
-async fn send(address: SocketAddr, req: CallerRequest) -> Answer {
-    let mut caller = Caller::connect(address).await.expect("the entry accepts connections");
-    caller.call(&req).await.expect("the request gets an answer")
-}
-
 fn safe_call(id: &str) -> CallerRequest {
     CallerRequest::get(&format!("/safe/{id}"), id)
 }
@@ -173,7 +108,7 @@
             let limits = NamedLimits::default();
             let needy = limited_target(&limits, |received| answer(received)).await;
             let other = target(answer).await;
-            let fleet = LimitFleet::open($entries, 2, &[&needy, &other]).await;
+            let fleet = FleetGroup::open(BINARY, $entries, 2, &[&needy, &other]).await;
             limits.set(Some($limit));
             assert_all_answered(&fleet.load("a", 3, $request).await);
             let since = Instant::now();
@@ -206,7 +141,7 @@
     let limits = NamedLimits::default();
     let needy = limited_target(&limits, |_| vec![Step::Send(not_run())]).await;
     let other = target(ok).await;
-    let fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    let fleet = FleetGroup::open(BINARY, 3, 2, &[&needy, &other]).await;
     limits.set(Some("1"));
     fleet.load("a", 8, safe_call).await;
     assert_within_limits(&needy, &limits);
@@ -216,7 +151,7 @@
 async fn beyond_the_limits_of_all_targets_callers_are_refused_at_once() {
     let limits = NamedLimits::default();
     let needy = limited_target(&limits, ok).await;
-    let fleet = LimitFleet::open(2, 2, &[&needy]).await;
+    let fleet = FleetGroup::open(BINARY, 2, 2, &[&needy]).await;
     limits.set(Some("2"));
     fleet.load("a", 2, safe_call).await;
     let since = Instant::now();
@@ -236,7 +171,7 @@
     let limits = NamedLimits::default();
     let needy = limited_target(&limits, ok).await;
     let other = target(ok).await;
-    let fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    let fleet = FleetGroup::open(BINARY, 3, 2, &[&needy, &other]).await;
     limits.set(Some("1"));
     fleet.load("a", 4, safe_call).await;
     assert_within_limits(&needy, &limits);
@@ -253,7 +188,7 @@
     let limits = NamedLimits::default();
     let needy = limited_target(&limits, ok).await;
     let other = target(ok).await;
-    let fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    let fleet = FleetGroup::open(BINARY, 3, 2, &[&needy, &other]).await;
     limits.set(Some("1"));
     fleet.load("a", 4, safe_call).await;
     limits.set(Some("8"));
@@ -271,12 +206,11 @@
     let limits = NamedLimits::default();
     let needy = limited_target(&limits, ok).await;
     let other = target(ok).await;
-    let mut fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    let mut fleet = FleetGroup::open(BINARY, 3, 2, &[&needy, &other]).await;
     limits.set(Some("0.5"));
     fleet.load("a", 4, safe_call).await;
     for number in 4..8 {
-        let entry = fleet.fleet.start_entry(&format!("entry-{number}")).await.unwrap();
-        fleet.more_entries.push(entry);
+        fleet.add_entry(&format!("entry-{number}")).await;
         assert_all_answered(&fleet.load(&format!("b{number}-"), 3, safe_call).await);
     }
     assert_within_limits(&needy, &limits);
@@ -287,12 +221,12 @@
     let limits = NamedLimits::default();
     let needy = limited_target(&limits, ok).await;
     let other = target(ok).await;
-    let mut fleet = LimitFleet::open(3, 2, &[&needy, &other]).await;
+    let mut fleet = FleetGroup::open(BINARY, 3, 2, &[&needy, &other]).await;
     limits.set(Some("1"));
     fleet.load("a", 4, safe_call).await;
-    fleet.servers.remove(0);
+    fleet.end_budget_server();
     assert_all_answered(&fleet.load("b", 6, safe_call).await);
-    fleet.servers.remove(0);
+    fleet.end_budget_server();
     assert_all_answered(&fleet.load("c", 6, safe_call).await);
     assert_within_limits(&needy, &limits);
 }
@@ -301,7 +235,7 @@
 async fn a_limit_that_cannot_be_read_is_ignored() {
     let limits = NamedLimits::default();
     let needy = limited_target(&limits, ok).await;
-    let fleet = LimitFleet::open(1, 0, &[&needy]).await;
+    let fleet = FleetGroup::open(BINARY, 1, 0, &[&needy]).await;
     limits.set(Some("-1"));
     assert_all_answered(&fleet.load("a", 2, safe_call).await);
     let log = fleet.fleet.entry.log();
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! [`catalog`] holds the routes, services and caller keys, [`targets`] the
 //! registered targets and their observed state. [`choice`] selects a target, with
 //! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
-//! [`crash_tracker`] finds requests that crash their targets; [`retry_after`]
+//! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests that crash their targets; [`retry_after`]
 //! computes the delay that refused callers are given; [`target_limit`] knows
 //! how many requests a target takes, and [`send_permits`] issues the permits to send them; [`event_stream`] splits an
 //! answer into server-sent events, and [`stream_origins`] knows which software version
@@ -17,6 +17,7 @@
 pub mod event_stream;
 pub mod load_shedder;
 pub mod rank;
+pub mod refusal_backoff;
 pub mod retry_after;
 pub mod retry_budget;
 pub mod send_permits;
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -35,6 +35,9 @@
 /// Cost of a suspended target, in milliseconds.
 const SUSPENDED_MS: f64 = 100_000.0;
 
+/// Cost of a target that turns requests away, in milliseconds.
+const AVOIDED_MS: f64 = 50_000.0;
+
 /// Cost of a target in another data centre, in milliseconds.
 const OTHER_DATA_CENTER_MS: f64 = 3.0;
 
@@ -57,8 +60,8 @@
     pub entry_count: u64,
 }
 
-/// Returns the target with the lowest cost that is not in `attempted`, has not asked for a pause and
-/// has not reached its limit.
+/// Returns the target with the lowest cost that is not in `attempted`, has not asked for a pause, has
+/// not reached its limit and has not just turned requests away.
 ///
 /// Returns `None` if no such target takes new work.
 pub fn choose(
@@ -105,6 +108,9 @@
     if target.is_suspended(now) {
         cost += SUSPENDED_MS;
     }
+    if target.is_avoided(now) {
+        cost += AVOIDED_MS;
+    }
     if criteria.prompt.is_some() {
         cost += rank as f64 * RANK_MS;
         cost += target.pending_prefill_ms * fleet_load_factor(criteria.entry_count);
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use super::refusal_backoff::RefusalBackoff;
 use super::send_permits::TargetProcess;
 use super::target_limit::TargetLimit;
 use crate::time::Millis;
@@ -99,6 +100,8 @@
     leaving: bool,
     /// Until when it has asked for no further requests.
     paused_until: Millis,
+    /// Requests that it turned away since its last answer.
+    refusals: RefusalBackoff,
     /// Limit of requests that it has named.
     pub limit: TargetLimit,
 }
@@ -121,6 +124,7 @@
             missing: false,
             leaving: false,
             paused_until: Millis(0),
+            refusals: RefusalBackoff::default(),
             limit: TargetLimit::default(),
         }
     }
@@ -170,7 +174,26 @@
     /// Returns the time in milliseconds until it takes a request of this entry, as far as that is
     /// known; 0 if it may take one now.
     pub fn closed_for_ms(&self, now: Millis) -> u64 {
-        self.pause_left_ms(now).max(self.limit.wait_ms(now))
+        self.pause_left_ms(now).max(self.limit.wait_ms(now)).max(self.refusals.closed_for_ms(now))
+    }
+
+    /// Returns whether it turned away so many requests that others are preferred.
+    pub fn is_avoided(&self, now: Millis) -> bool {
+        self.refusals.is_avoided(now)
+    }
+
+    /// Records that it turned a request away.
+    fn record_refusal(&mut self, now: Millis) {
+        if let Some(avoided_ms) = self.refusals.record_refusal(now) {
+            log::info!("event=target_avoided target={} for_ms={avoided_ms}", self.registration.id);
+        }
+    }
+
+    /// Records that it answered, which ends a backoff.
+    fn record_answer(&mut self) {
+        if self.refusals.record_answer() {
+            log::info!("event=target_serves_again target={}", self.registration.id);
+        }
     }
 
     /// Returns which process it is.
@@ -397,9 +420,10 @@
                 target.delay_ms = previous + (delay_ms - previous) * DELAY_WEIGHT;
                 target.delay_at = now;
                 target.connection_failures = 0;
+                target.record_answer();
                 0.0
             }
-            Observation::Full => return,
+            Observation::Full => return target.record_refusal(now),
             Observation::Failed => 1.0,
             Observation::Unreachable => {
                 let suspension_ms =
