entry: answers without end cannot take its memory or its processor

An answer's bytes that are not its body are limited to 1 MiB and 8 bytes for each byte of the body, whatever part of the protocol goes on; the connection fails then. Answers that are buffered share 48 MiB, of which each may take as much as is free, and an event's unfinished part counts there too; 16 MiB stays the limit of one. An unwanted answer is read up to 64 KiB, not 16 MiB, for its connection to be used again.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -24,13 +24,14 @@
 use super::entry::Entry;
 use super::handler::Call;
 use super::send_permits;
+use crate::answer_memory::{MemoryShare, ReadError};
 use crate::http_pool::{Exchange, SendError};
 
 /// Timeout for a new connection to a target, and for draining an unwanted answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Size limit of an answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Size up to which an unwanted answer is read.
+const MAX_DRAINED_BYTES: usize = 64 << 10;
 
 /// Expected time to the first answer in addition to the prompt's prefill; half of it
 /// is expected of a call without a prompt.
@@ -170,6 +171,17 @@
         send_permits::apply_limit(&self.entry, self.target, limit, self.sent_at);
     }
 
+    /// Counts and logs an answer that exceeds its share of the memory.
+    pub fn record_too_large(&self) {
+        self.entry.metrics.count_malformed_input("answer");
+        log::warn!(target: FAILURE_LOG, "event=answer_too_large target={}", self.target_id);
+    }
+
+    /// Opens a share of the memory for answers.
+    pub fn open_memory(&self) -> MemoryShare {
+        self.entry.answer_memory.open_share()
+    }
+
     fn record_malformed_limit(&self) {
         self.entry.metrics.count_malformed_input("limit");
         let now = self.entry.now();
@@ -296,7 +308,7 @@
 
 /// Reads and discards an answer, so that its connection can be reused.
 async fn drain(exchange: Exchange) {
-    let body = Limited::new(exchange.body, MAX_ANSWER_BYTES).collect();
+    let body = Limited::new(exchange.body, MAX_DRAINED_BYTES).collect();
     if tokio::time::timeout(CONNECT_TIMEOUT, body).await.is_ok_and(|body| body.is_ok()) {
         exchange.lease.finish();
     }
@@ -308,10 +320,13 @@
     deadline: Instant,
 ) -> Result<CompleteAnswer, AttemptError> {
     let StartedAnswer { exchange: Exchange { head, body, lease }, mut in_flight } = started;
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    let body = match tokio::time::timeout_at(deadline.into(), body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => {
+    let reading = in_flight.entry.answer_memory.read(body);
+    let body = match tokio::time::timeout_at(deadline.into(), reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(err)) => {
+            if err == ReadError::TooLarge {
+                in_flight.record_too_large();
+            }
             in_flight.observe(Observation::Failed);
             return Err(AttemptError::Broken);
         }
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -33,6 +33,7 @@
 use super::send_permits::PermitClient;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RelayedPath};
+use crate::answer_memory::AnswerMemory;
 use crate::http_pool::HttpPool;
 use crate::http_server::HttpServer;
 
@@ -54,6 +55,7 @@
     retries: Mutex<RetryBudget>,
     budget_retry_after: Mutex<RetryAfter>,
     pub pool: HttpPool,
+    pub answer_memory: AnswerMemory,
     pub budgets: BudgetClient,
     /// What began the streams that may go on.
     pub streams: StreamDirectory,
@@ -167,6 +169,7 @@
         retries: Mutex::new(RetryBudget::open(settings.retries)),
         budget_retry_after: Mutex::new(RetryAfter::default()),
         pool: cx.pool.clone(),
+        answer_memory: AnswerMemory::default(),
         budgets: BudgetClient::open(client.clone(), local_ceilings, load.clone()),
         permits: PermitClient::open(client.clone()),
         streams: StreamDirectory::open(BegunStreams::open(cx.clock), client),
--- a/daemon/src/direct/event_reader.rs
+++ b/daemon/src/direct/event_reader.rs
@@ -12,6 +12,7 @@
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 
 use super::attempt::{AttemptError, StartedAnswer};
+use crate::answer_memory::MemoryShare;
 use crate::http_pool::BodyEnd;
 
 /// Answer of a target that is read event by event.
@@ -20,6 +21,8 @@
     /// Software version that has to answer, if the answer goes on with a stream.
     required_software: Option<String>,
     splitter: EventSplitter,
+    /// Memory of the event that is incomplete.
+    memory: MemoryShare,
     /// Whether any event was read.
     has_event: bool,
 }
@@ -29,6 +32,7 @@
     /// the answer goes on with it.
     pub fn open(answer: StartedAnswer, origin: Option<&StreamOrigin>) -> EventReader {
         EventReader {
+            memory: answer.in_flight.open_memory(),
             answer,
             required_software: origin.map(|origin| origin.software.clone()),
             splitter: EventSplitter::default(),
@@ -73,12 +77,23 @@
                 Some(Err(_)) => return Err(AttemptError::Broken),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    self.splitter.push(&data).map_err(|_| AttemptError::Broken)?;
+                    self.push(&data)?;
                 }
             }
         }
     }
 
+    /// Appends received bytes to the event that is incomplete.
+    fn push(&mut self, data: &[u8]) -> Result<(), AttemptError> {
+        let is_accepted = self.splitter.push(data).is_ok()
+            && self.memory.resize(self.splitter.partial_bytes()).is_ok();
+        if is_accepted {
+            return Ok(());
+        }
+        self.answer.in_flight.record_too_large();
+        Err(AttemptError::Broken)
+    }
+
     /// Returns an error if another version may answer than the one that began the stream: the
     /// target may have started anew since it was chosen.
     fn check_software(&self, request: &str) -> Result<(), AttemptError> {
--- a/daemon/src/http_pool.rs
+++ b/daemon/src/http_pool.rs
@@ -5,6 +5,8 @@
 //! [`Exchange`] closes its connection, so that a target notices at once that its caller has
 //! left.
 
+mod traffic;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -21,6 +23,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
+use traffic::{CountedBody, CountedStream, Traffic};
 
 /// Time after which an idle connection is dropped if its peer sends no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -61,6 +64,7 @@
 /// HTTP connection and the task that drives it; dropping it closes the connection.
 struct Connection {
     sender: Sender,
+    traffic: Traffic,
     task: AbortHandle,
 }
 
@@ -123,7 +127,7 @@
 /// Answer whose body has not been read yet.
 pub struct Exchange {
     pub head: Parts,
-    pub body: Incoming,
+    pub body: CountedBody,
     /// Holds the connection until the body has been read.
     pub lease: ConnectionLease,
 }
@@ -190,6 +194,7 @@
                 }
                 return Err(SendError::NotSent);
             }
+            connection.traffic.reset();
             let answer = connection.sender.try_send_request(req);
             lease.connection = Some(connection);
             match answer.await {
@@ -270,6 +275,8 @@
         if let Some(timeout) = keep_alive_timeout(&head.headers) {
             self.idle_timeout = timeout.saturating_sub(IDLE_MARGIN);
         }
+        let traffic = self.connection.as_ref().map(|connection| connection.traffic.clone());
+        let body = CountedBody::new(body, traffic.unwrap_or_default());
         Exchange { head, body, lease: self }
     }
 
@@ -303,6 +310,8 @@
             return Err(SendError::NotSent);
         }
     };
+    let traffic = Traffic::default();
+    let stream = CountedStream::new(stream, traffic.clone());
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| SendError::NotSent)?;
     let task = tokio::spawn(async move {
@@ -310,7 +319,7 @@
             log::debug!("event=connection_ended address={address} reason={err}");
         }
     });
-    Ok(Connection { sender, task: task.abort_handle() })
+    Ok(Connection { sender, traffic, task: task.abort_handle() })
 }
 
 /// Opens a TCP connection with the pool's socket options.
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -144,6 +144,16 @@
         Some(status.code().unwrap_or(-1))
     }
 
+    /// Returns the largest resident memory that the process has had, in bytes; zero if it cannot be
+    /// read.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|text| text.trim().split(' ').next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1024
+    }
+
     /// Returns the processor time and memory of the process; zero if they cannot be read.
     pub fn usage(&self) -> Usage {
         let folder = format!("/proc/{}", self.child.id());
