target_http: a load report without end is not kept

A sidecar read its target's load report whatever its size: 726 MiB in the 2 s that a report may take (the new test on the code before).

--- a/lib/src/target_http.rs
+++ b/lib/src/target_http.rs
@@ -13,7 +13,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
 use reqwest::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, TRANSFER_ENCODING};
-use reqwest::{Client, Method, StatusCode};
+use reqwest::{Client, Method, Response, StatusCode};
 
 use crate::http_client::{self, ConnectionReuse};
 use crate::limit_notice;
@@ -32,6 +32,8 @@
 /// Header with the requests a second that the target takes; it may be in any answer.
 pub const LIMIT_HEADER: HeaderName = HeaderName::from_static("server-limit");
 
+/// Size limit of a load report.
+const MAX_REPORT_BYTES: usize = 64 << 10;
 /// Timeout for load reports and cancellations.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for an order, which covers the time that a target takes to load a model.
@@ -89,7 +91,8 @@
         let req = self.control.get(format!("{}/load", self.url)).timeout(CONTROL_TIMEOUT);
         let response = req.send().await.ok()?.error_for_status().ok()?;
         let limit = limit_notice::decode(response.headers(), &LIMIT_HEADER);
-        Some(LoadAnswer { load: response.json().await.ok()?, limit })
+        let body = read_report(response).await?;
+        Some(LoadAnswer { load: serde_json::from_slice(&body).ok()?, limit })
     }
 
     async fn order(&self, order: TargetOrder) -> Result<bool, TargetError> {
@@ -108,6 +111,19 @@
     }
 }
 
+/// Reads a load report; `None` if it breaks off or is too large.
+async fn read_report(response: Response) -> Option<Vec<u8>> {
+    let mut body = response.bytes_stream();
+    let mut report = Vec::new();
+    while let Some(part) = body.next().await {
+        report.extend_from_slice(&part.ok()?);
+        if report.len() > MAX_REPORT_BYTES {
+            return None;
+        }
+    }
+    Some(report)
+}
+
 /// Returns whether a failed call may have reached the target.
 fn classify(err: reqwest::Error) -> TargetError {
     if err.is_connect() { TargetError::NotStarted } else { TargetError::MaybeRan }
--- a/lib/tests/test_target_http.rs
+++ b/lib/tests/test_target_http.rs
@@ -1,7 +1,7 @@
 //! [`HttpTarget`] sends each call once, on a connection of its own.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use futures_util::StreamExt;
 use rosemarymoor_lib::target_client::{TargetCall, TargetClient, TargetError};
@@ -12,6 +12,12 @@
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-request-id: r1\r\n\
     x-attempt: 3\r\n\r\nok";
 
+/// Part of a report without end.
+const PIECE: &[u8] = &[b'1'; 16 << 10];
+
+/// Bytes that a connection holds back at both ends, at the most.
+const MAX_BUFFERED_BYTES: u64 = 16 << 20;
+
 /// What the listener does with each connection after it has read a request.
 #[derive(Clone, Copy, PartialEq)]
 enum Behaviour {
@@ -21,6 +27,8 @@
     Close,
     /// Sends fewer body bytes than its `content-length`.
     CutOff,
+    /// Sends a report without end, until the client closes the connection.
+    EndlessReport,
 }
 
 /// Numbers of accepted connections and read requests.
@@ -28,6 +36,8 @@
 struct Counters {
     connections: AtomicU32,
     requests: AtomicU32,
+    /// Bytes of answers without end.
+    bytes: AtomicU64,
 }
 
 /// Spawns a listener; returns its URL and its counters.
@@ -54,9 +64,13 @@
     let reply: &[u8] = match behaviour {
         Behaviour::AnswerThenClose => ANSWER,
         Behaviour::Close => b"",
+        Behaviour::EndlessReport => b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n[",
         Behaviour::CutOff => b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
     };
     let _ = stream.write_all(reply).await;
+    while behaviour == Behaviour::EndlessReport && stream.write_all(PIECE).await.is_ok() {
+        counters.bytes.fetch_add(PIECE.len() as u64, Ordering::SeqCst);
+    }
 }
 
 fn call() -> TargetCall {
@@ -112,6 +126,14 @@
     assert_eq!(parts.last(), Some(&Err(TargetError::MaybeRan)));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_load_report_without_end_is_not_kept() {
+    let (url, counters) = listen(Behaviour::EndlessReport).await;
+    assert!(HttpTarget::open(&url).load().await.is_none());
+    let bytes = counters.bytes.load(Ordering::SeqCst);
+    assert!(bytes < MAX_BUFFERED_BYTES, "{} MiB were read", bytes >> 20);
+}
+
 /// Concatenates body parts; panics on an error.
 trait ConcatOk {
     fn concat_ok(self) -> Vec<u8>;
