--- a/daemon/tests/test_sidecar.rs
+++ b/daemon/tests/test_sidecar.rs
@@ -1,5 +1,6 @@
 //! Streams, joins, cancels, crashes, drains and orders of sidecars with stand-in targets.
 
+mod sidecar_endless;
 mod sidecar_env;
 mod sidecar_limits;
 
