direct: modules use each other without a circle

attempt, deliver, stream, handler, entry, listener, metrics, store_path, peers and poison used each other in circles (18 modules stood in one or before one, by the new test). What an admitted request is, which target is next, the entry's state, its process, its feeds and its gauges, the keys of the fleet's list, and what needs an entry of the permits have modules of their own now; only code was moved. test_module_order guards it. Log lines name the new modules: attempts for placed, try_failed and retry_denied, call for caller_left, entry_process for start and stop, entry_feeds for catalog and targets, target_limits for permits.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -6,15 +6,21 @@
 //! under ceilings of its own while no budget server answers.
 
 pub mod attempt;
+pub mod attempts;
 pub mod begun_streams;
 pub mod budget_client;
 pub mod budget_server;
+pub mod call;
 pub mod ceilings;
 pub mod context;
 pub mod deliver;
 pub mod entry;
+pub mod entry_feeds;
+pub mod entry_metrics;
+pub mod entry_process;
 pub mod event_reader;
 pub mod feed;
+pub mod fleet_keys;
 pub mod grant_witnesses;
 pub mod handler;
 pub mod listener;
@@ -31,3 +37,4 @@
 pub mod shared_watch;
 pub mod store_path;
 pub mod stream;
+pub mod target_limits;
--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -21,9 +21,9 @@
     PromptPart, TargetHead, strip_connection_headers, target_headers,
 };
 
+use super::call::Call;
 use super::entry::Entry;
-use super::handler::Call;
-use super::send_permits;
+use super::target_limits;
 use crate::answer_memory::{MemoryShare, ReadError};
 use crate::http_pool::{Exchange, SendError};
 
@@ -168,7 +168,7 @@
             LimitNotice::PerSecond(limit) => Some(limit),
             LimitNotice::Malformed => return self.record_malformed_limit(),
         };
-        send_permits::apply_limit(&self.entry, self.target, limit, self.sent_at);
+        target_limits::apply_limit(&self.entry, self.target, limit, self.sent_at);
     }
 
     /// Counts and logs an answer that exceeds its share of the memory.
--- /dev/null
+++ b/daemon/src/direct/attempts.rs
@@ -0,0 +1,165 @@
+//! Attempts of one request: which target is next, and what the failed ones mean.
+//!
+//! A request that may have run is sent to another target only if its route is idempotent.
+
+use std::time::Duration;
+
+use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria};
+use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::dispatch::targets::TargetKey;
+use rosemarymoor_lib::result_code::FAILURE_LOG;
+
+use super::attempt::AttemptError;
+use super::call::Call;
+use super::entry::Entry;
+use super::target_limits;
+
+/// Largest number of attempts that certainly did not run after which one more is made.
+const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
+
+/// Number of targets for which a request asks in vain for a permit before it goes to one that needs
+/// none.
+const PERMIT_REQUESTS_BEFORE_OTHERS: usize = 2;
+
+/// Largest number of targets with a limit for which a request asks for a permit, one after the other.
+const MAX_PERMIT_REQUESTS: usize = 8;
+
+/// Remaining time below which no further attempt is made.
+pub const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
+
+/// Attempts made for one request.
+#[derive(Default)]
+pub struct Attempts {
+    /// Targets of all attempts, the latest one last.
+    pub targets: Vec<TargetKey>,
+    /// Number of attempts that ran or may have run.
+    pub may_have_run: u32,
+    /// Number of attempts that certainly did not run.
+    pub not_run: u32,
+    /// Error of the latest attempt; `None` if there was no attempt or the target answered with
+    /// a failure.
+    pub last_error: Option<AttemptError>,
+}
+
+impl Attempts {
+    /// Records a failed attempt; [`AttemptError::Broken`] also counts as a crash of its target.
+    pub fn record_failure(&mut self, entry: &Entry, call: &Call, err: AttemptError) {
+        self.last_error = Some(err);
+        if err.did_not_run() {
+            self.not_run += 1;
+        } else {
+            self.may_have_run += 1;
+        }
+        if let (AttemptError::Broken, Some(target)) = (err, self.targets.last()) {
+            entry.record_crash(call.fingerprint, *target);
+        }
+    }
+
+    /// Returns whether the request may be sent to one more target.
+    pub fn may_retry(&self, call: &Call) -> bool {
+        if call.time_left() < MIN_TIME_LEFT || self.not_run > MAX_NOT_RUN_ATTEMPTS {
+            return false;
+        }
+        if self.may_have_run == 0 {
+            return true;
+        }
+        call.route.kind.is_idempotent() && self.may_have_run < call.route.max_attempts
+    }
+}
+
+/// Chooses the target of the next attempt and adds it to `attempts`.
+///
+/// Returns `None` if no further attempt is allowed or no target is left.
+pub async fn next_target(entry: &Entry, call: &Call, attempts: &mut Attempts) -> Option<TargetKey> {
+    let is_retry = !attempts.targets.is_empty();
+    if is_retry && (!attempts.may_retry(call) || entry.poison.is_refused(call.fingerprint)) {
+        return None;
+    }
+    if is_retry && choose(entry, call, attempts, false).is_some() && !try_retry(entry, call) {
+        return None;
+    }
+    for asked in 0..MAX_PERMIT_REQUESTS {
+        let without_asking = asked >= PERMIT_REQUESTS_BEFORE_OTHERS;
+        let chosen = choose(entry, call, attempts, without_asking)
+            .or_else(|| choose(entry, call, attempts, false))?;
+        if target_limits::acquire(entry, chosen).await {
+            attempts.targets.push(chosen);
+            log_placement(entry, call, chosen, attempts.targets.len());
+            return Some(chosen);
+        }
+    }
+    None
+}
+
+/// Records a retry if the retry budget allows it.
+fn try_retry(entry: &Entry, call: &Call) -> bool {
+    let entry_count = entry.peers.entry_count();
+    let is_allowed = entry.retries().try_retry(&call.service, entry_count, entry.now());
+    if !is_allowed {
+        log::info!("event=retry_denied request={} reason=retry_budget", call.head.attempt_id);
+    }
+    is_allowed
+}
+
+/// Returns the target of the lowest cost for the next attempt, if any takes a request now.
+fn choose(
+    entry: &Entry,
+    call: &Call,
+    attempts: &Attempts,
+    without_asking: bool,
+) -> Option<TargetKey> {
+    let now = entry.now();
+    let criteria = SelectionCriteria {
+        service: &call.service,
+        software: call.origin.as_ref().map(|origin| origin.software.as_str()),
+        data_center: &entry.data_center,
+        prompt: call.shared_prompt(),
+        random: rank::key_of(&call.head.attempt_id),
+        without_asking,
+        entry_count: entry.peers.entry_count(),
+    };
+    let mut table = entry.targets();
+    table.expire(now);
+    choice::choose(&table, criteria, &attempts.targets, now)
+}
+
+fn log_placement(entry: &Entry, call: &Call, chosen: TargetKey, attempt: usize) {
+    let now = entry.now();
+    let table = entry.targets();
+    let Some(target) = table.get(chosen) else { return };
+    log::info!(
+        "event=placed request={} try={attempt} target={} software={} data_center={} running={} unread_ms={:.0} \
+         failures={:.2} delay_ms={:.0} news_age_ms={}",
+        call.head.attempt_id,
+        target.registration.id,
+        target.registration.software.as_deref().unwrap_or("unnamed"),
+        target.registration.data_center,
+        target.running,
+        target.pending_prefill_ms,
+        target.failure_rate(now),
+        target.delay_ms(now),
+        entry.update_age_ms()
+    );
+}
+
+/// Counts and logs a failed attempt.
+pub fn record_failure(
+    entry: &Entry,
+    call: &Call,
+    attempts: &mut Attempts,
+    target: TargetKey,
+    err: AttemptError,
+) {
+    entry.metrics.count_attempt(err.label());
+    attempts.record_failure(entry, call, err);
+    let target = entry.targets().get(target).map(|target| target.registration.id.clone());
+    log::info!(
+        target: FAILURE_LOG,
+        "event=try_failed request={} target={} outcome={} tries={} left_ms={}",
+        call.head.attempt_id,
+        target.as_deref().unwrap_or("gone"),
+        err.label(),
+        attempts.targets.len(),
+        call.time_left().as_millis()
+    );
+}
--- /dev/null
+++ b/daemon/src/direct/call.rs
@@ -0,0 +1,98 @@
+//! Request that an entry has admitted.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
+use rosemarymoor_lib::dispatch::catalog::Route;
+use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
+use rosemarymoor_platform::request::CallerHead;
+
+use super::budget_client::Reservation;
+use super::entry::Entry;
+use super::load_monitor::LoadGuard;
+
+/// Admitted request; if it is dropped before its end is recorded, its caller has left.
+pub struct Call {
+    pub head: CallerHead,
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Digest of path, key and body, equal for repetitions of a request.
+    pub fingerprint: u128,
+    pub route: Route,
+    pub service: String,
+    /// What began the stream; `None` before its first event, and if that is not known.
+    pub origin: Option<StreamOrigin>,
+    /// Name of the workspace; `None` for a request to a public route without a known key.
+    pub workspace: Option<String>,
+    pub catalog_version: u64,
+    pub arrived_at: Instant,
+    /// Time by which the answer has to end, by the caller's or the route's limit.
+    pub deadline: Instant,
+    /// Reservation for the request; dropping it settles the tokens used.
+    pub reservation: Option<Reservation>,
+    /// Upper bound of the tokens in one event of the answer.
+    pub tokens_per_event: u64,
+    /// Whether the end has been counted.
+    pub(super) ended: bool,
+    pub(super) _load: LoadGuard,
+    pub(super) entry: Arc<Entry>,
+}
+
+impl Call {
+    /// Counts the end of the request and the tokens charged; only the first call counts.
+    pub fn record_end(&mut self, outcome: &'static str) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let metrics = &self.entry.metrics;
+        metrics.count_request(&self.route, outcome, self.arrived_at.elapsed());
+        metrics.count_charged_tokens(
+            self.reservation.as_ref().map_or(0, |reservation| reservation.used),
+        );
+    }
+
+    /// Returns the time left until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the last part of the prompt that other prompts may share: the one before
+    /// the last, or the only one.
+    pub fn shared_prompt(&self) -> Option<u64> {
+        let parts = &self.head.prompt;
+        let shared = parts.len().saturating_sub(2);
+        parts.get(shared).map(|part| part.id)
+    }
+
+    /// Charges one event that is forwarded to the caller; the first one includes the prompt.
+    ///
+    /// A caller that receives no event is charged nothing.
+    pub fn charge_event(&mut self) {
+        let (Some(reservation), Some(tokens)) = (&mut self.reservation, self.head.tokens) else {
+            return;
+        };
+        let used = reservation.used.max(tokens.input) + self.tokens_per_event;
+        reservation.used = used.min(tokens.total());
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.ended {
+            log::info!(
+                "event=caller_left request={} route={} after_ms={} left_ms={}",
+                self.head.attempt_id,
+                self.route.name,
+                self.arrived_at.elapsed().as_millis(),
+                self.time_left().as_millis()
+            );
+            self.record_end("left");
+        }
+    }
+}
--- a/daemon/src/direct/context.rs
+++ b/daemon/src/direct/context.rs
@@ -12,7 +12,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::feed::{self, FeedSink, Urgency};
-use super::peers::{PEER_PREFIX, PeerRecord, Peers, peer_key};
+use super::fleet_keys::{PEER_PREFIX, peer_key};
+use super::peers::{PeerRecord, Peers};
 use super::poison::PoisonedRequests;
 use super::settings::DirectSettings;
 use crate::http_pool::HttpPool;
--- /dev/null
+++ b/daemon/src/direct/entry_metrics.rs
@@ -0,0 +1,32 @@
+//! Gauges of an entry's state.
+
+use std::sync::Arc;
+
+use opentelemetry::metrics::Meter;
+
+use super::entry::Entry;
+
+/// Registers gauges of an entry's state: catalog, targets, entries, age of the last update,
+/// readiness and load.
+pub fn observe(meter: &Meter, entry: &Arc<Entry>) {
+    let gauge = |name: &'static str, value: fn(&Entry) -> u64| {
+        let entry = Arc::downgrade(entry);
+        meter
+            .u64_observable_gauge(name)
+            .with_callback(move |observer| {
+                if let Some(entry) = entry.upgrade() {
+                    observer.observe(value(&entry), &[]);
+                }
+            })
+            .build();
+    };
+    gauge("catalog_version", |entry| {
+        entry.catalog.load().as_ref().map_or(0, |catalog| catalog.version)
+    });
+    gauge("targets_listed", |entry| entry.targets().iter().count() as u64);
+    gauge("entries_listed", |entry| entry.peers.entry_count());
+    gauge("news_age_ms", Entry::update_age_ms);
+    gauge("is_ready", |entry| u64::from(entry.is_ready()));
+    gauge("timer_lag_ms", |entry| entry.load.shedder().lag_ms() as u64);
+    gauge("refused_share_percent", |entry| (entry.load.shedder().refused_share() * 100.0) as u64);
+}
--- /dev/null
+++ b/daemon/src/direct/entry_process.rs
@@ -0,0 +1,119 @@
+//! Process of an entry for direct delivery: its start and its stop.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwapOption;
+use rosemarymoor_lib::budget::ceiling::Headroom;
+use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
+use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
+use rosemarymoor_lib::dispatch::targets::TargetTable;
+use rosemarymoor_lib::kv_store::KvStore;
+use rosemarymoor_platform::store::PlatformStore;
+
+use super::begun_streams::{BegunStreams, StreamDirectory};
+use super::budget_client::BudgetClient;
+use super::ceilings::Ceilings;
+use super::context::{ProcessContext, reload_on_hangup};
+use super::entry::Entry;
+use super::load_monitor::LoadMonitor;
+use super::metrics::{self, DirectMetrics, StoreMetrics};
+use super::peer_client::PeerClient;
+use super::poison::PoisonedRequests;
+use super::send_permits::PermitClient;
+use super::settings::DirectSettings;
+use super::store_path::{DirectPath, RelayedPath};
+use super::{entry_feeds, entry_metrics, listener};
+use crate::answer_memory::AnswerMemory;
+use crate::http_server::HttpServer;
+
+/// Time after a request to stop in which new connections are still served: the balancer
+/// checks readiness once a second and stops sending after two failed checks.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
+
+/// Part of the stop's time limit that is kept for returning tokens and for the exit.
+const EXIT_RESERVE: Duration = Duration::from_millis(1_300);
+
+/// Runs an entry until it is requested to stop; returns the exit code.
+pub async fn run(settings: DirectSettings, path: PathBuf) -> i32 {
+    let cx = ProcessContext::open();
+    let metrics = match metrics::open(settings.metrics) {
+        Ok(metrics) => metrics,
+        Err(err) => {
+            log::error!("event=stop reason=no_metrics {err}");
+            return 1;
+        }
+    };
+    let meter = metrics.meter("direct-entry");
+    let direct = DirectPath::open(cx.pool.clone(), settings.store, StoreMetrics::open(&meter));
+    let store_path =
+        RelayedPath::spawn(direct, cx.peers.clone(), &settings.name, &settings.data_center);
+    let store = Arc::new(PlatformStore::open(store_path));
+    let local_ceilings = Ceilings::spawn(store.clone(), cx.clock, Headroom::None);
+    log::warn!(
+        "event=start role=direct-entry host={} epoch={}",
+        settings.name,
+        local_ceilings.epoch()
+    );
+    metrics::observe_ceilings(&meter, &local_ceilings);
+    let load = LoadMonitor::spawn(cx.clock);
+    let client = PeerClient::open(cx.pool.clone(), cx.peers.clone());
+    let entry = Arc::new(Entry {
+        name: settings.name.clone(),
+        data_center: settings.data_center.clone(),
+        catalog: ArcSwapOption::empty(),
+        targets: Mutex::new(TargetTable::default()),
+        retries: Mutex::new(RetryBudget::open(settings.retries)),
+        budget_retry_after: Mutex::new(RetryAfter::default()),
+        pool: cx.pool.clone(),
+        answer_memory: AnswerMemory::default(),
+        budgets: BudgetClient::open(client.clone(), local_ceilings, load.clone()),
+        permits: PermitClient::open(client.clone()),
+        streams: StreamDirectory::open(BegunStreams::open(cx.clock), client),
+        peers: cx.peers.clone(),
+        poison: PoisonedRequests::open(cx.clock),
+        load,
+        clock: cx.clock,
+        stopping: AtomicBool::new(false),
+        has_targets: AtomicBool::new(false),
+        logged_ready: AtomicBool::new(false),
+        updated_at_ms: AtomicU64::new(0),
+        metrics: DirectMetrics::open(&meter),
+    });
+    entry_metrics::observe(&meter, &entry);
+    let callers = match listener::spawn(&settings, entry.clone()) {
+        Ok(callers) => callers,
+        Err(err) => {
+            log::error!("event=stop reason=bind_failed {err}");
+            return 1;
+        }
+    };
+    let reloaded = entry.clone();
+    reload_on_hangup(path, move |settings| reloaded.retries().set_limits(settings.retries));
+    entry.budgets.clone().report_after_restores(store.era(), settings.data_center.clone());
+    entry_feeds::spawn(&entry, store.clone());
+    cx.watch_peers(store.clone(), entry.poison.clone());
+    cx.register(&settings, store);
+    cx.stop_requested().await;
+    stop(&entry, callers, settings.grace).await;
+    0
+}
+
+/// Stops an entry: fails readiness checks, finishes open requests and returns tokens.
+async fn stop(entry: &Entry, callers: HttpServer, grace: Duration) {
+    let started = Instant::now();
+    entry.stopping.store(true, Ordering::Relaxed);
+    log::warn!("event=stopping role=direct-entry host={}", entry.name);
+    entry.log_readiness();
+    tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2)).await;
+    let close_timeout = grace.saturating_sub(EXIT_RESERVE).saturating_sub(started.elapsed());
+    let open = callers.close(close_timeout).await;
+    entry.budgets.close().await;
+    let took_ms = started.elapsed().as_millis();
+    log::warn!(
+        "event=stop role=direct-entry host={} open_connections={open} took_ms={took_ms}",
+        entry.name
+    );
+}
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -4,7 +4,7 @@
 //! [`MAX_ROUTES`] routes. Workspaces and targets appear in the log, not in metrics.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -13,7 +13,6 @@
 use rosemarymoor_platform::store::{CallError, StoreAnswer, is_served};
 
 use super::ceilings::Ceilings;
-use super::entry::Entry;
 use crate::health::{Metrics, MetricsError};
 use crate::http_server::{self, ConnectionLimits, HttpServer};
 
@@ -173,31 +172,6 @@
     time.as_secs_f64() * 1_000.0
 }
 
-/// Registers gauges of an entry's state: catalog, targets, entries, age of the last update,
-/// readiness and load.
-pub fn observe_entry(meter: &Meter, entry: &Arc<Entry>) {
-    let gauge = |name: &'static str, value: fn(&Entry) -> u64| {
-        let entry = Arc::downgrade(entry);
-        meter
-            .u64_observable_gauge(name)
-            .with_callback(move |observer| {
-                if let Some(entry) = entry.upgrade() {
-                    observer.observe(value(&entry), &[]);
-                }
-            })
-            .build();
-    };
-    gauge("catalog_version", |entry| {
-        entry.catalog.load().as_ref().map_or(0, |catalog| catalog.version)
-    });
-    gauge("targets_listed", |entry| entry.targets().iter().count() as u64);
-    gauge("entries_listed", |entry| entry.peers.entry_count());
-    gauge("news_age_ms", Entry::update_age_ms);
-    gauge("is_ready", |entry| u64::from(entry.is_ready()));
-    gauge("timer_lag_ms", |entry| entry.load.shedder().lag_ms() as u64);
-    gauge("refused_share_percent", |entry| (entry.load.shedder().refused_share() * 100.0) as u64);
-}
-
 /// Registers gauges of the tokens at a holder of ceilings: granted, spent, reserved and in
 /// doubt.
 pub fn observe_ceilings(meter: &Meter, ceilings: &Ceilings) {
--- a/daemon/src/direct/peers.rs
+++ b/daemon/src/direct/peers.rs
@@ -12,12 +12,9 @@
 use rosemarymoor_lib::time::{Millis, MonotonicClock};
 use serde::{Deserialize, Serialize};
 
-use super::poison::poisoned_fingerprint;
+use super::fleet_keys::poisoned_fingerprint;
 use super::settings::DirectRole;
 
-/// Prefix of the fleet's own list in the store.
-pub const PEER_PREFIX: &str = "fleet/";
-
 /// Time in milliseconds for which a process that did not answer is ranked last; doubles with each
 /// further failure, as a host that is gone stays listed until its lease ends.
 const MIN_FAILED_PEER_BACKOFF_MS: u64 = 2_000;
@@ -43,11 +40,6 @@
     pub internal: SocketAddr,
 }
 
-/// Returns the key of a host's record.
-pub fn peer_key(role: &str, name: &str) -> String {
-    format!("{PEER_PREFIX}{role}/{name}")
-}
-
 #[derive(Clone, Debug)]
 struct Peer {
     key: String,
--- a/daemon/src/direct/poison.rs
+++ b/daemon/src/direct/poison.rs
@@ -12,14 +12,11 @@
 use rosemarymoor_lib::kv_store::{KvStore, NotDone, Outcome, RestoreWatch, Revision};
 use rosemarymoor_lib::time::MonotonicClock;
 
-use super::peers::PEER_PREFIX;
+use super::fleet_keys::{poisoned_fingerprint, poisoned_key};
 
 /// Path of crash reports at a budget server.
 pub const CRASH_PATH: &str = "/crashed";
 
-/// Prefix of poisoned requests within the fleet's own list.
-const POISONED_PREFIX: &str = "poisoned/";
-
 /// Lease duration of a poisoned request in the list.
 const POISONED_TTL: Duration = Duration::from_secs(60);
 
@@ -95,11 +92,6 @@
     }
 }
 
-/// Returns the fingerprint in the key of a poisoned request; `None` for other keys.
-pub fn poisoned_fingerprint(key: &str) -> Option<&str> {
-    key.strip_prefix(PEER_PREFIX)?.strip_prefix(POISONED_PREFIX)
-}
-
 /// Spawns the task that writes the poisoned requests again after each restore of the store.
 pub fn publish_after_restores(poison: PoisonedRequests, kv: Arc<dyn KvStore>) {
     let Some(mut restores) = kv.era().map(RestoreWatch::open) else { return };
@@ -116,7 +108,7 @@
 /// Adds a poisoned request to the fleet's own list; logs a warning if no attempt
 /// succeeds.
 pub async fn publish(kv: Arc<dyn KvStore>, fingerprint: u128) {
-    let key = format!("{PEER_PREFIX}{POISONED_PREFIX}{fingerprint:032x}");
+    let key = poisoned_key(fingerprint);
     for _ in 0..WRITE_ATTEMPTS {
         if let Outcome::Done(lease) = kv.open_lease(POISONED_TTL, STORE_TIMEOUT).await {
             let value = b"{}".to_vec();
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -22,10 +22,10 @@
 use rosemarymoor_platform::request::strip_connection_headers;
 
 use super::attempt::{self, AttemptError, StartedAnswer};
-use super::deliver::{Attempts, next_target, record_failure};
+use super::attempts::{Attempts, next_target, record_failure};
+use super::call::Call;
 use super::entry::Entry;
 use super::event_reader::EventReader;
-use super::handler::Call;
 use crate::http_server::AnswerBody;
 
 /// Outcome in the log of a stream that was forwarded to its end.
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -79,7 +79,7 @@
     line_log::start(settings.log_level);
     let code = run_on(Builder::new_current_thread(), async move {
         match settings.role {
-            DirectRole::Entry => direct::entry::run(settings, path).await,
+            DirectRole::Entry => direct::entry_process::run(settings, path).await,
             DirectRole::BudgetServer => direct::budget_server::run(settings, path).await,
         }
     });
--- a/daemon/tests/test_peers.rs
+++ b/daemon/tests/test_peers.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rosemarymoor_daemon::direct::peers::{PeerRecord, Peers, peer_key};
+use rosemarymoor_daemon::direct::fleet_keys::peer_key;
+use rosemarymoor_daemon::direct::peers::{PeerRecord, Peers};
 use rosemarymoor_lib::kv_feed::{Changes, KeyChange, Listing};
 use rosemarymoor_lib::kv_store::{Revision, Versioned};
 use rosemarymoor_lib::time::MonotonicClock;
