sidecar: a call's connection fails when an answer goes on without a body

Cause of the red case (zeros of a chunk size without end): reqwest offers no place to count what a connection receives, and hyper parses such bytes for seconds within one poll. A call opens its connection itself now (target_connection), through the same counted stream as entries (answer_traffic, moved to lib), and closes it when its answer is dropped. What is certain about a failed call stays: not started only without a connection. Orders, load reports and cancellations still go through reqwest.

--- a/daemon/src/http_pool.rs
+++ b/daemon/src/http_pool.rs
@@ -5,8 +5,6 @@
 //! [`Exchange`] closes its connection, so that a target notices at once that its caller has
 //! left.
 
-mod traffic;
-
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -19,11 +17,11 @@
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use rosemarymoor_lib::answer_traffic::{CountedBody, CountedStream, Traffic};
 use rosemarymoor_platform::request::keep_alive_timeout;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
-use traffic::{CountedBody, CountedStream, Traffic};
 
 /// Time after which an idle connection is dropped if its peer sends no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod answer_store;
+pub mod answer_traffic;
 pub mod answer_usage;
 pub mod budget;
 pub mod claim;
@@ -37,6 +38,7 @@
 pub mod result_code;
 pub mod routing;
 pub mod target_client;
+mod target_connection;
 pub mod target_http;
 pub mod time;
 pub mod transport;
--- a/lib/src/limit_notice.rs
+++ b/lib/src/limit_notice.rs
@@ -1,6 +1,6 @@
 //! What an answer says about the requests that its target takes.
 
-use reqwest::header::{HeaderMap, HeaderName};
+use hyper::header::{HeaderMap, HeaderName};
 
 /// Notice of a limit in the head of an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/lib/src/target_http.rs
+++ b/lib/src/target_http.rs
@@ -11,16 +11,17 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use futures_util::stream::BoxStream;
-use reqwest::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, TRANSFER_ENCODING};
-use reqwest::{Client, Method, Response, StatusCode};
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use reqwest::{Client, Response, StatusCode};
 
 use crate::http_client::{self, ConnectionReuse};
-use crate::limit_notice;
 use crate::target_client::{
     AnswerEcho, AnswerHead, LoadAnswer, TargetAnswer, TargetCall, TargetClient, TargetError,
     TargetOrder,
 };
+use crate::{limit_notice, target_connection};
 
 /// Header with the request identity, which the target echoes.
 pub const REQUEST_HEADER: &str = "x-request-id";
@@ -42,8 +43,8 @@
 /// Client of the target at a base URL.
 pub struct HttpTarget {
     url: String,
-    /// Client for calls and orders, which never reuses a connection.
-    calls: Client,
+    /// Client for orders, which never reuses a connection.
+    orders: Client,
     /// Client for load reports and cancellations, which may be repeated.
     control: Client,
 }
@@ -53,7 +54,7 @@
     pub fn open(url: &str) -> HttpTarget {
         HttpTarget {
             url: url.trim_end_matches('/').to_owned(),
-            calls: http_client::open(ConnectionReuse::Never),
+            orders: http_client::open(ConnectionReuse::Never),
             control: http_client::open(ConnectionReuse::Pooled),
         }
     }
@@ -62,28 +63,25 @@
 #[async_trait]
 impl TargetClient for HttpTarget {
     async fn call(&self, call: TargetCall) -> Result<TargetAnswer, TargetError> {
-        let method =
-            Method::from_bytes(call.method.as_bytes()).map_err(|_| TargetError::NotStarted)?;
-        let mut req = self
-            .calls
-            .request(method, format!("{}{}", self.url, call.path))
+        let mut req = Request::builder()
+            .method(call.method.as_str())
+            .uri(format!("{}{}", self.url, call.path))
             .header(REQUEST_HEADER, call.request)
             .header(ATTEMPT_HEADER, call.attempt)
             .header(PRIORITY_HEADER, u32::from(call.priority));
         if !call.content_type.is_empty() {
             req = req.header(CONTENT_TYPE, call.content_type);
         }
-        let req = req.body(call.body).build().map_err(|_| TargetError::NotStarted)?;
-        let response = self.calls.execute(req).await.map_err(classify)?;
+        let body = Full::new(Bytes::from(call.body));
+        let req = req.body(body).map_err(|_| TargetError::NotStarted)?;
+        let (parts, body) = target_connection::send(req).await?;
         let head = AnswerHead {
-            status: response.status().as_u16(),
-            content_type: header(response.headers(), CONTENT_TYPE.as_str()).unwrap_or_default(),
-            echo: echo(response.headers()),
+            status: parts.status.as_u16(),
+            content_type: header(&parts.headers, CONTENT_TYPE.as_str()).unwrap_or_default(),
+            echo: echo(&parts.headers),
         };
-        let limit = limit_notice::decode(response.headers(), &LIMIT_HEADER);
-        let ends_with_connection = !has_body_end(response.headers());
-        let body = response.bytes_stream().map(|part| part.map_err(|_| TargetError::MaybeRan));
-        let body = body.boxed() as BoxStream<'static, Result<Bytes, _>>;
+        let limit = limit_notice::decode(&parts.headers, &LIMIT_HEADER);
+        let ends_with_connection = !has_body_end(&parts.headers);
         Ok(TargetAnswer { head, limit, ends_with_connection, body })
     }
 
@@ -96,7 +94,7 @@
     }
 
     async fn order(&self, order: TargetOrder) -> Result<bool, TargetError> {
-        let req = self.calls.post(format!("{}/orders", self.url)).json(&order);
+        let req = self.orders.post(format!("{}/orders", self.url)).json(&order);
         let response = req.timeout(ORDER_TIMEOUT).send().await.map_err(classify)?;
         match response.status() {
             StatusCode::CONFLICT => Ok(false),
