--- a/daemon/src/direct/peers.rs
+++ b/daemon/src/direct/peers.rs
@@ -97,11 +97,8 @@
     /// in backoff after a failed call come last.
     pub fn ranked_budget_servers(&self, key: u64) -> Vec<PeerRecord> {
         let now = self.clock.now();
-        let name = DirectRole::BudgetServer.name();
         let peers = self.lock();
-        let mut servers: Vec<&Peer> =
-            peers.iter().filter(|peer| peer.record.role == name).collect();
-        rank::order(key, &mut servers, |peer| peer.record.name.as_str());
+        let mut servers = rank_budget_servers(&peers, key);
         servers.sort_by_key(|peer| now < peer.backoff_until);
         servers.into_iter().map(|peer| peer.record.clone()).collect()
     }
@@ -110,11 +107,8 @@
     /// rank them; without those in backoff after a failed call.
     pub fn permit_issuers(&self, key: u64) -> Vec<(IssuerRank, PeerRecord)> {
         let now = self.clock.now();
-        let name = DirectRole::BudgetServer.name();
         let peers = self.lock();
-        let mut servers: Vec<&Peer> =
-            peers.iter().filter(|peer| peer.record.role == name).collect();
-        rank::order(key, &mut servers, |peer| peer.record.name.as_str());
+        let servers = rank_budget_servers(&peers, key);
         [IssuerRank::First, IssuerRank::Second]
             .into_iter()
             .zip(servers)
@@ -183,6 +177,14 @@
     }
 }
 
+/// Returns the budget servers in the order of their ranks for a key.
+fn rank_budget_servers(peers: &[Peer], key: u64) -> Vec<&Peer> {
+    let name = DirectRole::BudgetServer.name();
+    let mut servers: Vec<&Peer> = peers.iter().filter(|peer| peer.record.role == name).collect();
+    rank::order(key, &mut servers, |peer| peer.record.name.as_str());
+    servers
+}
+
 /// Adds or updates a process; keys of poisoned requests share the prefix and are skipped.
 fn insert(peers: &mut Vec<Peer>, key: &str, value: &[u8]) {
     if poisoned_fingerprint(key).is_some() {
--- a/daemon/src/direct/target_limits.rs
+++ b/daemon/src/direct/target_limits.rs
@@ -1,41 +1,36 @@
 //! Limits that targets name in their answers, and the permits that requests need because of them.
 
-use rosemarymoor_lib::dispatch::send_permits::LimitReport;
+use rosemarymoor_lib::dispatch::send_permits::{LimitReport, PermitReply};
 use rosemarymoor_lib::dispatch::target_limit::{KnownLimit, LimitChange, SendDecision};
-use rosemarymoor_lib::dispatch::targets::TargetKey;
+use rosemarymoor_lib::dispatch::targets::{Target, TargetKey};
 use rosemarymoor_lib::time::Millis;
 
 use super::entry::Entry;
 
+/// Outcomes of a request for a permit, in logs and metrics, after which a request may be sent.
+const GRANTED: &str = "granted";
+const UNASSISTED: &str = "unassisted";
+
 /// Returns whether a request may be sent to a target now; asks for a permit if that is needed.
 pub async fn acquire(entry: &Entry, target: TargetKey) -> bool {
-    let (process, known) = {
+    let (process, limit) = {
         let mut table = entry.targets();
         let Some(target) = table.get_mut(target) else { return false };
         match target.limit.decide(entry.now()) {
             SendDecision::Send => return true,
             SendDecision::Wait => return false,
-            SendDecision::Ask(known) => (target.process(), known),
+            SendDecision::Ask(limit) => (target.process(), limit),
         }
     };
-    let reply = entry.permits.request(LimitReport { target: process, limit: known }).await;
-    let now = entry.now();
+    let reply = entry.permits.request(LimitReport { target: process, limit }).await;
     let entry_count = entry.peers.entry_count();
+    let now = entry.now();
     let mut table = entry.targets();
     let Some(target) = table.get_mut(target) else { return false };
-    let (outcome, is_sent) = match reply {
-        Some(reply) => {
-            let change = target.limit.apply_reply(&reply, now);
-            log_change(&target.registration.id, change, "server");
-            match target.limit.decide(now) {
-                SendDecision::Send => ("granted", true),
-                _ => ("denied", false),
-            }
-        }
-        None => match target.limit.take_unassisted(entry_count, rand::random(), now) {
-            true => ("unassisted", true),
-            false => ("unanswered", false),
-        },
+    let outcome = match reply {
+        Some(reply) => apply_reply(target, &reply, now),
+        None if target.limit.take_unassisted(entry_count, rand::random(), now) => UNASSISTED,
+        None => "unanswered",
     };
     log::info!(
         "event=permit_asked target={} outcome={outcome} wait_ms={}",
@@ -43,7 +38,17 @@
         target.limit.wait_ms(now)
     );
     entry.metrics.count_permit(outcome);
-    is_sent
+    matches!(outcome, GRANTED | UNASSISTED)
+}
+
+/// Applies an issuer's reply and takes a permit, if it brings one; returns the outcome's name.
+fn apply_reply(target: &mut Target, reply: &PermitReply, now: Millis) -> &'static str {
+    let change = target.limit.apply_reply(reply, now);
+    log_change(&target.registration.id, change, "server");
+    match target.limit.decide(now) {
+        SendDecision::Send => GRANTED,
+        SendDecision::Wait | SendDecision::Ask(_) => "denied",
+    }
 }
 
 /// Applies what an answer of a target says of its limit, and reports a change.
