ceilings: a report does not raise what a living holder has returned

A holder remembers the largest grant of each other one that the store has shown since its latest restore. A report of no more than that is recorded already: what the store shows later, the holder returned itself. Reports are forgotten as before, by a write in the new era, and only those that the store has shown; a report that comes before this process knows of the restore is kept.

--- a/lib/src/budget/ceiling/budget_ceiling.rs
+++ b/lib/src/budget/ceiling/budget_ceiling.rs
@@ -11,7 +11,10 @@
 use super::spending::Spending;
 use super::store_era::StoreEra;
 use super::store_health::StoreHealth;
-use super::stored_account::{StoredAccount, add_witnessed, others_totals, reserve_after_restore};
+use super::stored_account::{
+    StoredAccount, WitnessedGrant, add_witnessed, others_totals, record_shown,
+    reserve_after_restore,
+};
 use super::{
     CeilingEffect, CeilingStatus, Headroom, ReservationId, ReservationReply, ReservationRequest,
 };
@@ -70,8 +73,8 @@
     /// Ceiling that has to be written again since the store was restored, before anything beyond
     /// the committed tokens is spent.
     lost_ceiling: Option<u64>,
-    /// Tokens of other holders that a restored store may have lost, sorted by epoch.
-    witnessed: Vec<(EpochId, u64)>,
+    /// Tokens of other holders that a restored store may have lost, or has shown; sorted by epoch.
+    witnessed: Vec<WitnessedGrant>,
     /// Most tokens that may be used and reserved: the last granted figure that the
     /// store confirmed, or less if it was lowered since.
     ceiling: u64,
@@ -172,15 +175,17 @@
         now: Millis,
     ) {
         let pending = self.pending.take();
-        let Some(PendingCall::Write { granted, account, era }) = pending else { return };
+        let Some(PendingCall::Write { granted, mut account, era }) = pending else { return };
         self.last_write_failed = !matches!(outcome, Outcome::Done(_));
         match outcome {
             Outcome::Done(revision) => {
                 self.ceiling = granted;
                 self.lost_ceiling = None;
+                record_shown(&account, &mut self.witnessed);
                 if era >= store_era.number() {
-                    self.witnessed.clear();
+                    self.forget_recorded_reports();
                 }
+                add_witnessed(&mut account, &self.witnessed);
                 self.last_read = Some(StoredAccount { revision, account, era });
                 self.consecutive_failures = 0;
                 self.last_write_at = now;
@@ -210,6 +215,9 @@
         self.lost_ceiling = Some(if keeps_headroom { lost } else { committed });
         self.ceiling = committed;
         self.last_read = None;
+        // What the store had shown may be lost again.
+        self.witnessed.retain(|grant| grant.reported > 0);
+        self.witnessed.iter_mut().for_each(|grant| grant.shown = 0);
         self.consecutive_failures = 0;
         self.retry_at = Millis(0);
         if self.pending.is_some() {
@@ -219,15 +227,25 @@
 
     /// Records tokens that another holder had committed.
     pub(super) fn apply_witness(&mut self, epoch: EpochId, committed: u64) {
-        match self.witnessed.binary_search_by_key(&epoch, |witnessed| witnessed.0) {
-            Ok(at) => self.witnessed[at].1 = self.witnessed[at].1.max(committed),
-            Err(at) => self.witnessed.insert(at, (epoch, committed)),
+        match self.witnessed.binary_search_by_key(&epoch, |known| known.epoch) {
+            Ok(at) => self.witnessed[at].reported = self.witnessed[at].reported.max(committed),
+            Err(at) => {
+                let reported = WitnessedGrant { epoch, reported: committed, shown: 0 };
+                self.witnessed.insert(at, reported);
+            }
         }
         if let Some(stored) = &mut self.last_read {
             add_witnessed(&mut stored.account, &self.witnessed);
         }
     }
 
+    /// Forgets the reports of grants that the store has shown.
+    fn forget_recorded_reports(&mut self) {
+        for grant in self.witnessed.iter_mut().filter(|grant| grant.reported <= grant.shown) {
+            grant.reported = 0;
+        }
+    }
+
     /// Stops keeping headroom; later writes return it to the ledger.
     pub(super) fn close(&mut self) {
         self.closing = true;
@@ -535,6 +553,7 @@
                 (found.revision, account.clone(), shard.as_ref().map_or(0, |shard| shard.era))
             }
         };
+        record_shown(&account, &mut self.witnessed);
         add_witnessed(&mut account, &self.witnessed);
         // A write of unknown outcome that lowered the ceiling may still take effect, so
         // only a confirmed write raises the ceiling, never a read.
--- a/lib/src/budget/ceiling/stored_account.rs
+++ b/lib/src/budget/ceiling/stored_account.rs
@@ -8,6 +8,9 @@
 /// Part of the prepaid tokens that is set aside in an account after a restore, in percent.
 const RESTORE_RESERVE_PERCENT: u64 = 3;
 
+/// Number of grants from which on those that have ended and were not reported are forgotten.
+const MAX_WITNESSED: usize = 64;
+
 /// Account as it is stored.
 #[derive(Clone)]
 pub(super) struct StoredAccount {
@@ -26,17 +29,44 @@
     })
 }
 
-/// Raises the grants of other holders to what entries know that they had committed.
-pub(super) fn add_witnessed(account: &mut Account, witnessed: &[(EpochId, u64)]) {
-    for (epoch, committed) in witnessed {
-        let recorded = account.grant(*epoch).copied();
-        let recorded = recorded.unwrap_or(Grant { epoch: *epoch, granted: 0, settled: 0 });
-        if recorded.granted >= *committed {
+/// What is known of another holder's grant beside the account as it is read now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WitnessedGrant {
+    pub(super) epoch: EpochId,
+    /// Tokens that entries have reported as committed, which a restored store may have lost.
+    pub(super) reported: u64,
+    /// Largest grant that the store has shown since its latest restore. If it shows less later, the
+    /// holder has returned the rest itself.
+    pub(super) shown: u64,
+}
+
+/// Raises the grants of other holders to what entries know that they had committed, as far as the
+/// restored store has not shown it.
+pub(super) fn add_witnessed(account: &mut Account, witnessed: &[WitnessedGrant]) {
+    for grant in witnessed.iter().filter(|grant| grant.reported > grant.shown) {
+        let WitnessedGrant { epoch, reported, .. } = *grant;
+        let recorded = account.grant(epoch).copied();
+        let recorded = recorded.unwrap_or(Grant { epoch, granted: 0, settled: 0 });
+        if recorded.granted >= reported {
             continue;
         }
-        let missing = committed - recorded.granted;
+        let missing = reported - recorded.granted;
         account.prepaid = account.prepaid.max(account.prepaid - account.free() + missing);
-        account.set_grant(Grant { granted: *committed, ..recorded });
+        account.set_grant(Grant { granted: reported, ..recorded });
+    }
+}
+
+/// Records the grants that the store shows, also for reports that come later; `account` is as it was
+/// read or written.
+pub(super) fn record_shown(account: &Account, witnessed: &mut Vec<WitnessedGrant>) {
+    if witnessed.len() > MAX_WITNESSED {
+        witnessed.retain(|known| known.reported > 0 || account.grant(known.epoch).is_some());
+    }
+    for Grant { epoch, granted, .. } in account.grants.iter().copied() {
+        match witnessed.binary_search_by_key(&epoch, |known| known.epoch) {
+            Ok(at) => witnessed[at].shown = witnessed[at].shown.max(granted),
+            Err(at) => witnessed.insert(at, WitnessedGrant { epoch, reported: 0, shown: granted }),
+        }
     }
 }
 
--- a/lib/tests/test_store_restore.rs
+++ b/lib/tests/test_store_restore.rs
@@ -501,3 +501,35 @@
     holder.system.read_done(&budget(), Outcome::Done(None), Millis(1), &mut holder.effects);
     assert!(matches!(holder.effects.last(), Some(CeilingEffect::Write { .. })), "no wait");
 }
+
+/// Returns the tokens that the store records as granted to an epoch.
+fn recorded(store: &RestoredStore, epoch: u64) -> u64 {
+    let row = store.now.value.as_ref().unwrap();
+    let shard = Shard::decode(&row.value).unwrap();
+    let grant = shard.account(&budget()).unwrap().grant(EpochId(epoch)).copied();
+    grant.map_or(0, |grant| grant.granted)
+}
+
+#[test]
+fn a_report_does_not_raise_what_a_living_holder_has_returned() {
+    let mut store = store();
+    let mut living = holder(1, 1, 0);
+    assert_eq!(reserve(&mut living, &mut store, 60_000, 10_000), ReservationReply::Granted);
+    let committed = living.system.committed(&budget());
+    store.restore(0, 11_000);
+    living.system.observe_era(store.era, Millis(11_010), &mut living.effects);
+    settle_calls(&mut living, &mut store, 11_010);
+    let mut other = holder(2, 1, 0);
+    other.system.observe_era(store.era, Millis(11_010), &mut other.effects);
+    assert_eq!(reserve(&mut other, &mut store, 1_000, 20_000), ReservationReply::Granted);
+    let settlement = Settlement { id: 10_000, budget: budget(), used: 40_000 };
+    living.system.settle(&settlement, Millis(21_000), &mut living.effects);
+    living.system.tick(Millis(24_000), &mut living.effects);
+    settle_calls(&mut living, &mut store, 24_000);
+    assert_eq!(recorded(&store, 1), 40_000, "the holder has returned the rest");
+    let witness = GrantWitness { budget: budget(), epoch: EpochId(1), committed };
+    other.system.apply_witness(&witness, Millis(24_100), &mut other.effects);
+    settle_calls(&mut other, &mut store, 24_100);
+    assert_eq!(reserve(&mut other, &mut store, 9_000, 24_200), ReservationReply::Granted);
+    assert_eq!(recorded(&store, 1), 40_000, "the report is older than what it returned");
+}
