--- a/daemon/tests/test_direct_endless.rs
+++ b/daemon/tests/test_direct_endless.rs
@@ -6,7 +6,8 @@
 use rosemarymoor_platform_standins::caller::{Caller, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{call, fleet, ok, stream_request, target};
 use rosemarymoor_platform_standins::target::{
-    ReceivedRequest, Step, event, signed_head, stream_head, stream_head_until_close,
+    ReceivedRequest, Step, event, not_run_until_close, signed_head, stream_head,
+    stream_head_until_close,
 };
 use tokio::task::JoinSet;
 
@@ -110,7 +111,7 @@
     a_failure_without_end: safe_call,
         |received| flood(signed_head(received, "500 Failed", "Connection: close\r\n"), "body");
     a_refusal_without_end: safe_call,
-        |_| flood("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nConnection: close\r\n\r\n", "body");
+        |_| flood(not_run_until_close(), "body");
     an_event_without_end: stream, |received| flood(stream_head_until_close(received), "data: a\n");
     a_later_event_without_end: resumable_stream, |received| {
         let head = [stream_head_until_close(received), event(1).into_bytes()].concat();
