attempts: log what a crashed target's requests have in common

crash_recorded names a digest of the whole request only, so that the logs of the incident cannot tell whether the requests share a part of their prompts. crash_suspects names the parts.

--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -24,6 +24,9 @@
 /// Largest number of targets with a limit for which a request asks for a permit, one after the other.
 const MAX_PERMIT_REQUESTS: usize = 8;
 
+/// Largest number of a prompt's parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Remaining time below which no further attempt is made.
 pub const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
@@ -51,6 +54,7 @@
             self.may_have_run += 1;
         }
         if let (AttemptError::Broken, Some(target)) = (err, self.targets.last()) {
+            log_suspects(call, self.targets.len());
             entry.record_crash(call.fingerprint, *target);
         }
     }
@@ -142,6 +146,19 @@
     );
 }
 
+/// Logs what a broken attempt's request has in common with others.
+fn log_suspects(call: &Call, attempt: usize) {
+    let parts = call.head.prompt.iter().take(MAX_LOGGED_PARTS);
+    let parts: Vec<String> = parts.map(|part| format!("{:016x}", part.id)).collect();
+    log::info!(
+        "event=crash_suspects request={} try={attempt} fingerprint={:032x} parts={} of={}",
+        call.head.attempt_id,
+        call.fingerprint,
+        parts.join(","),
+        call.head.prompt.len()
+    );
+}
+
 /// Counts and logs a failed attempt.
 pub fn record_failure(
     entry: &Entry,
