tests: one part of many prompts crashes targets, six cases failing

What callers see: requests that share one part, and are not alike otherwise, crash one target after the other; 53 to 67 of 100 reached targets (six cases: 1, 4 and 8 entries, 8 targets, 2 budget servers, each place of the part, four ways to break), and none was refused. The stand-in's targets crash as a process does: all their connections end, and they are down for a while.

--- /dev/null
+++ b/daemon/tests/test_direct_crashes.rs
@@ -0,0 +1,185 @@
+//! One part of many prompts crashes each target that begins to answer, with real processes.
+
+use std::time::{Duration, Instant};
+
+use rosemarymoor_platform_standins::caller::{Answer, CallerRequest};
+use rosemarymoor_platform_standins::fixtures::{events, events_until_close, target};
+use rosemarymoor_platform_standins::fleet_group::{FleetGroup, send};
+use rosemarymoor_platform_standins::target::{ReceivedRequest, Step, TargetStandIn};
+use tokio::task::JoinSet;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
+const TARGETS: usize = 8;
+
+/// Part that crashes targets.
+const BAD_PART: &str = "bad0bad0:300";
+
+/// Time for which a crashed target is down.
+const DOWN: Duration = Duration::from_millis(400);
+
+/// Time between two events of an answer.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time between two requests with the bad part.
+const BAD_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Requests with the bad part of one case.
+const BAD_REQUESTS: usize = 100;
+
+/// Requests with the bad part that may reach targets: five end them, and three more are allowed.
+const MAX_BAD_REACHING: usize = 8;
+
+/// Seconds for which sound requests are sent; the last ones come after the last bad request.
+const SOUND_SECONDS: u32 = 8;
+
+/// Where the bad part stands among the shared parts of a prompt.
+#[derive(Clone, Copy)]
+enum Place {
+    First,
+    Middle,
+    BeforeLast,
+}
+
+/// How far the answer of a target gets before it crashes.
+#[derive(Clone, Copy)]
+enum Break {
+    BeforeHead,
+    AfterHead,
+    InsideEvent,
+    UntilClose,
+}
+
+fn prompt_request(path: &str, id: &str, prompt: &str) -> CallerRequest {
+    CallerRequest {
+        headers: format!("Model: m\r\nToken-Usage: 900,20\r\nPrompt-Prefix: {prompt}\r\n"),
+        deadline_ms: 4_000,
+        ..CallerRequest::post(path, id)
+    }
+}
+
+/// Returns a sound request, which shares its key, its first and its second part with others.
+fn sound(id: &str) -> CallerRequest {
+    let number = id.rsplit('d').next().and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let prompt = format!("c0ffee:400,d0c{}:400,{:x}:100", number % 5, own_part(id));
+    prompt_request(&format!("/resume/{id}"), id, &prompt)
+}
+
+/// Returns a request with the bad part; no two are alike but for it and the first shared part.
+fn bad(path: &str, number: usize, place: Place) -> CallerRequest {
+    let id = format!("bad-{number}");
+    let (doc, other) = (format!("d0c{}:100", number % 5), format!("{:x}:100", own_part(&id)));
+    let mut parts = vec!["c0ffee:400", &doc, &other];
+    let at = match place {
+        Place::First => 0,
+        Place::Middle => 1,
+        Place::BeforeLast => parts.len(),
+    };
+    parts.insert(at, BAD_PART);
+    let last = format!("e{number:x}:100");
+    parts.push(&last);
+    prompt_request(&format!("{path}{id}"), &id, &parts.join(","))
+}
+
+/// Returns a part that no other request has.
+fn own_part(id: &str) -> u64 {
+    id.bytes().fold(0xa000_0000, |sum, byte| sum * 31 % 0xffff_ffff + u64::from(byte))
+}
+
+fn is_bad(received: &ReceivedRequest) -> bool {
+    received.header("prompt-prefix").is_some_and(|prompt| prompt.contains(BAD_PART))
+}
+
+/// Serves a stream of five events, unless the prompt has the bad part.
+fn crash_or_serve(received: &ReceivedRequest, how: Break) -> Vec<Step> {
+    let after = received.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    if !is_bad(received) {
+        return events(received, after, 5, EVENT_INTERVAL);
+    }
+    let mut steps = match how {
+        Break::UntilClose => events_until_close(received, after, 5, EVENT_INTERVAL),
+        Break::BeforeHead | Break::AfterHead | Break::InsideEvent => {
+            events(received, after, 5, EVENT_INTERVAL)
+        }
+    };
+    steps.truncate(match how {
+        Break::BeforeHead => 0,
+        Break::AfterHead => 1,
+        Break::InsideEvent | Break::UntilClose => 4,
+    });
+    if let (Break::InsideEvent | Break::UntilClose, Some(Step::Send(event))) =
+        (how, steps.last_mut())
+    {
+        event.truncate(event.len() / 2);
+    }
+    steps.extend([Step::Wait(EVENT_INTERVAL), Step::Crash(DOWN)]);
+    steps
+}
+
+async fn targets(how: Break) -> Vec<TargetStandIn> {
+    let mut targets = Vec::new();
+    for _ in 0..TARGETS {
+        targets.push(target(move |received| crash_or_serve(received, how)).await);
+    }
+    targets
+}
+
+/// Returns the requests with the bad part that reached targets.
+fn reached(targets: &[TargetStandIn]) -> usize {
+    targets.iter().flat_map(TargetStandIn::received).filter(is_bad).count()
+}
+
+/// Sends requests with the bad part to all entries in turn, and returns the statuses in order.
+async fn send_bad(group: &FleetGroup, path: &str, place: Place, from: usize) -> Vec<u16> {
+    let mut calls = JoinSet::new();
+    let callers = group.callers();
+    for number in from..from + BAD_REQUESTS {
+        let address = callers[number % callers.len()];
+        let req = bad(path, number, place);
+        calls.spawn(async move { (number, send(address, req).await.status) });
+        tokio::time::sleep(BAD_INTERVAL).await;
+    }
+    let mut statuses = calls.join_all().await;
+    statuses.sort();
+    statuses.into_iter().map(|(_, status)| status).collect()
+}
+
+/// Asserts that sound requests were served, but for those that a crash broke.
+fn assert_served(answers: &[Answer]) {
+    let refused = answers.iter().filter(|answer| answer.status == 422).count();
+    assert_eq!(refused, 0, "sound requests are refused");
+    let served = answers.iter().filter(|answer| answer.status == 200 && answer.complete).count();
+    assert!(served * 20 >= answers.len() * 19, "{served} of {} are served", answers.len());
+}
+
+/// Sends bad requests beside sound ones; asserts that few reach targets, and the sound are served.
+async fn check(entries: usize, path: &str, place: Place, how: Break) {
+    let targets = targets(how).await;
+    let group = FleetGroup::open(BINARY, entries, 2, &targets.iter().collect::<Vec<_>>()).await;
+    let begun = Instant::now();
+    let (statuses, sound) =
+        tokio::join!(send_bad(&group, path, place, 0), group.load("sound", SOUND_SECONDS, sound));
+    let reached = reached(&targets);
+    println!("{reached} reached targets in {:?}: {statuses:?}", begun.elapsed());
+    assert!(reached <= MAX_BAD_REACHING, "{reached} of {BAD_REQUESTS} reached targets");
+    let last = &statuses[BAD_REQUESTS / 2..];
+    assert!(last.iter().all(|status| *status == 422), "not all are refused: {last:?}");
+    assert_served(&sound);
+}
+
+macro_rules! one_part_crashes_targets {
+    ($($name:ident: $entries:literal, $path:literal, $place:ident, $how:ident;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            check($entries, $path, Place::$place, Break::$how).await;
+        })*
+    };
+}
+
+one_part_crashes_targets! {
+    a_part_that_crashes_targets_is_refused_by_one_entry: 1, "/resume/", Middle, BeforeHead;
+    a_first_part_that_crashes_targets_is_refused: 4, "/stream/", First, AfterHead;
+    a_middle_part_that_crashes_targets_is_refused: 4, "/resume/", Middle, InsideEvent;
+    a_part_before_the_last_that_crashes_targets_is_refused: 4, "/stream/", BeforeLast, BeforeHead;
+    a_part_that_breaks_answers_without_length_is_refused: 4, "/resume/", BeforeLast, UntilClose;
+    a_part_that_crashes_targets_is_refused_by_eight_entries: 8, "/stream/", Middle, InsideEvent;
+}
