--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -25,7 +25,7 @@
 use super::entry::Entry;
 use super::target_limits;
 use crate::answer_memory::{MemoryShare, ReadError};
-use crate::http_pool::{Exchange, SendError};
+use crate::http_pool::{BodyEnd, Exchange, SendError};
 
 /// Timeout for a new connection to a target, and for draining an unwanted answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -94,6 +94,9 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub body_end: BodyEnd,
+    /// Process of the target.
+    pub process: String,
 }
 
 /// Request that counts towards its target's load; dropping it ends the count.
@@ -101,6 +104,8 @@
     entry: Arc<Entry>,
     pub target: TargetKey,
     pub target_id: String,
+    /// Process of the target, another one after each start.
+    pub process: String,
     /// Software version that the target had registered when the request was sent.
     software: Option<String>,
     /// Expected prefill time of the prompt in milliseconds, counted as pending at the
@@ -255,6 +260,7 @@
     let target = table.get(key)?;
     let address = target.registration.address;
     let target_id = target.registration.id.clone();
+    let process = target.process().to_string();
     let software = target.registration.software.clone();
     let prompt = &call.head.prompt;
     let is_uncached = |part: &&PromptPart| !target.caches_part(part.id, now);
@@ -267,6 +273,7 @@
         entry: entry.clone(),
         target: key,
         target_id,
+        process,
         software,
         prefill_ms,
         sent_at: now,
@@ -319,6 +326,7 @@
     started: StartedAnswer,
     deadline: Instant,
 ) -> Result<CompleteAnswer, AttemptError> {
+    let body_end = started.exchange.body_end();
     let StartedAnswer { exchange: Exchange { head, body, lease }, mut in_flight } = started;
     let reading = in_flight.entry.answer_memory.read(body);
     let body = match tokio::time::timeout_at(deadline.into(), reading).await {
@@ -343,5 +351,6 @@
     }
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
-    Ok(CompleteAnswer { status: head.status, headers, body })
+    let process = in_flight.process.clone();
+    Ok(CompleteAnswer { status: head.status, headers, body, body_end, process })
 }
--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -13,6 +13,7 @@
 use super::call::Call;
 use super::entry::Entry;
 use super::target_limits;
+use super::trials::{self, SentAttempt, TrialDenied};
 
 /// Largest number of attempts that certainly did not run after which one more is made.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
@@ -24,9 +25,6 @@
 /// Largest number of targets with a limit for which a request asks for a permit, one after the other.
 const MAX_PERMIT_REQUESTS: usize = 8;
 
-/// Largest number of a prompt's parts in a log line.
-const MAX_LOGGED_PARTS: usize = 8;
-
 /// Remaining time below which no further attempt is made.
 pub const MIN_TIME_LEFT: Duration = Duration::from_millis(15);
 
@@ -42,6 +40,10 @@
     /// Error of the latest attempt; `None` if there was no attempt or the target answered with
     /// a failure.
     pub last_error: Option<AttemptError>,
+    /// Latest attempt.
+    pub latest: Option<SentAttempt>,
+    /// Why the request may not be sent because of what may crash targets.
+    pub denied: Option<TrialDenied>,
 }
 
 impl Attempts {
@@ -53,9 +55,8 @@
         } else {
             self.may_have_run += 1;
         }
-        if let (AttemptError::Broken, Some(target)) = (err, self.targets.last()) {
-            log_suspects(call, self.targets.len());
-            entry.record_crash(call.fingerprint, *target);
+        if let (AttemptError::Broken, Some(latest)) = (err, &mut self.latest) {
+            trials::record_crash(entry, call, latest);
         }
     }
 
@@ -76,20 +77,32 @@
 /// Returns `None` if no further attempt is allowed or no target is left.
 pub async fn next_target(entry: &Entry, call: &Call, attempts: &mut Attempts) -> Option<TargetKey> {
     let is_retry = !attempts.targets.is_empty();
-    if is_retry && (!attempts.may_retry(call) || entry.poison.is_refused(call.fingerprint)) {
+    if is_retry && !attempts.may_retry(call) {
         return None;
     }
-    if is_retry && choose(entry, call, attempts, false).is_some() && !try_retry(entry, call) {
+    let mut excluded = attempts.targets.clone();
+    if is_retry && choose(entry, call, &excluded, false).is_some() && !try_retry(entry, call) {
         return None;
     }
     for asked in 0..MAX_PERMIT_REQUESTS {
         let without_asking = asked >= PERMIT_REQUESTS_BEFORE_OTHERS;
-        let chosen = choose(entry, call, attempts, without_asking)
-            .or_else(|| choose(entry, call, attempts, false))?;
-        if target_limits::acquire(entry, chosen).await {
-            attempts.targets.push(chosen);
-            log_placement(entry, call, chosen, attempts.targets.len());
-            return Some(chosen);
+        let chosen = choose(entry, call, &excluded, without_asking)
+            .or_else(|| choose(entry, call, &excluded, false))?;
+        if !target_limits::acquire(entry, chosen).await {
+            continue;
+        }
+        match trials::acquire(entry, call, chosen, attempts.latest.as_ref()).await {
+            Ok(Some(latest)) => {
+                attempts.latest = Some(latest);
+                attempts.targets.push(chosen);
+                log_placement(entry, call, chosen, attempts.targets.len());
+                return Some(chosen);
+            }
+            Ok(None) => excluded.push(chosen),
+            Err(denied) => {
+                attempts.denied = Some(denied);
+                return None;
+            }
         }
     }
     None
@@ -109,7 +122,7 @@
 fn choose(
     entry: &Entry,
     call: &Call,
-    attempts: &Attempts,
+    excluded: &[TargetKey],
     without_asking: bool,
 ) -> Option<TargetKey> {
     let now = entry.now();
@@ -124,7 +137,7 @@
     };
     let mut table = entry.targets();
     table.expire(now);
-    choice::choose(&table, criteria, &attempts.targets, now)
+    choice::choose(&table, criteria, excluded, now)
 }
 
 fn log_placement(entry: &Entry, call: &Call, chosen: TargetKey, attempt: usize) {
@@ -146,19 +159,6 @@
     );
 }
 
-/// Logs what a broken attempt's request has in common with others.
-fn log_suspects(call: &Call, attempt: usize) {
-    let parts = call.head.prompt.iter().take(MAX_LOGGED_PARTS);
-    let parts: Vec<String> = parts.map(|part| format!("{:016x}", part.id)).collect();
-    log::info!(
-        "event=crash_suspects request={} try={attempt} fingerprint={:032x} parts={} of={}",
-        call.head.attempt_id,
-        call.fingerprint,
-        parts.join(","),
-        call.head.prompt.len()
-    );
-}
-
 /// Counts and logs a failed attempt.
 pub fn record_failure(
     entry: &Entry,
--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -13,7 +13,6 @@
 use rosemarymoor_lib::budget::ceiling::{
     GrantWitness, ReservationId, ReservationReply, ReservationRequest, Settlement, WitnessReport,
 };
-use rosemarymoor_lib::dispatch::crash_tracker::Crash;
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::id::{BudgetId, EpochId};
 use rosemarymoor_lib::kv_store::{EraReceiver, RestoreWatch};
@@ -27,7 +26,6 @@
 use super::load_monitor::LoadMonitor;
 use super::peer_client::PeerClient;
 use super::peers::PeerRecord;
-use super::poison::CRASH_PATH;
 use super::settlement_queue::SettlementQueue;
 use crate::http_pool::SendError;
 
@@ -180,16 +178,6 @@
         self.store_backoff_until().is_some_and(|until| Instant::now() < until)
     }
 
-    /// Reports to the budget servers that a target broke its connection while it ran a request.
-    pub async fn report_crash(self, crash: Crash) {
-        let servers = self.client.peers.ranked_budget_servers(crash.fingerprint as u64);
-        for server in servers.into_iter().take(MAX_SERVERS) {
-            if let Err(err) = self.client.post(&server, CRASH_PATH, &crash, SETTLE_TIMEOUT).await {
-                log::debug!("event=crash_not_told server={} reason={err:?}", server.name);
-            }
-        }
-    }
-
     /// Returns the tokens of the entry's own ceilings, for a graceful stop.
     pub async fn close(&self) {
         self.local_ceilings.close().await;
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -8,7 +8,9 @@
 //! - `POST /settle` accepts a list of [`Settlement`];
 //! - `POST /witness` accepts a [`WitnessReport`], after the store was restored;
 //! - `POST /crashed` accepts a [`Crash`] of a target that broke its connection while it ran
-//!   a request;
+//!   a request, `POST /sound` a [`Completion`] and answers whether it counts, `POST /suspected` a list
+//!   of [`Suspicion`]s for which an entry refuses requests;
+//! - `POST /trial` accepts a [`TrialRequest`] and answers with a [`Decision`];
 //! - `POST /begun` accepts a list of [`BegunStream`], `POST /origin` a [`StreamId`] and answers with the
 //!   stream's origin or `null`;
 //! - `POST /permit` accepts a [`PermitRequest`] and answers with the permits to send to a target,
@@ -31,7 +33,7 @@
 use rosemarymoor_lib::budget::ceiling::{
     Headroom, ReservationReply, ReservationRequest, Settlement, WitnessReport,
 };
-use rosemarymoor_lib::dispatch::crash_tracker::Crash;
+use rosemarymoor_lib::dispatch::crash_tracker::{Completion, Crash, Suspicion, TrialRequest};
 use rosemarymoor_lib::dispatch::send_permits::{LimitReport, PermitRequest};
 use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId};
 use rosemarymoor_lib::kv_feed::KvFeed;
@@ -45,7 +47,8 @@
 use super::fleet_keys::PEER_PREFIX;
 use super::metrics::{self, StoreMetrics};
 use super::peer_client::PeerClient;
-use super::poison::{self, CRASH_PATH, PoisonedRequests};
+use super::poison::{CRASH_PATH, PoisonedRequests, SOUND_PATH, SUSPECTED_PATH, TRIAL_PATH};
+use super::poison_publisher::PoisonPublisher;
 use super::send_permits::{LIMIT_PATH, PERMIT_PATH, SharedIssuer};
 use super::settings::DirectSettings;
 use super::shared_watch::SharedWatches;
@@ -82,6 +85,7 @@
     watches: SharedWatches,
     kv: Arc<dyn KvStore>,
     poison: PoisonedRequests,
+    publisher: PoisonPublisher,
     streams: BegunStreams,
     permits: SharedIssuer,
 }
@@ -103,12 +107,16 @@
     let epoch = ceilings.epoch();
     log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
     metrics::observe_ceilings(&meter, &ceilings);
+    let poison = PoisonedRequests::open(cx.clock);
+    let client = PeerClient::open(cx.pool.clone(), cx.peers.clone());
+    let publisher = PoisonPublisher::spawn(poison.clone(), kv.clone(), client);
     let server = Arc::new(Server {
         ceilings: ceilings.clone(),
         watches: SharedWatches::open(Arc::new(store.clone())),
         store,
         kv: kv.clone(),
-        poison: PoisonedRequests::open(cx.clock),
+        poison,
+        publisher,
         streams: BegunStreams::open(cx.clock),
         permits: SharedIssuer::open(cx.clock),
     });
@@ -129,7 +137,6 @@
             async move { server.serve(req).await }
         },
     );
-    poison::publish_after_restores(server.poison.clone(), kv.clone());
     cx.register(&settings, kv.clone());
     cx.stop_requested().await;
     log::warn!("event=stopping role=budget-server host={}", settings.name);
@@ -174,6 +181,9 @@
             (Method::POST, SETTLE_PATH) => self.settle(&body),
             (Method::POST, WITNESS_PATH) => self.apply_witnesses(&body).await,
             (Method::POST, CRASH_PATH) => self.record_crash(&body),
+            (Method::POST, SOUND_PATH) => self.record_sound(&body),
+            (Method::POST, SUSPECTED_PATH) => self.apply_suspicions(&body),
+            (Method::POST, TRIAL_PATH) => self.grant_trial(&body),
             (Method::POST, BEGUN_PATH) => self.record_streams(&body),
             (Method::POST, PERMIT_PATH) => self.issue_permits(&body),
             (Method::POST, LIMIT_PATH) => self.apply_limit(&body),
@@ -229,12 +239,39 @@
         let Ok(crash) = decode::<Crash>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        if self.poison.record(&crash) {
-            tokio::spawn(poison::publish(self.kv.clone(), crash.fingerprint));
-        }
+        self.publisher.record_crash(&crash);
+        empty(StatusCode::OK)
+    }
+
+    fn record_sound(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(completion) = decode::<Completion>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        json(&self.publisher.record_sound(&completion))
+    }
+
+    fn apply_suspicions(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(told) = decode::<Vec<Suspicion>>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        self.publisher.publish(self.poison.apply(&told));
+        self.publisher.renew(&told);
         empty(StatusCode::OK)
     }
 
+    fn grant_trial(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(req) = decode::<TrialRequest>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        if let Some(crash) = &req.crash {
+            self.publisher.record_crash(crash);
+        }
+        self.publisher.publish(self.poison.apply(&req.suspicions));
+        let decision = self.poison.try_at(&req.suspects, &req.target);
+        log::info!("event=trial_asked target={} decision={decision:?}", req.target);
+        json(&decision)
+    }
+
     fn record_streams(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let Ok(streams) = decode::<Vec<BegunStream>>(body) else {
             return empty(StatusCode::BAD_REQUEST);
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -7,12 +7,14 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use rosemarymoor_lib::dispatch::catalog::Route;
+use rosemarymoor_lib::dispatch::crash_tracker::{Completion, Suspect};
 use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
 use rosemarymoor_platform::request::CallerHead;
 
 use super::budget_client::Reservation;
 use super::entry::Entry;
 use super::load_monitor::LoadGuard;
+use crate::http_pool::BodyEnd;
 
 /// Admitted request; if it is dropped before its end is recorded, its caller has left.
 pub struct Call {
@@ -22,8 +24,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// Digest of path, key and body, equal for repetitions of a request.
-    pub fingerprint: u128,
+    /// What of it may crash targets, sorted.
+    pub suspects: Vec<Suspect>,
     pub route: Route,
     pub service: String,
     /// What began the stream; `None` before its first event, and if that is not known.
@@ -57,6 +59,17 @@
         );
     }
 
+    /// Records that a target has completed the request, so that nothing in it crashes targets; `target`
+    /// is its process.
+    pub fn record_sound(&self, target: &str, body_end: BodyEnd) {
+        let completion = Completion {
+            target: target.to_owned(),
+            suspects: self.suspects.clone(),
+            is_certain: body_end != BodyEnd::Connection,
+        };
+        self.entry.poison.record_sound(&self.service, completion);
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -16,6 +16,7 @@
 use super::entry::Entry;
 use super::refusal;
 use super::stream;
+use super::trials::TrialDenied;
 use crate::http_server::{AnswerBody, full_body};
 
 /// Multiple of the latency objective after which an unanswered idempotent call is sent
@@ -25,6 +26,9 @@
 /// Shortest retry delay reported with the refusal of a request that no target ran.
 const NOT_RUN_RETRY_AFTER_MS: u64 = 400;
 
+/// Shortest retry delay reported while a suspect of the request is tried.
+const TRIAL_RETRY_AFTER_MS: u64 = 500;
+
 /// Shortest retry delay reported while all targets have asked to wait or have reached their limits,
 /// before jitter.
 const MIN_WAIT_RETRY_AFTER_MS: u64 = 100;
@@ -63,6 +67,7 @@
         match attempt::read_complete(started, Instant::now() + timeout).await {
             Ok(answer) if kind == AnswerKind::Success => {
                 entry.metrics.count_attempt("answered");
+                call.record_sound(&answer.process, answer.body_end);
                 call.record_end("answered");
                 return answer_response(&call, &attempts, answer);
             }
@@ -147,6 +152,17 @@
     }
     let random = rank::key_of(&call.head.attempt_id);
     let jitter_ms = random % RETRY_JITTER_MS;
+    match attempts.denied {
+        Some(TrialDenied::Refused) => {
+            return Refusal::new(ResultCode::Poisoned, "targets broke off while they ran it");
+        }
+        Some(TrialDenied::Busy) => {
+            let detail = "a part of the prompt is tried, as targets broke off with it";
+            let retry_after_ms = TRIAL_RETRY_AFTER_MS + jitter_ms;
+            return Refusal::new(ResultCode::QueueFull, detail).retry_after(retry_after_ms);
+        }
+        None => {}
+    }
     if let Some(wait_ms) = entry.targets().shortest_wait_ms(&call.service, entry.now()) {
         let jitter_ms = jitter_ms.max(wait_ms * (random % WAIT_JITTER_PERCENT) / 100);
         let detail = "all targets have asked to wait, have reached their limits or have no room";
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -5,10 +5,9 @@
 
 use arc_swap::ArcSwapOption;
 use rosemarymoor_lib::dispatch::catalog::Catalog;
-use rosemarymoor_lib::dispatch::crash_tracker::Crash;
 use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
-use rosemarymoor_lib::dispatch::targets::{TargetKey, TargetTable};
+use rosemarymoor_lib::dispatch::targets::TargetTable;
 use rosemarymoor_lib::time::{Millis, MonotonicClock};
 
 use super::begun_streams::StreamDirectory;
@@ -16,7 +15,7 @@
 use super::load_monitor::LoadMonitor;
 use super::metrics::DirectMetrics;
 use super::peers::Peers;
-use super::poison::PoisonedRequests;
+use super::poison_reports::PoisonReports;
 use super::send_permits::PermitClient;
 use crate::answer_memory::AnswerMemory;
 use crate::http_pool::HttpPool;
@@ -39,7 +38,8 @@
     /// Permits to send to targets that have named a limit.
     pub permits: PermitClient,
     pub peers: Arc<Peers>,
-    pub poison: PoisonedRequests,
+    /// What crashes targets.
+    pub poison: PoisonReports,
     pub load: LoadMonitor,
     pub clock: MonotonicClock,
     pub(super) stopping: AtomicBool,
@@ -68,16 +68,6 @@
         self.budget_retry_after.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that a target broke its connection while it ran a request, and reports it to
-    /// the budget servers.
-    pub fn record_crash(&self, fingerprint: u128, target: TargetKey) {
-        let target = self.targets().get(target).map(|target| target.registration.id.clone());
-        let Some(target) = target else { return };
-        let crash = Crash { fingerprint, target };
-        self.poison.record(&crash);
-        tokio::spawn(self.budgets.clone().report_crash(crash));
-    }
-
     /// Returns the time on the entry's clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -22,6 +22,7 @@
 use super::metrics::{self, DirectMetrics, StoreMetrics};
 use super::peer_client::PeerClient;
 use super::poison::PoisonedRequests;
+use super::poison_reports::PoisonReports;
 use super::send_permits::PermitClient;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RelayedPath};
@@ -71,9 +72,9 @@
         answer_memory: AnswerMemory::default(),
         budgets: BudgetClient::open(client.clone(), local_ceilings, load.clone()),
         permits: PermitClient::open(client.clone()),
-        streams: StreamDirectory::open(BegunStreams::open(cx.clock), client),
+        streams: StreamDirectory::open(BegunStreams::open(cx.clock), client.clone()),
         peers: cx.peers.clone(),
-        poison: PoisonedRequests::open(cx.clock),
+        poison: PoisonReports::open(PoisonedRequests::open(cx.clock), client, cx.clock),
         load,
         clock: cx.clock,
         stopping: AtomicBool::new(false),
@@ -94,7 +95,7 @@
     reload_on_hangup(path, move |settings| reloaded.retries().set_limits(settings.retries));
     entry.budgets.clone().report_after_restores(store.era(), settings.data_center.clone());
     entry_feeds::spawn(&entry, store.clone());
-    cx.watch_peers(store.clone(), entry.poison.clone());
+    cx.watch_peers(store.clone(), entry.poison.own().clone());
     cx.register(&settings, store);
     cx.stop_requested().await;
     stop(&entry, callers, settings.grace).await;
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -10,6 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
+use rosemarymoor_lib::dispatch::crash_tracker::{Decision, Suspect, suspects_of};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::id::{BudgetId, digest128};
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
@@ -113,8 +114,10 @@
     let uri = uri.map_err(|_| Refusal::new(ResultCode::BadRequest, "the path cannot be read"))?;
     let body = read_body(body, &catalog, deadline).await?;
     let key = head.key.as_deref().unwrap_or_default();
-    let fingerprint = digest128(&[parts.uri.to_string().as_bytes(), key.as_bytes(), &body]);
-    if entry.poison.is_refused(fingerprint) {
+    let suspects = suspects(&parts, key, &head, &body);
+    if entry.poison.own().decide(&suspects) == Decision::Refuse {
+        let service = route.service_for(random).unwrap_or_default();
+        entry.poison.record_refused(service, &suspects);
         return Err(Refusal::new(ResultCode::Poisoned, "targets broke off while they ran it"));
     }
     let origin = match &head.resumption {
@@ -149,7 +152,7 @@
         uri,
         headers: parts.headers,
         body,
-        fingerprint,
+        suspects,
         service,
         origin,
         workspace: workspace.map(|workspace| workspace.name),
@@ -165,6 +168,15 @@
     })
 }
 
+/// Returns what of a request may crash targets: the request as a whole and the parts of its prompt.
+fn suspects(parts: &Parts, key: &str, head: &CallerHead, body: &[u8]) -> Vec<Suspect> {
+    let prompt: Vec<u64> = head.prompt.iter().map(|part| part.id).collect();
+    let prompt_bytes: Vec<u8> = prompt.iter().flat_map(|part| part.to_le_bytes()).collect();
+    let uri = parts.uri.to_string();
+    let fingerprint = digest128(&[uri.as_bytes(), key.as_bytes(), body, &prompt_bytes]);
+    suspects_of(fingerprint, &prompt)
+}
+
 /// Returns the workspace of the request's key; refuses a request without one unless the
 /// route is public.
 fn workspace<'a>(
--- a/daemon/src/direct/listener.rs
+++ b/daemon/src/direct/listener.rs
@@ -4,12 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::StatusCode;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, StatusCode};
+use rosemarymoor_lib::dispatch::crash_tracker::{Suspect, Suspicion};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use super::entry::Entry;
 use super::handler;
+use super::poison::SUSPECTED_PATH;
 use super::settings::DirectSettings;
 use crate::health::text_answer;
 use crate::http_server::{self, ConnectionLimits, HttpServer};
@@ -20,6 +24,12 @@
 /// Time after which an idle connection of the balancer is closed.
 const READY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which an idle connection of another process of the fleet is closed.
+const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Size limit of the body of an internal call.
+const MAX_INTERNAL_BODY_BYTES: usize = 1 << 20;
+
 /// Reason why an entry cannot listen.
 #[derive(Debug, Snafu)]
 pub enum ListenError {
@@ -50,6 +60,7 @@
         std::future::ready(text_answer(status, String::new()))
     });
     let limited_entry = entry.clone();
+    spawn_internal(settings, entry.clone());
     Ok(HttpServer::spawn(
         callers,
         move || caller_limits(&limited_entry),
@@ -66,6 +77,48 @@
     ))
 }
 
+/// Serves the fleet's own calls, for which budget servers tell what is suspected. An address that
+/// cannot be bound is only logged: the fleet's own list says it later.
+fn spawn_internal(settings: &DirectSettings, entry: Arc<Entry>) {
+    let address = settings.internal;
+    let listener = match http_server::bind(address) {
+        Ok(listener) => listener,
+        Err(err) => {
+            log::error!("event=internal_unavailable address={address} reason={err}");
+            return;
+        }
+    };
+    let idle = || ConnectionLimits::idle(INTERNAL_IDLE_TIMEOUT);
+    HttpServer::spawn(listener, idle, move |req| {
+        let entry = entry.clone();
+        async move {
+            match apply_suspicions(&entry, req).await {
+                Ok(sound) => {
+                    let body = serde_json::to_string(&sound).expect("suspects can be encoded");
+                    text_answer(StatusCode::OK, body)
+                }
+                Err(status) => text_answer(status, String::new()),
+            }
+        }
+    });
+}
+
+/// Applies what a budget server says is suspected; returns what of it has completed here.
+async fn apply_suspicions(
+    entry: &Entry,
+    req: Request<Incoming>,
+) -> Result<Vec<Suspect>, StatusCode> {
+    if req.uri().path() != SUSPECTED_PATH {
+        return Err(StatusCode::NOT_FOUND);
+    }
+    let body = Limited::new(req.into_body(), MAX_INTERNAL_BODY_BYTES).collect().await;
+    let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?.to_bytes();
+    let told: Vec<Suspicion> =
+        serde_json::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    entry.poison.own().apply(&told);
+    Ok(entry.poison.own().certainly_sound(&told))
+}
+
 /// Returns the limits of a caller's connection from the catalog in force, or the defaults if
 /// there is none.
 fn caller_limits(entry: &Entry) -> ConnectionLimits {
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -45,6 +45,7 @@
     taken_up: Counter<u64>,
     target_notices: Counter<u64>,
     permits: Counter<u64>,
+    trials: Counter<u64>,
     malformed_inputs: Counter<u64>,
     reservations: Counter<u64>,
     tokens_charged: Counter<u64>,
@@ -70,6 +71,7 @@
             taken_up: counter("streams_taken_up"),
             target_notices: counter("target_notices"),
             permits: counter("send_permits"),
+            trials: counter("suspect_trials"),
             malformed_inputs: counter("malformed_inputs"),
             reservations: counter("money_asked"),
             tokens_charged: counter("tokens_charged"),
@@ -136,6 +138,12 @@
         self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a decision on a request with suspects of crashes: `run`, `wait`, `other_target` or
+    /// `refuse`.
+    pub fn count_trial(&self, outcome: &'static str) {
+        self.trials.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a value from outside that cannot be decoded, by its kind.
     pub fn count_malformed_input(&self, kind: &'static str) {
         self.malformed_inputs.add(1, &[KeyValue::new("kind", kind)]);
--- a/daemon/src/direct/peers.rs
+++ b/daemon/src/direct/peers.rs
@@ -165,6 +165,14 @@
         }
     }
 
+    /// Returns the listed entries.
+    pub fn entries(&self) -> Vec<PeerRecord> {
+        let name = DirectRole::Entry.name();
+        let peers = self.lock();
+        let entries = peers.iter().filter(|peer| peer.record.role == name);
+        entries.map(|peer| peer.record.clone()).collect()
+    }
+
     /// Returns the number of listed entries, at least 1.
     pub fn entry_count(&self) -> u64 {
         let name = DirectRole::Entry.name();
--- a/daemon/src/direct/poison.rs
+++ b/daemon/src/direct/poison.rs
@@ -1,35 +1,31 @@
-//! Requests that crash targets, refused by the whole fleet.
+//! What crashes targets, as one process knows it: whole requests and parts of prompts.
 //!
-//! An entry reports each crash of a target to two budget servers, ranked by the request's
-//! fingerprint. A server to which enough crashes were reported writes a key into the fleet's
-//! own list, which all entries watch.
+//! The fleet's own list in the store holds what is refused, so that processes which start learn of it.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use rosemarymoor_lib::dispatch::crash_tracker::{Crash, CrashTracker};
+use rosemarymoor_lib::dispatch::crash_tracker::{
+    Completion, Crash, CrashTracker, Decision, Level, Suspect, Suspicion, TrialRequest,
+};
 use rosemarymoor_lib::kv_feed::{Changes, Listing};
-use rosemarymoor_lib::kv_store::{KvStore, NotDone, Outcome, RestoreWatch, Revision};
 use rosemarymoor_lib::time::MonotonicClock;
 
-use super::fleet_keys::{poisoned_fingerprint, poisoned_key};
+use super::fleet_keys::poisoned_fingerprint;
 
-/// Path of crash reports at a budget server.
+/// Path of reports of crashes at a budget server.
 pub const CRASH_PATH: &str = "/crashed";
 
-/// Lease duration of a poisoned request in the list.
-const POISONED_TTL: Duration = Duration::from_secs(60);
+/// Path of reports of suspects that have completed, at a budget server.
+pub const SOUND_PATH: &str = "/sound";
 
-/// Timeout of a store call.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Path of requests for trials at a budget server.
+pub const TRIAL_PATH: &str = "/trial";
 
-/// Number of attempts to write a key into the list.
-const WRITE_ATTEMPTS: u32 = 4;
+/// Path of what is suspected: entries tell budget servers of requests that they refuse, budget servers
+/// tell entries of changes.
+pub const SUSPECTED_PATH: &str = "/suspected";
 
-/// Delay after a failed attempt to write a key.
-const WRITE_RETRY_DELAY: Duration = Duration::from_millis(200);
-
-/// Crashes and poisoned requests known to one process; clones share them.
+/// Suspects known to one process; clones share them.
 #[derive(Clone)]
 pub struct PoisonedRequests {
     tracker: Arc<Mutex<CrashTracker>>,
@@ -42,86 +38,157 @@
         PoisonedRequests { tracker: Arc::default(), clock }
     }
 
-    /// Records a crash; returns whether it caused the request to be refused from now on.
-    pub fn record(&self, crash: &Crash) -> bool {
-        let is_newly_refused = self.tracker().record(crash, self.clock.now());
-        let Crash { fingerprint, target } = crash;
-        log::info!("event=crash_recorded fingerprint={fingerprint:032x} target={target}");
-        if is_newly_refused {
-            log::warn!("event=request_poisoned fingerprint={fingerprint:032x} last={target}");
+    /// Records a crash; returns the suspects whose level it changed.
+    pub fn record_crash(&self, crash: &Crash) -> Vec<Suspicion> {
+        let changes = self.tracker().record_crash(crash, self.clock.now());
+        log::info!(
+            "event=crash_recorded target={} suspects={}",
+            crash.target,
+            crash.suspects.len()
+        );
+        for change in &changes {
+            log_change(change, "crash");
         }
-        is_newly_refused
+        changes
     }
 
-    /// Returns whether a request is refused.
-    pub fn is_refused(&self, fingerprint: u128) -> bool {
-        self.tracker().is_refused(fingerprint, self.clock.now())
+    /// Refuses what the crashes so far are reason to; returns the suspects that it changed.
+    pub fn settle(&self) -> Vec<Suspicion> {
+        let changes = self.tracker().settle(self.clock.now());
+        for change in &changes {
+            log_change(change, "crash");
+        }
+        changes
     }
 
-    /// Applies the poisoned requests in a complete list.
-    pub fn apply_listing(&self, listing: &Listing) {
-        for (key, _) in &listing.items {
-            self.apply_key(key);
-        }
+    /// Returns whether a completion counts.
+    pub fn is_completion(&self, completion: &Completion) -> bool {
+        self.tracker().is_completion(completion, self.clock.now())
     }
 
-    /// Applies the poisoned requests that were added to the list. A removed key does not end a
-    /// refusal, which expires by itself.
-    pub fn apply_changes(&self, changes: &Changes) {
-        let Changes::Received { changes, .. } = changes else { return };
-        for change in changes.iter().filter(|change| change.value.is_some()) {
-            self.apply_key(&change.key);
+    /// Records that a request has completed; returns the suspects that it clears.
+    pub fn record_sound(&self, completion: &Completion) -> Vec<Suspicion> {
+        let cleared = self.tracker().record_sound(completion, self.clock.now());
+        for change in &cleared {
+            log::info!("event=suspect_cleared suspect={} reason=completed", hex(change.suspect));
         }
+        cleared
+    }
+
+    /// Records that a request was refused; returns what the fleet has to be told of it.
+    pub fn record_refused(&self, suspects: &[Suspect]) -> Vec<Suspicion> {
+        self.tracker().record_refused(suspects, self.clock.now())
     }
 
-    fn apply_key(&self, key: &str) {
-        let Some(text) = poisoned_fingerprint(key) else { return };
-        match u128::from_str_radix(text, 16) {
-            Ok(fingerprint) => self.tracker().refuse(fingerprint, self.clock.now()),
-            Err(err) => log::warn!("event=poison_malformed key={key} reason={err}"),
+    /// Applies what other processes know; returns what was new.
+    pub fn apply(&self, told: &[Suspicion]) -> Vec<Suspicion> {
+        let mut tracker = self.tracker();
+        let now = self.clock.now();
+        let new: Vec<Suspicion> =
+            told.iter().filter(|told| tracker.apply(told, now)).cloned().collect();
+        drop(tracker);
+        for change in &new {
+            log_change(change, "told");
         }
+        new
+    }
+
+    /// Decides on a request with these suspects.
+    pub fn decide(&self, suspects: &[Suspect]) -> Decision {
+        self.tracker().decide(suspects, self.clock.now())
+    }
+
+    /// Decides on a request that asks to run as a trial.
+    pub fn try_at(&self, suspects: &[Suspect], target: &str) -> Decision {
+        self.tracker().try_at(suspects, target, self.clock.now())
+    }
+
+    /// Returns the request for a trial at another process, after a crash of the attempt before.
+    pub fn trial_request(
+        &self,
+        suspects: &[Suspect],
+        target: &str,
+        crash: Option<Crash>,
+    ) -> TrialRequest {
+        let suspicions = self.tracker().suspicions(suspects);
+        TrialRequest { suspects: suspects.to_vec(), suspicions, crash, target: target.to_owned() }
+    }
+
+    /// Returns those of the suspects that have certainly completed here.
+    pub fn certainly_sound(&self, told: &[Suspicion]) -> Vec<Suspect> {
+        self.tracker().certainly_sound(told)
     }
 
-    /// Returns the fingerprints of all refused requests.
-    fn refused(&self) -> Vec<u128> {
+    /// Returns the suspects without the parts that are known to be sound.
+    pub fn unproven(&self, suspects: &[Suspect]) -> Vec<Suspect> {
+        self.tracker().unproven(suspects)
+    }
+
+    /// Returns whether any of these suspects is known to be tried or refused.
+    pub fn is_suspected(&self, suspects: &[Suspect]) -> bool {
+        !self.tracker().suspicions(suspects).is_empty()
+    }
+
+    /// Returns all suspects that are refused.
+    pub fn refused(&self) -> Vec<Suspicion> {
         self.tracker().refused(self.clock.now())
     }
 
+    /// Applies the refused suspects in a complete list.
+    pub fn apply_listing(&self, listing: &Listing) {
+        let items = listing.items.iter();
+        let told: Vec<Suspicion> =
+            items.filter_map(|(key, found)| decode(key, &found.value)).collect();
+        self.apply(&told);
+    }
+
+    /// Applies the changes of the list. A key that vanishes does not end a refusal, which expires by
+    /// itself.
+    pub fn apply_changes(&self, changes: &Changes) {
+        let Changes::Received { changes, .. } = changes else { return };
+        let values =
+            changes.iter().filter_map(|change| Some((&change.key, change.value.as_ref()?)));
+        let told: Vec<Suspicion> =
+            values.filter_map(|(key, found)| decode(key, &found.value)).collect();
+        self.apply(&told);
+    }
+
     fn tracker(&self) -> MutexGuard<'_, CrashTracker> {
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Spawns the task that writes the poisoned requests again after each restore of the store.
-pub fn publish_after_restores(poison: PoisonedRequests, kv: Arc<dyn KvStore>) {
-    let Some(mut restores) = kv.era().map(RestoreWatch::open) else { return };
-    tokio::spawn(async move {
-        loop {
-            restores.restored().await;
-            for fingerprint in poison.refused() {
-                publish(kv.clone(), fingerprint).await;
-            }
-        }
-    });
+/// Returns a suspect as it stands in logs and keys.
+pub fn hex(suspect: Suspect) -> String {
+    format!("{:032x}", suspect.0)
 }
 
-/// Adds a poisoned request to the fleet's own list; logs a warning if no attempt
-/// succeeds.
-pub async fn publish(kv: Arc<dyn KvStore>, fingerprint: u128) {
-    let key = poisoned_key(fingerprint);
-    for _ in 0..WRITE_ATTEMPTS {
-        if let Outcome::Done(lease) = kv.open_lease(POISONED_TTL, STORE_TIMEOUT).await {
-            let value = b"{}".to_vec();
-            let absent = Revision::ABSENT;
-            let written =
-                kv.compare_and_swap(&key, absent, value, Some(lease), STORE_TIMEOUT).await;
-            // A conflict means that another server has already written the key.
-            if matches!(written, Outcome::Done(_) | Outcome::NotDone(NotDone::Conflict { .. })) {
-                log::info!("event=poison_published key={key} outcome={written:?}");
-                return;
-            }
-        }
-        tokio::time::sleep(WRITE_RETRY_DELAY).await;
+fn log_change(change: &Suspicion, reason: &str) {
+    let suspect = hex(change.suspect);
+    match change.level {
+        Level::Refused => log::warn!(
+            "event=request_poisoned fingerprint={suspect} part={} rivals={} reason={reason}",
+            change.suspect.is_part(),
+            change.rivals.len()
+        ),
+        Level::Tried => log::info!("event=suspect_tried suspect={suspect} reason={reason}"),
+        Level::Free => log::info!("event=suspect_cleared suspect={suspect} reason={reason}"),
     }
-    log::warn!("event=poison_not_published key={key}");
+}
+
+/// Decodes an item of the fleet's own list; `None` for items that are no suspects, and for malformed
+/// ones.
+fn decode(key: &str, value: &[u8]) -> Option<Suspicion> {
+    let text = poisoned_fingerprint(key)?;
+    let suspect = match u128::from_str_radix(text, 16) {
+        Ok(fingerprint) => Suspect(fingerprint),
+        Err(err) => {
+            log::warn!("event=poison_malformed key={key} reason={err}");
+            return None;
+        }
+    };
+    // Older builds write no more than the key.
+    let refused = Suspicion { suspect, rivals: Vec::new(), level: Level::Refused };
+    let stored: Option<Suspicion> = serde_json::from_slice(value).ok();
+    Some(stored.filter(|stored| stored.suspect == suspect).unwrap_or(refused))
 }
--- /dev/null
+++ b/daemon/src/direct/poison_publisher.rs
@@ -0,0 +1,260 @@
+//! Tells the fleet what a budget server finds out about crashes of targets.
+//!
+//! Each change goes to all entries at once. What is refused is also a key of the fleet's own list in
+//! the store, under a lease, for entries that start or that could not be reached.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use rosemarymoor_lib::dispatch::crash_tracker::{
+    Completion, Crash, Level, RETENTION_MS, SETTLING_MS, Suspect, Suspicion,
+};
+use rosemarymoor_lib::kv_feed::KvFeed;
+use rosemarymoor_lib::kv_store::{KvStore, Outcome, RestoreWatch, Revision};
+use rosemarymoor_platform::store::PlatformStore;
+
+use super::fleet_keys::{PEER_PREFIX, poisoned_key};
+use super::peer_client::PeerClient;
+use super::peers::PeerRecord;
+use super::poison::{PoisonedRequests, SUSPECTED_PATH};
+
+/// Lease duration of a refused suspect in the list.
+const REFUSED_TTL: Duration = Duration::from_millis(RETENTION_MS);
+
+/// Lease duration of a cleared suspect in the list: entries see it in this time.
+const CLEARED_TTL: Duration = Duration::from_secs(60);
+
+/// Time after which the key of a suspect that is still refused is written again.
+const REWRITE_INTERVAL: Duration = Duration::from_secs(120);
+
+/// Timeout of a store call.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Delay after a failed call to the store; doubles with each further failure.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Longest delay after a failed call to the store.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
+
+/// Age of the list of entries from which on it is read again before entries are told.
+const LIST_AGE: Duration = Duration::from_secs(5);
+
+/// Timeout of a message to an entry.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Largest number of messages to one entry.
+const MAX_TELLS: u32 = 3;
+
+/// Number of entries that are told at the same time.
+const CONCURRENT_TELLS: usize = 64;
+
+/// Publisher of a budget server; clones share its state.
+#[derive(Clone)]
+pub struct PoisonPublisher {
+    poison: PoisonedRequests,
+    kv: Arc<PlatformStore>,
+    client: PeerClient,
+    /// When the list of entries was read last.
+    listed_at: Arc<Mutex<Option<Instant>>>,
+    /// Suspects that were written, with the time.
+    written: Arc<Mutex<Vec<(Suspicion, Instant)>>>,
+}
+
+impl PoisonPublisher {
+    /// Opens a publisher, and reads in the background what the list says is refused.
+    pub fn spawn(
+        poison: PoisonedRequests,
+        kv: Arc<PlatformStore>,
+        client: PeerClient,
+    ) -> PoisonPublisher {
+        let publisher = PoisonPublisher {
+            poison,
+            kv,
+            client,
+            listed_at: Arc::default(),
+            written: Arc::default(),
+        };
+        tokio::spawn(publisher.clone().read_list());
+        tokio::spawn(publisher.clone().publish_after_restores());
+        publisher
+    }
+
+    /// Records a crash, and tells the fleet what follows from it.
+    pub fn record_crash(&self, crash: &Crash) {
+        self.publish(self.poison.record_crash(crash));
+        let publisher = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(SETTLING_MS)).await;
+            publisher.publish(publisher.poison.settle());
+        });
+    }
+
+    /// Records a completion, and tells the fleet what follows from it; returns whether it counts.
+    pub fn record_sound(&self, completion: &Completion) -> bool {
+        if !self.poison.is_completion(completion) {
+            return false;
+        }
+        let mut changes = self.poison.record_sound(completion);
+        changes.extend(self.poison.settle());
+        self.publish(changes);
+        true
+    }
+
+    /// Tells the fleet of changes in the background.
+    pub fn publish(&self, changes: Vec<Suspicion>) {
+        if changes.is_empty() {
+            return;
+        }
+        tokio::spawn(self.clone().tell_entries(changes.clone()));
+        for change in changes.into_iter().filter(|change| change.level != Level::Tried) {
+            tokio::spawn(self.clone().write(change));
+        }
+    }
+
+    /// Keeps suspects refused for longer, of which entries say that they still refuse them.
+    pub fn renew(&self, told: &[Suspicion]) {
+        for suspicion in told.iter().filter(|told| told.level == Level::Refused) {
+            if !self.was_written_lately(suspicion) {
+                tokio::spawn(self.clone().write(suspicion.clone()));
+            }
+        }
+    }
+
+    async fn read_list(self) {
+        let mut delay = MIN_RETRY_DELAY;
+        while !self.list().await {
+            tokio::time::sleep(delay).await;
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
+        }
+    }
+
+    /// Reads the fleet's own list; returns whether the store answered.
+    async fn list(&self) -> bool {
+        let Outcome::Done(listing) = self.kv.list(PEER_PREFIX, STORE_TIMEOUT).await else {
+            return false;
+        };
+        self.client.peers.apply_listing(&listing, false);
+        self.poison.apply_listing(&listing);
+        *self.listed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        true
+    }
+
+    /// Tells all entries of changes.
+    async fn tell_entries(self, changes: Vec<Suspicion>) {
+        let listed_at = *self.listed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = self.client.peers.entries();
+        let told = self.tell(&known, &changes);
+        if listed_at.is_some_and(|at| at.elapsed() < LIST_AGE) {
+            return told.await;
+        }
+        // Known entries do not wait for the list.
+        let (is_listed, ()) = tokio::join!(self.list(), told);
+        if is_listed {
+            let mut others = self.client.peers.entries();
+            others.retain(|entry| !known.contains(entry));
+            self.tell(&others, &changes).await;
+        }
+    }
+
+    async fn tell(&self, entries: &[PeerRecord], changes: &[Suspicion]) {
+        let mut failed = 0;
+        for entries in entries.chunks(CONCURRENT_TELLS) {
+            let told = join_all(entries.iter().map(|entry| self.tell_entry(entry, changes))).await;
+            failed += told.into_iter().filter(|is_told| !is_told).count();
+        }
+        log::info!(
+            "event=suspects_told changes={} entries={} failed={failed}",
+            changes.len(),
+            entries.len()
+        );
+    }
+
+    /// Tells one entry, which answers with those that have completed there; returns whether it knows.
+    async fn tell_entry(&self, entry: &PeerRecord, changes: &[Suspicion]) -> bool {
+        for _ in 0..MAX_TELLS {
+            match self.client.post(entry, SUSPECTED_PATH, &changes, TELL_TIMEOUT).await {
+                Ok((_, body)) => {
+                    let mut suspects: Vec<Suspect> =
+                        serde_json::from_slice(&body).unwrap_or_default();
+                    suspects.sort();
+                    let target = String::new();
+                    let completion = Completion { target, suspects, is_certain: true };
+                    if !completion.suspects.is_empty() {
+                        self.record_sound(&completion);
+                    }
+                    return true;
+                }
+                Err(err) => {
+                    log::debug!("event=suspects_not_told entry={} reason={err:?}", entry.name);
+                }
+            }
+        }
+        false
+    }
+
+    /// Writes what is known of a suspect into the list, until the store takes it or the suspect has
+    /// another level.
+    async fn write(self, suspicion: Suspicion) {
+        let key = poisoned_key(suspicion.suspect.0);
+        self.record_written(&suspicion);
+        let mut delay = MIN_RETRY_DELAY;
+        while self.is_current(&suspicion) {
+            if self.write_once(&key, &suspicion).await {
+                log::info!("event=poison_published key={key} level={:?}", suspicion.level);
+                return;
+            }
+            log::warn!("event=poison_not_published key={key}");
+            tokio::time::sleep(delay).await;
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
+        }
+    }
+
+    async fn write_once(&self, key: &str, suspicion: &Suspicion) -> bool {
+        let Outcome::Done(found) = self.kv.get(key, STORE_TIMEOUT).await else { return false };
+        if suspicion.level == Level::Free && found.is_none() {
+            return true;
+        }
+        let revision = found.map_or(Revision::ABSENT, |found| found.revision);
+        let ttl = if suspicion.level == Level::Free { CLEARED_TTL } else { REFUSED_TTL };
+        let value = serde_json::to_vec(suspicion).expect("a suspicion can be encoded as JSON");
+        let Outcome::Done(lease) = self.kv.open_lease(ttl, STORE_TIMEOUT).await else {
+            return false;
+        };
+        let written =
+            self.kv.compare_and_swap(key, revision, value, Some(lease), STORE_TIMEOUT).await;
+        matches!(written, Outcome::Done(_))
+    }
+
+    /// Returns whether a suspect still has the level that is to be written.
+    fn is_current(&self, suspicion: &Suspicion) -> bool {
+        let is_refused =
+            self.poison.refused().iter().any(|refused| refused.suspect == suspicion.suspect);
+        is_refused == (suspicion.level == Level::Refused)
+    }
+
+    fn was_written_lately(&self, suspicion: &Suspicion) -> bool {
+        let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+        written.retain(|(_, at)| at.elapsed() < REWRITE_INTERVAL);
+        written.iter().any(|(other, _)| other.suspect == suspicion.suspect)
+    }
+
+    fn record_written(&self, suspicion: &Suspicion) {
+        let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+        written.retain(|(other, at)| {
+            other.suspect != suspicion.suspect && at.elapsed() < REWRITE_INTERVAL
+        });
+        written.push((suspicion.clone(), Instant::now()));
+    }
+
+    /// Writes what is refused again after each restore of the store.
+    async fn publish_after_restores(self) {
+        let Some(mut restores) = self.kv.era().map(RestoreWatch::open) else { return };
+        loop {
+            restores.restored().await;
+            for suspicion in self.poison.refused() {
+                tokio::spawn(self.clone().write(suspicion));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/direct/poison_reports.rs
@@ -0,0 +1,180 @@
+//! An entry's reports of what crashes targets, and its questions about trials.
+//!
+//! Two budget servers, ranked by the service, hear of all crashes of its targets. They see all requests
+//! of a crash, and an entry only its own, so that an entry decides alone only if none of them answers.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rosemarymoor_lib::dispatch::crash_tracker::{
+    Completion, Crash, Decision, SETTLING_MS, Suspect,
+};
+use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::dispatch::recent_suspects::RecentSuspects;
+use rosemarymoor_lib::time::MonotonicClock;
+use serde::Serialize;
+
+use super::peer_client::PeerClient;
+use super::peers::PeerRecord;
+use super::poison::{CRASH_PATH, PoisonedRequests, SOUND_PATH, SUSPECTED_PATH, TRIAL_PATH};
+
+/// Timeout of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest wait for the answer to a request for a trial; a caller waits for it.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time after which the crash of a target is known, if it has ended a connection.
+const CRASH_NEWS_DELAY: Duration = Duration::from_millis(300);
+
+/// An entry's suspects and the budget servers that it tells of them; clones share them.
+#[derive(Clone)]
+pub struct PoisonReports {
+    own: PoisonedRequests,
+    client: PeerClient,
+    /// Suspects that were reported and have not completed since.
+    reported: Arc<Mutex<RecentSuspects>>,
+    clock: MonotonicClock,
+}
+
+impl PoisonReports {
+    /// Opens the reports of what this entry knows itself.
+    pub fn open(own: PoisonedRequests, client: PeerClient, clock: MonotonicClock) -> PoisonReports {
+        PoisonReports { own, client, reported: Arc::default(), clock }
+    }
+
+    /// Returns what this entry knows itself.
+    pub fn own(&self) -> &PoisonedRequests {
+        &self.own
+    }
+
+    /// Reports a crash of a service's target in the background; returns what was reported.
+    pub fn record_crash(&self, service: &str, crash: Crash) -> Crash {
+        let crash = Crash { suspects: self.own.unproven(&crash.suspects), ..crash };
+        for suspect in &crash.suspects {
+            self.reported().insert(*suspect, self.clock.now());
+        }
+        let (reports, servers) = (self.clone(), self.servers(service));
+        let reported = crash.clone();
+        tokio::spawn(async move {
+            if !reports.post_to_all(&servers, CRASH_PATH, &crash).await {
+                reports.record_alone(&crash).await;
+            }
+        });
+        reported
+    }
+
+    /// Records a crash that no budget server has heard of.
+    async fn record_alone(&self, crash: &Crash) {
+        self.own.record_crash(crash);
+        tokio::time::sleep(Duration::from_millis(SETTLING_MS)).await;
+        self.own.settle();
+    }
+
+    /// Records that a request of a service has completed, and reports it if it was suspected.
+    pub fn record_sound(&self, service: &str, completion: Completion) {
+        let was_reported = completion.suspects.iter().filter(|suspect| self.forget(**suspect));
+        let was_reported = was_reported.count() > 0;
+        if completion.is_certain {
+            let was_suspected = !self.own.record_sound(&completion).is_empty();
+            if was_reported || was_suspected {
+                self.report(service, SOUND_PATH, completion);
+            }
+            return;
+        }
+        if was_reported || self.own.is_suspected(&completion.suspects) {
+            let (reports, service) = (self.clone(), service.to_owned());
+            tokio::spawn(async move { reports.record_uncertain(&service, completion).await });
+        }
+    }
+
+    /// Records a completion that may be the end of a crashed target, unless a budget server has heard
+    /// of the crash.
+    async fn record_uncertain(&self, service: &str, completion: Completion) {
+        tokio::time::sleep(CRASH_NEWS_DELAY).await;
+        let mut is_sound = true;
+        for server in self.servers(service) {
+            let posted = self.client.post(&server, SOUND_PATH, &completion, REPORT_TIMEOUT).await;
+            let Ok((_, body)) = posted else { continue };
+            is_sound &= serde_json::from_slice(&body).unwrap_or(false);
+        }
+        if is_sound {
+            self.own.record_sound(&completion);
+        }
+    }
+
+    /// Records that a request was refused; tells of it from time to time, so that all processes keep
+    /// the refusal.
+    pub fn record_refused(&self, service: &str, suspects: &[Suspect]) {
+        let due = self.own.record_refused(suspects);
+        if !due.is_empty() {
+            self.report(service, SUSPECTED_PATH, due);
+        }
+    }
+
+    /// Asks whether a request may run as a trial at a target, after a crash of its attempt before. This
+    /// entry decides alone if no budget server answers.
+    pub async fn try_at(
+        &self,
+        service: &str,
+        suspects: &[Suspect],
+        target: &str,
+        crash: Option<Crash>,
+    ) -> Decision {
+        let req = self.own.trial_request(suspects, target, crash);
+        for server in self.servers(service) {
+            match self.client.post(&server, TRIAL_PATH, &req, TRIAL_TIMEOUT).await {
+                Ok((_, body)) => return serde_json::from_slice(&body).unwrap_or(Decision::Wait),
+                Err(err) => {
+                    self.client.peers.record_failure(server.internal);
+                    log::info!("event=trial_not_answered server={} reason={err:?}", server.name);
+                }
+            }
+        }
+        self.own.try_at(suspects, target)
+    }
+
+    /// Posts a message to the budget servers of a service in the background.
+    fn report<T: Serialize + Send + Sync + 'static>(
+        &self,
+        service: &str,
+        path: &'static str,
+        message: T,
+    ) {
+        let (reports, servers) = (self.clone(), self.servers(service));
+        tokio::spawn(async move { reports.post_to_all(&servers, path, &message).await });
+    }
+
+    /// Posts a message to servers; returns whether any of them has it.
+    async fn post_to_all<T: Serialize>(
+        &self,
+        servers: &[PeerRecord],
+        path: &'static str,
+        message: &T,
+    ) -> bool {
+        let posts = servers.iter().map(|server| async {
+            let posted = self.client.post(server, path, message, REPORT_TIMEOUT).await;
+            if let Err(err) = &posted {
+                log::debug!("event=crash_not_told server={} reason={err:?}", server.name);
+            }
+            posted.is_ok()
+        });
+        join_all(posts).await.into_iter().any(|is_told| is_told)
+    }
+
+    /// Returns the two budget servers that hear of a service's crashes, without those that did not
+    /// answer lately.
+    fn servers(&self, service: &str) -> Vec<PeerRecord> {
+        let ranked = self.client.peers.permit_issuers(rank::key_of(service));
+        ranked.into_iter().map(|(_, server)| server).collect()
+    }
+
+    fn forget(&self, suspect: Suspect) -> bool {
+        self.reported().remove(suspect)
+    }
+
+    fn reported(&self) -> MutexGuard<'_, RecentSuspects> {
+        self.reported.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -138,10 +138,12 @@
             Ok(None) => {
                 self.finish(COMPLETE);
                 self.entry.metrics.count_attempt("answered");
-                self.call.record_end("answered");
                 if let Some(reader) = self.reader.take() {
+                    let body_end = reader.answer.exchange.body_end();
+                    self.call.record_sound(&reader.answer.in_flight.process, body_end);
                     reader.answer.exchange.lease.finish();
                 }
+                self.call.record_end("answered");
                 None
             }
             Err(err) => {
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -13,14 +13,17 @@
 
 pub mod catalog;
 pub mod choice;
+mod crash_row;
 pub mod crash_tracker;
 pub mod event_stream;
 pub mod load_shedder;
 pub mod rank;
+pub mod recent_suspects;
 pub mod refusal_backoff;
 pub mod retry_after;
 pub mod retry_budget;
 pub mod send_permits;
+
 pub mod stream_origins;
 pub mod target_limit;
 pub mod targets;
--- /dev/null
+++ b/lib/src/dispatch/crash_row.rs
@@ -0,0 +1,168 @@
+//! Crashes counted for one suspect, and its trials.
+
+use super::crash_tracker::{Level, MAX_CRASHES, SETTLING_MS, Suspect, Suspicion, TRIAL_CRASHES};
+use crate::time::Millis;
+
+/// Time by which a report of a crash may be later than the crash, in milliseconds.
+const REPORT_DELAY_MS: u64 = 100;
+
+/// Longest time for which a trial keeps other requests with its suspects waiting, in milliseconds.
+const TRIAL_MS: u64 = 2_000;
+
+/// Time until a refused suspect is tried for the first time, in milliseconds; doubles each time.
+const MIN_RETRIAL_MS: u64 = 30_000;
+
+/// Longest time between two trials of a refused suspect, in milliseconds.
+const MAX_RETRIAL_MS: u64 = 3_600_000;
+
+/// Maximum number of crashes of a row; those that do not count are evicted first.
+const MAX_ROW_CRASHES: usize = 16;
+
+/// Crash of a target that ran the suspect.
+#[derive(Clone, Copy, Debug)]
+struct RowCrash {
+    /// Digest of the target's process.
+    process: u64,
+    is_counted: bool,
+}
+
+/// Running trial of a suspect.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    /// Digest of the target's process.
+    process: u64,
+    until: Millis,
+}
+
+/// Crashes counted for one suspect.
+#[derive(Clone, Debug)]
+pub(super) struct Row {
+    pub suspect: Suspect,
+    crashes: Vec<RowCrash>,
+    last_counted_at: Millis,
+    pub level: Level,
+    /// Others that were in all its counted crashes, sorted; known once it is refused.
+    pub rivals: Vec<Suspect>,
+    trial: Option<Trial>,
+    /// When a refused suspect may be tried, and how often it was.
+    pub retrial_at: Millis,
+    retrials: u32,
+    /// When the fleet was told last that the refusal is still needed.
+    pub told_at: Millis,
+    pub touched_at: Millis,
+}
+
+impl Row {
+    pub fn new(suspect: Suspect, now: Millis) -> Row {
+        Row {
+            suspect,
+            crashes: Vec::new(),
+            last_counted_at: Millis(0),
+            level: Level::Free,
+            rivals: Vec::new(),
+            trial: None,
+            retrial_at: Millis(0),
+            retrials: 0,
+            told_at: now,
+            touched_at: now,
+        }
+    }
+
+    pub fn suspicion(&self) -> Suspicion {
+        let Row { suspect, level, .. } = *self;
+        Suspicion { suspect, level, rivals: self.rivals.clone() }
+    }
+
+    /// Returns the number of crashes that count.
+    pub fn counted(&self) -> usize {
+        self.crashes.iter().filter(|crash| crash.is_counted).count()
+    }
+
+    /// Adds a crash, which counts unless its request was sent before the crash that was counted last.
+    pub fn add_crash(&mut self, process: u64, sent_at: Millis, now: Millis) {
+        self.touched_at = now;
+        self.trial = None;
+        let is_later = self.counted() == 0 || sent_at.plus(REPORT_DELAY_MS) >= self.last_counted_at;
+        let known = self.crashes.iter().position(|crash| crash.process == process);
+        if known.is_some() {
+            return;
+        }
+        if self.crashes.len() >= MAX_ROW_CRASHES {
+            let Some(at) = self.crashes.iter().position(|crash| !crash.is_counted) else { return };
+            self.crashes.remove(at);
+        }
+        self.crashes.push(RowCrash { process, is_counted: is_later });
+        if is_later {
+            self.last_counted_at = now;
+        }
+    }
+
+    /// Raises the level; returns whether it changed.
+    pub fn raise(&mut self, level: Level, now: Millis) -> bool {
+        if level <= self.level {
+            return false;
+        }
+        self.level = level;
+        if level == Level::Refused {
+            self.retrial_at = now.plus(MIN_RETRIAL_MS);
+        }
+        true
+    }
+
+    /// Returns whether all reports of the last crash are there.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        now.since(self.last_counted_at) >= SETTLING_MS
+    }
+
+    /// Returns whether it will be refused unless a report shows another cause.
+    pub fn is_settling(&self, now: Millis) -> bool {
+        self.level < Level::Refused && self.counted() >= MAX_CRASHES && !self.is_settled(now)
+    }
+
+    /// Returns whether it was in all crashes that count for another suspect.
+    pub fn has_crashes_of(&self, other: &Row) -> bool {
+        let has = |process: u64| self.crashes.iter().any(|crash| crash.process == process);
+        let mut counted = other.crashes.iter().filter(|crash| crash.is_counted);
+        counted.all(|crash| has(crash.process))
+    }
+
+    /// Returns whether a request with these suspects is refused.
+    pub fn refuses(&self, suspects: &[Suspect]) -> bool {
+        let is_in_request = |rival: &Suspect| suspects.binary_search(rival).is_ok();
+        self.level == Level::Refused && self.rivals.iter().all(is_in_request)
+    }
+
+    /// Removes the crashes of their cause; returns whether the suspect is free now and was not before.
+    pub fn explain(&mut self, cause: &Row) -> bool {
+        self.crashes.retain(|crash| !cause.crashes.iter().any(|at| at.process == crash.process));
+        let is_freed = self.counted() < TRIAL_CRASHES && self.level > Level::Free;
+        if is_freed {
+            self.level = Level::Free;
+            self.rivals.clear();
+            self.trial = None;
+        }
+        is_freed
+    }
+
+    pub fn is_tried(&self, now: Millis) -> bool {
+        self.trial.is_some_and(|trial| now < trial.until)
+    }
+
+    pub fn is_tried_at(&self, process: u64, now: Millis) -> bool {
+        self.trial.is_some_and(|trial| trial.process == process && now < trial.until)
+    }
+
+    /// Starts a trial in a request with these suspects. The next one of a request that would be refused
+    /// comes later than this one did.
+    pub fn start_trial(&mut self, suspects: &[Suspect], process: u64, now: Millis) {
+        if self.level == Level::Free {
+            return;
+        }
+        if self.refuses(suspects) {
+            self.retrials += 1;
+            let pause_ms = (MIN_RETRIAL_MS << self.retrials.min(8)).min(MAX_RETRIAL_MS);
+            self.retrial_at = now.plus(pause_ms);
+        }
+        self.trial = Some(Trial { process, until: now.plus(TRIAL_MS) });
+    }
+}
--- a/lib/src/dispatch/send_permits.rs
+++ b/lib/src/dispatch/send_permits.rs
@@ -5,6 +5,7 @@
 //! so few that the sum holds even while some entries reach the first server and others do not. An
 //! issuer that starts anew begins without a permit.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use super::target_limit::KnownLimit;
@@ -30,7 +31,8 @@
 const RETENTION_MS: u64 = 300_000;
 
 /// Process of a target.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[display("{id}/{started_ms}")]
 pub struct TargetProcess {
     pub id: String,
     /// Wall-clock start in Unix milliseconds.
