sidecar: a message of many prompts that crashes engines is refused by all sidecars

Cause: crashes were counted by whole requests only.

The messages of a prompt but the last have rows in the table of crashes. Any completion clears them; from two crashes on their requests run alone; after three, one of them alone, they are refused, unless others were in the same crashes. 3 engines crash, and the sound requests beside them are served.

--- a/daemon/src/sidecar/gate.rs
+++ b/daemon/src/sidecar/gate.rs
@@ -10,6 +10,7 @@
 use rosemarymoor_lib::control::{self, ControlSender};
 use rosemarymoor_lib::gate::{Gate, GateEffect, GateEvent, GateState, LoadReason};
 use rosemarymoor_lib::limit_notice::LimitNotice;
+use rosemarymoor_lib::poison::RequestDigests;
 use rosemarymoor_lib::result_code::Refusal;
 use rosemarymoor_lib::target_client::{TargetClient, TargetLoad};
 use rosemarymoor_lib::time::{Millis, MonotonicClock, wall_clock_ms};
@@ -112,13 +113,13 @@
     /// Requests admission; the decisions arrive at the returned ticket handle.
     pub fn enter(
         &self,
-        fingerprint: u128,
+        digests: RequestDigests,
         arrival: impl FnOnce(Ticket) -> Arrival,
     ) -> TicketHandle {
         let ticket = Ticket(self.shared.next_ticket.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = unbounded_channel();
         self.tickets().push((ticket, tx));
-        self.send(GateEvent::Arrive { arrival: arrival(ticket), fingerprint });
+        self.send(GateEvent::Arrive { arrival: arrival(ticket), digests });
         TicketHandle { gate: self.clone(), ticket, rx, ended: false }
     }
 
--- a/daemon/src/sidecar/job.rs
+++ b/daemon/src/sidecar/job.rs
@@ -10,6 +10,8 @@
 use rosemarymoor_lib::answer_usage::{Usage, UsageMeter};
 use rosemarymoor_lib::budget::SpendWitness;
 use rosemarymoor_lib::gate::GateEvent;
+use rosemarymoor_lib::poison::RequestDigests;
+use rosemarymoor_lib::prompt_parts::prompt_parts;
 use rosemarymoor_lib::result_code::{Refusal, RefusalKind, ResultCode};
 use rosemarymoor_lib::target_client::{AnswerHead, TargetAnswer, TargetCall, TargetError};
 use rosemarymoor_lib::wire::{Class, Price, RunRequest};
@@ -83,7 +85,9 @@
     let cfg = cx.cfg.current();
     let weight = cfg.workspace(&req.workspace).map_or(1, |workspace| workspace.weight);
     let deadline = cx.clock.now().plus(req.deadline_ms);
-    let mut ticket = cx.gate.enter(req.fingerprint, |ticket| Arrival {
+    let parts = prompt_parts(&req.call.body);
+    let digests = RequestDigests { fingerprint: req.fingerprint, parts };
+    let mut ticket = cx.gate.enter(digests, |ticket| Arrival {
         ticket,
         workspace: req.workspace.clone(),
         weight,
--- a/daemon/tests/test_sidecar.rs
+++ b/daemon/tests/test_sidecar.rs
@@ -11,13 +11,14 @@
 use rosemarymoor_lib::target_client::{OrderAction, TargetOrder};
 use rosemarymoor_lib::wire::{
     OrderReply, OrderRequest, PeerRequest, ResumeRequest, RunControl, RunEnvelope, RunFrame,
-    StatusReply,
+    RunRequest, StatusReply,
 };
 use rosemarymoor_platform_standins::fixtures::script;
 use rosemarymoor_platform_standins::target::{Script, Step, TargetStandIn};
 use rosemarymoor_testutils::application::ApplicationStandIn;
 use rosemarymoor_testutils::engine::{EngineSettings, EngineStandIn, RunState};
 use rosemarymoor_testutils::marker;
+use serde_json::{Value, json};
 use sidecar_env::*;
 
 /// Length of a long answer in tokens, so that it still runs when the test acts on it.
@@ -191,6 +192,53 @@
     assert_eq!(fourth, 3007);
 }
 
+/// Returns a request whose prompt begins with these messages and goes on with one of its own.
+fn request_after(target: &str, shared: &[&str], marker: &str) -> RunRequest {
+    let mut req = model_request(target, marker, 4);
+    let mut body: Value = serde_json::from_slice(&req.call.body).unwrap();
+    let own = body["messages"][0].clone();
+    let shared = shared.iter().map(|text| json!({ "role": "system", "content": text }));
+    body["messages"] = shared.chain([own]).collect();
+    req.call.body = body.to_string().into_bytes();
+    req
+}
+
+#[tokio::test]
+async fn a_message_of_many_prompts_that_crashes_engines_is_refused_and_the_others_are_served() {
+    const NAMES: [&str; 4] = ["e0", "e1", "e2", "e3"];
+    let mut platform = Platform::start().await;
+    let settings =
+        EngineSettings { restart_after: Duration::from_millis(200), ..EngineSettings::default() };
+    let mut engines = Vec::new();
+    let mut sidecars = Vec::new();
+    NAMES.into_iter().for_each(|name| {
+        platform.add_to_host_list(name);
+    });
+    for name in NAMES {
+        engines.push(engine(settings.clone()).await);
+        sidecars.push(platform.sidecar(name, engines.last().unwrap().server().url()).await);
+    }
+    let mut codes = Vec::new();
+    for number in 0..12 {
+        let at = number % NAMES.len();
+        let shared = ["you help", "poison in the rules", &format!("case {number}")];
+        let bad = request_after(NAMES[at], &shared, &format!("bad{number}"));
+        let answer = sidecars[at].run(&bad).await;
+        assert!(!answer.is_complete());
+        codes.push(answer.code());
+        let sound = request_after(NAMES[at], &["you help", "other rules"], &format!("s{number}"));
+        let mut served = sidecars[at].run(&sound).await;
+        while !served.is_complete() {
+            assert_ne!(served.code(), 3007, "a sound request is refused");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            served = sidecars[at].run(&sound).await;
+        }
+    }
+    assert_eq!(codes[4..], [3007; 8], "{codes:?}");
+    let crashes: usize = engines.iter().map(|engine| engine.crashes().len()).sum();
+    assert_eq!(crashes, 3, "{codes:?}");
+}
+
 /// Returns whether the store holds a fingerprint that is suspected of two crashes.
 fn has_two_uncleared_crashes(platform: &Platform) -> bool {
     let keys = platform.kv.keys("poison/");
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -3,15 +3,21 @@
 //! It combines [`Admission`] and [`PoisonTable`] with the target's load reports.
 //! When a connection to the target breaks, no request starts until the target has
 //! been asked for its generation. Only if the target is unreachable or has restarted
-//! are the interrupted requests recorded as suspects of a crash.
+//! are the interrupted requests recorded as suspects of a crash, and so are the parts of their prompts
+//! that have not completed here lately.
 
+mod part_refusals;
 mod request_limit;
 
+use part_refusals::PartRefusals;
+pub use part_refusals::TRIAL_INTERVAL_MS;
 use request_limit::RequestLimit;
 
 use crate::admission::{Admission, AdmissionLimits, Arrival, Decision, Ticket};
 use crate::control::System;
-use crate::poison::{CrashId, PoisonDecision, PoisonRow, PoisonTable};
+use crate::dispatch::crash_tracker::Suspect;
+use crate::dispatch::recent_suspects::RecentSuspects;
+use crate::poison::{CrashId, PoisonDecision, PoisonRow, PoisonTable, RequestDigests};
 use crate::result_code::{Refusal, ResultCode};
 use crate::target_client::TargetLoad;
 use crate::time::Millis;
@@ -27,7 +33,7 @@
 #[derive(Clone, Debug)]
 pub enum GateEvent {
     /// A request arrived.
-    Arrive { arrival: Arrival, fingerprint: u128 },
+    Arrive { arrival: Arrival, digests: RequestDigests },
     /// The caller of a request that may still be queued has gone.
     Withdraw(Ticket),
     /// A request completed its answer.
@@ -98,10 +104,10 @@
 }
 
 /// Queued, running or interrupted request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Row {
     ticket: Ticket,
-    fingerprint: u128,
+    digests: RequestDigests,
     alone: bool,
     /// Generation of the target when the request started; `None` while it is queued.
     generation: Option<u64>,
@@ -111,6 +117,9 @@
 pub struct Gate {
     admission: Admission,
     poison: PoisonTable,
+    /// Parts of prompts that have completed lately.
+    sound_parts: RecentSuspects,
+    part_refusals: PartRefusals,
     /// Queued and running requests, sorted by ticket.
     rows: Vec<Row>,
     /// Requests whose connection broke, until the cause is known.
@@ -135,6 +144,8 @@
         Gate {
             admission: Admission::new(limits),
             poison: PoisonTable::default(),
+            sound_parts: RecentSuspects::default(),
+            part_refusals: PartRefusals::default(),
             rows: Vec::new(),
             interrupted: Vec::new(),
             incarnation,
@@ -151,14 +162,14 @@
     fn arrive(
         &mut self,
         mut arrival: Arrival,
-        fingerprint: u128,
+        digests: RequestDigests,
         now: Millis,
         effects: &mut Vec<GateEffect>,
     ) {
         let ticket = arrival.ticket;
-        let decision = self.poison.decision(fingerprint);
+        let decision = self.decide(&digests, now);
         arrival.alone = decision == PoisonDecision::RunAlone;
-        let row = Row { ticket, fingerprint, alone: arrival.alone, generation: None };
+        let row = Row { ticket, digests, alone: arrival.alone, generation: None };
         let offered = match self.refusal_for(decision) {
             Some(refusal) => Err(refusal),
             None => match self.request_limit.refusal(self.admission.queued(), now) {
@@ -176,6 +187,20 @@
         }
     }
 
+    /// Returns how a request may run. One that has been refused for long runs alone once, which clears
+    /// it if it is sound.
+    fn decide(&mut self, digests: &RequestDigests, now: Millis) -> PoisonDecision {
+        let decision = self.poison.decision_on(digests);
+        let is_by_part = self.poison.decision(digests.fingerprint) != decision;
+        if decision != PoisonDecision::Refuse || !is_by_part {
+            return decision;
+        }
+        match self.part_refusals.refuse(&digests.parts, now) {
+            true => PoisonDecision::Refuse,
+            false => PoisonDecision::RunAlone,
+        }
+    }
+
     /// Returns the refusal for a request with this poison decision, if it cannot be accepted now.
     fn refusal_for(&self, decision: PoisonDecision) -> Option<Refusal> {
         if decision == PoisonDecision::Refuse {
@@ -199,10 +224,18 @@
     }
 
     fn answered(&mut self, ticket: Ticket, now: Millis, effects: &mut Vec<GateEffect>) {
-        let Some(row) = self.end(ticket, true, now).filter(|row| row.alone) else { return };
-        if let Some(cleared) = self.poison.clear(row.fingerprint, self.wall_ms) {
-            effects
-                .push(GateEffect::PropagatePoison { rows: vec![cleared], interrupted: Vec::new() });
+        let Some(row) = self.end(ticket, true, now) else { return };
+        let mut rows = Vec::new();
+        if row.alone {
+            rows.extend(self.poison.clear(row.digests.fingerprint, self.wall_ms));
+        }
+        for part in &row.digests.parts {
+            self.sound_parts.insert(Suspect(*part), now);
+            rows.extend(self.poison.clear(*part, self.wall_ms));
+        }
+        if !rows.is_empty() {
+            self.recheck_poison(effects);
+            effects.push(GateEffect::PropagatePoison { rows, interrupted: Vec::new() });
         }
     }
 
@@ -245,26 +278,34 @@
         let interrupted = std::mem::take(&mut self.interrupted);
         let current = load.as_ref().map(|load| load.generation);
         let mut rows = Vec::new();
-        for row in
-            interrupted.iter().filter(|row| row.generation.is_some() && row.generation != current)
-        {
-            let crash = self.crash_id(row.generation);
-            rows.push(self.poison.record_crash(row.fingerprint, crash, self.wall_ms));
+        let is_crashed = |row: &&Row| row.generation.is_some() && row.generation != current;
+        let crashed: Vec<&Row> = interrupted.iter().filter(is_crashed).collect();
+        let ran_alone = crashed.len() == 1 && crashed[0].alone;
+        for row in crashed {
+            let crash = self.crash_id(row.generation, ran_alone);
+            rows.push(self.poison.record_crash(row.digests.fingerprint, crash, self.wall_ms));
+            for part in &row.digests.parts {
+                if !self.sound_parts.contains(Suspect(*part)) {
+                    rows.push(self.poison.record_crash(*part, crash, self.wall_ms));
+                }
+            }
             self.missed_reports = MISSED_REPORTS_UNTIL_DOWN;
         }
+        rows.sort_by_key(|row| row.fingerprint);
+        rows.dedup_by_key(|row| row.fingerprint);
         self.recheck_poison(effects);
         let interrupted = interrupted.into_iter().map(|row| row.ticket).collect();
         effects.push(GateEffect::PropagatePoison { rows, interrupted });
     }
 
     /// Returns the identifier of the crash that ended a generation of the target.
-    fn crash_id(&self, generation: Option<u64>) -> CrashId {
+    fn crash_id(&self, generation: Option<u64>, ran_alone: bool) -> CrashId {
         let mut hasher = blake3::Hasher::new();
         hasher.update(&self.incarnation.to_le_bytes());
         hasher.update(&generation.unwrap_or(0).to_le_bytes());
         let mut first = [0; 8];
         first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        CrashId(u64::from_le_bytes(first))
+        CrashId::new(u64::from_le_bytes(first), ran_alone)
     }
 
     fn record_missed_report(&mut self, effects: &mut Vec<GateEffect>) {
@@ -286,7 +327,7 @@
     fn recheck_poison(&mut self, effects: &mut Vec<GateEffect>) {
         let mut refused = Vec::new();
         for row in &mut self.rows {
-            match self.poison.decision(row.fingerprint) {
+            match self.poison.decision_on(&row.digests) {
                 PoisonDecision::RunShared => {}
                 PoisonDecision::RunAlone => row.alone |= self.admission.mark_alone(row.ticket),
                 PoisonDecision::Refuse if self.admission.withdraw(row.ticket) => {
@@ -360,8 +401,8 @@
 
     fn handle(&mut self, event: GateEvent, now: Millis, effects: &mut Vec<GateEffect>) {
         match event {
-            GateEvent::Arrive { arrival, fingerprint } => {
-                self.arrive(arrival, fingerprint, now, effects);
+            GateEvent::Arrive { arrival, digests } => {
+                self.arrive(arrival, digests, now, effects);
             }
             GateEvent::Withdraw(ticket) => self.withdraw(ticket, effects),
             GateEvent::Answered(ticket) => self.answered(ticket, now, effects),
@@ -375,6 +416,7 @@
             }
             GateEvent::Poison(rows) => {
                 if self.poison.merge(&rows) {
+                    self.part_refusals.extend(&rows, now);
                     self.recheck_poison(effects);
                 }
             }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod permit_bucket;
 pub mod placement;
 pub mod poison;
+pub mod prompt_parts;
 pub mod request_bound;
 pub mod request_identity;
 pub mod result_code;
--- a/lib/src/poison.rs
+++ b/lib/src/poison.rs
@@ -1,4 +1,5 @@
-//! Finds poison requests, which crash their target, by fingerprint.
+//! Finds poison requests, which crash their target, by fingerprint, and parts of prompts that do so in
+//! many requests.
 //!
 //! A sidecar's gate asks it how an arriving request may run.
 //!
@@ -6,23 +7,60 @@
 //! running when the target crashed, and cleared once the fingerprint has run alone
 //! to its end. A fingerprint with two uncleared crashes is refused. Rows only grow, so
 //! that copies from other sidecars and from the store can be merged in any order.
+//!
+//! The parts of a prompt, but for the last one, have rows of their own. A part is cleared by any request
+//! that completes, runs alone from two uncleared crashes on, and is refused after three, of which
+//! one has to have happened while its request ran alone. Others that were in all its crashes are its
+//! rivals: only requests with all of them are refused.
 
 use serde::{Deserialize, Serialize};
 
 /// Number of uncleared crashes after which a fingerprint is refused.
 pub const MAX_CRASHES: usize = 2;
+/// Number of uncleared crashes from which on a request with a part runs alone.
+const MIN_ALONE_PART_CRASHES: usize = 2;
+/// Number of uncleared crashes after which a part is refused.
+pub const MAX_PART_CRASHES: usize = 3;
 /// Maximum number of crash identifiers of a row.
 const MAX_CRASHES_PER_ROW: usize = 8;
 /// Maximum number of cleared crash identifiers of a row; they outlive the crashes, which other
 /// copies of the row may still list.
 const MAX_CLEARED_PER_ROW: usize = 64;
-/// Maximum number of fingerprints; the least recently changed one is evicted first.
+/// Maximum number of fingerprints; those with the fewest uncleared crashes are evicted first, then the
+/// least recently changed one.
 const MAX_ROWS: usize = 4_096;
 
 /// Identifier of one crash of one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CrashId(pub u64);
 
+impl CrashId {
+    /// Returns the identifier of a crash with these random bits; the last one says whether a single
+    /// request ran.
+    pub fn new(bits: u64, ran_alone: bool) -> CrashId {
+        CrashId(bits & !1 | u64::from(ran_alone))
+    }
+
+    fn ran_alone(self) -> bool {
+        self.0 & 1 == 1
+    }
+}
+
+/// Digests of a request by which its crashes are counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestDigests {
+    /// Digest of the whole request.
+    pub fingerprint: u128,
+    /// Digests of the parts of its prompt, without the last one.
+    pub parts: Vec<u128>,
+}
+
+impl RequestDigests {
+    fn contains(&self, digest: u128) -> bool {
+        self.fingerprint == digest || self.parts.contains(&digest)
+    }
+}
+
 /// Crashes of one fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoisonRow {
@@ -39,8 +77,12 @@
 impl PoisonRow {
     /// Returns the number of uncleared crashes.
     pub fn uncleared_crashes(&self) -> usize {
-        let is_uncleared = |id: &&CrashId| self.cleared.binary_search(id).is_err();
-        self.crashes.iter().filter(is_uncleared).count()
+        self.uncleared().count()
+    }
+
+    fn uncleared(&self) -> impl Iterator<Item = CrashId> + '_ {
+        let is_uncleared = |id: &CrashId| self.cleared.binary_search(id).is_err();
+        self.crashes.iter().copied().filter(is_uncleared)
     }
 
     /// Adds a crash and returns whether the row changed. In a full row it takes the place of a
@@ -73,7 +115,7 @@
 }
 
 /// Decision on how a request may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PoisonDecision {
     /// Together with other requests.
     RunShared,
@@ -101,6 +143,35 @@
         }
     }
 
+    /// Returns how a request with these digests may run.
+    pub fn decision_on(&self, digests: &RequestDigests) -> PoisonDecision {
+        let parts = digests.parts.iter().map(|part| self.part_decision(*part, digests));
+        parts.fold(self.decision(digests.fingerprint), PoisonDecision::max)
+    }
+
+    /// Returns how a request with these digests may run because of one part.
+    fn part_decision(&self, part: u128, digests: &RequestDigests) -> PoisonDecision {
+        let Some(row) = self.row(part) else { return PoisonDecision::RunShared };
+        let crashes = row.uncleared_crashes();
+        if crashes < MIN_ALONE_PART_CRASHES {
+            return PoisonDecision::RunShared;
+        }
+        match crashes >= MAX_PART_CRASHES && self.is_told_apart(row, digests) {
+            true => PoisonDecision::Refuse,
+            false => PoisonDecision::RunAlone,
+        }
+    }
+
+    /// Returns whether a part has crashed a target alone, and all that may be the cause in its place are
+    /// in the request too.
+    fn is_told_apart(&self, row: &PoisonRow, digests: &RequestDigests) -> bool {
+        let crashes: Vec<CrashId> = row.uncleared().collect();
+        let is_rival =
+            |other: &&PoisonRow| crashes.iter().all(|id| other.uncleared().any(|at| at == *id));
+        crashes.iter().any(|id| id.ran_alone())
+            && self.rows.iter().filter(is_rival).all(|rival| digests.contains(rival.fingerprint))
+    }
+
     /// Returns all rows, sorted by fingerprint.
     pub fn rows(&self) -> &[PoisonRow] {
         &self.rows
@@ -161,9 +232,12 @@
         self.rows.sort_by_key(|row| row.fingerprint);
     }
 
+    /// Drops the row with the fewest uncleared crashes, the oldest of them, if there are too many.
     fn evict_oldest(&mut self) {
-        if self.rows.len() > MAX_ROWS {
-            self.keep_newest(MAX_ROWS);
+        while self.rows.len() > MAX_ROWS {
+            let weight = |row: &PoisonRow| (row.uncleared_crashes(), row.touched_ms);
+            let least = (0..self.rows.len()).min_by_key(|at| weight(&self.rows[*at]));
+            self.rows.remove(least.unwrap_or_default());
         }
     }
 
