direct: a refusal outlives a store that comes back from a copy

Budget servers that make no call to the store see no restore, so that a key that was lost stayed lost until one did (a_refusal_outlives_restarts_and_a_store_that_comes_back_from_a_copy, red before). Entries, which watch the store, tell them of all refusals after a restore, and a key is read again when an entry still refuses. The answer to a report of a crash says what is known, for an entry that was not reached.

--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -8,7 +8,7 @@
 //! - `POST /settle` accepts a list of [`Settlement`];
 //! - `POST /witness` accepts a [`WitnessReport`], after the store was restored;
 //! - `POST /crashed` accepts a [`Crash`] of a target that broke its connection while it ran
-//!   a request, `POST /sound` a [`Completion`] and answers whether it counts, `POST /suspected` a list
+//!   a request, and answers with the [`Suspicion`]s against it, `POST /sound` a [`Completion`] and answers whether it counts, `POST /suspected` a list
 //!   of [`Suspicion`]s for which an entry refuses requests;
 //! - `POST /trial` accepts a [`TrialRequest`] and answers with a [`Decision`];
 //! - `POST /begun` accepts a list of [`BegunStream`], `POST /origin` a [`StreamId`] and answers with the
@@ -240,7 +240,7 @@
             return empty(StatusCode::BAD_REQUEST);
         };
         self.publisher.record_crash(&crash);
-        empty(StatusCode::OK)
+        json(&self.poison.suspicions(&crash.suspects))
     }
 
     fn record_sound(&self, body: &[u8]) -> Response<Full<Bytes>> {
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -94,6 +94,7 @@
     let reloaded = entry.clone();
     reload_on_hangup(path, move |settings| reloaded.retries().set_limits(settings.retries));
     entry.budgets.clone().report_after_restores(store.era(), settings.data_center.clone());
+    entry.poison.report_after_restores(store.era());
     entry_feeds::spawn(&entry, store.clone());
     cx.watch_peers(store.clone(), entry.poison.own().clone());
     cx.register(&settings, store);
--- a/daemon/src/direct/poison.rs
+++ b/daemon/src/direct/poison.rs
@@ -25,6 +25,9 @@
 /// tell entries of changes.
 pub const SUSPECTED_PATH: &str = "/suspected";
 
+/// Largest number of suspicions in an answer to a report.
+const MAX_ANSWERED: usize = 4;
+
 /// Suspects known to one process; clones share them.
 #[derive(Clone)]
 pub struct PoisonedRequests {
@@ -114,6 +117,13 @@
         TrialRequest { suspects: suspects.to_vec(), suspicions, crash, target: target.to_owned() }
     }
 
+    /// Returns what is known against a request, as far as it fits into an answer.
+    pub fn suspicions(&self, suspects: &[Suspect]) -> Vec<Suspicion> {
+        let mut suspicions = self.tracker().suspicions(suspects);
+        suspicions.truncate(MAX_ANSWERED);
+        suspicions
+    }
+
     /// Returns those of the suspects that have certainly completed here.
     pub fn certainly_sound(&self, told: &[Suspicion]) -> Vec<Suspect> {
         self.tracker().certainly_sound(told)
--- a/daemon/src/direct/poison_publisher.rs
+++ b/daemon/src/direct/poison_publisher.rs
@@ -3,7 +3,7 @@
 //! Each change goes to all entries at once. What is refused is also a key of the fleet's own list in
 //! the store, under a lease, for entries that start or that could not be reached.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
@@ -28,6 +28,9 @@
 /// Time after which the key of a suspect that is still refused is written again.
 const REWRITE_INTERVAL: Duration = Duration::from_secs(120);
 
+/// Time after which such a key is read again: a store that was restored may have lost it.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Timeout of a store call.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -49,6 +52,14 @@
 /// Number of entries that are told at the same time.
 const CONCURRENT_TELLS: usize = 64;
 
+/// Key that this server has written.
+#[derive(Clone, Copy, Debug)]
+struct WrittenKey {
+    suspect: Suspect,
+    written_at: Instant,
+    checked_at: Instant,
+}
+
 /// Publisher of a budget server; clones share its state.
 #[derive(Clone)]
 pub struct PoisonPublisher {
@@ -57,8 +68,7 @@
     client: PeerClient,
     /// When the list of entries was read last.
     listed_at: Arc<Mutex<Option<Instant>>>,
-    /// Suspects that were written, with the time.
-    written: Arc<Mutex<Vec<(Suspicion, Instant)>>>,
+    written: Arc<Mutex<Vec<WrittenKey>>>,
 }
 
 impl PoisonPublisher {
@@ -115,7 +125,7 @@
     /// Keeps suspects refused for longer, of which entries say that they still refuse them.
     pub fn renew(&self, told: &[Suspicion]) {
         for suspicion in told.iter().filter(|told| told.level == Level::Refused) {
-            if !self.was_written_lately(suspicion) {
+            if self.start_check(suspicion.suspect) {
                 tokio::spawn(self.clone().write(suspicion.clone()));
             }
         }
@@ -197,11 +207,9 @@
     /// another level.
     async fn write(self, suspicion: Suspicion) {
         let key = poisoned_key(suspicion.suspect.0);
-        self.record_written(&suspicion);
         let mut delay = MIN_RETRY_DELAY;
         while self.is_current(&suspicion) {
             if self.write_once(&key, &suspicion).await {
-                log::info!("event=poison_published key={key} level={:?}", suspicion.level);
                 return;
             }
             log::warn!("event=poison_not_published key={key}");
@@ -212,18 +220,27 @@
 
     async fn write_once(&self, key: &str, suspicion: &Suspicion) -> bool {
         let Outcome::Done(found) = self.kv.get(key, STORE_TIMEOUT).await else { return false };
-        if suspicion.level == Level::Free && found.is_none() {
+        let value = serde_json::to_vec(suspicion).expect("a suspicion can be encoded as JSON");
+        let is_written = match &found {
+            Some(found) => found.value == value && !self.is_due(suspicion.suspect),
+            None => suspicion.level == Level::Free,
+        };
+        if is_written {
             return true;
         }
         let revision = found.map_or(Revision::ABSENT, |found| found.revision);
         let ttl = if suspicion.level == Level::Free { CLEARED_TTL } else { REFUSED_TTL };
-        let value = serde_json::to_vec(suspicion).expect("a suspicion can be encoded as JSON");
         let Outcome::Done(lease) = self.kv.open_lease(ttl, STORE_TIMEOUT).await else {
             return false;
         };
         let written =
             self.kv.compare_and_swap(key, revision, value, Some(lease), STORE_TIMEOUT).await;
-        matches!(written, Outcome::Done(_))
+        if !matches!(written, Outcome::Done(_)) {
+            return false;
+        }
+        self.record_written(suspicion.suspect);
+        log::info!("event=poison_published key={key} level={:?}", suspicion.level);
+        true
     }
 
     /// Returns whether a suspect still has the level that is to be written.
@@ -233,18 +250,35 @@
         is_refused == (suspicion.level == Level::Refused)
     }
 
-    fn was_written_lately(&self, suspicion: &Suspicion) -> bool {
-        let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
-        written.retain(|(_, at)| at.elapsed() < REWRITE_INTERVAL);
-        written.iter().any(|(other, _)| other.suspect == suspicion.suspect)
+    /// Returns whether the key of a suspect is to be read now.
+    fn start_check(&self, suspect: Suspect) -> bool {
+        let now = Instant::now();
+        match self.written().iter_mut().find(|written| written.suspect == suspect) {
+            Some(written) if written.checked_at.elapsed() < CHECK_INTERVAL => false,
+            Some(written) => {
+                written.checked_at = now;
+                true
+            }
+            None => true,
+        }
     }
 
-    fn record_written(&self, suspicion: &Suspicion) {
-        let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
-        written.retain(|(other, at)| {
-            other.suspect != suspicion.suspect && at.elapsed() < REWRITE_INTERVAL
-        });
-        written.push((suspicion.clone(), Instant::now()));
+    /// Returns whether the lease of a suspect's key is to be renewed.
+    fn is_due(&self, suspect: Suspect) -> bool {
+        let written = self.written();
+        let found = written.iter().find(|written| written.suspect == suspect);
+        found.is_none_or(|written| written.written_at.elapsed() >= REWRITE_INTERVAL)
+    }
+
+    fn record_written(&self, suspect: Suspect) {
+        let now = Instant::now();
+        let mut written = self.written();
+        written.retain(|key| key.suspect != suspect && key.written_at.elapsed() < REFUSED_TTL);
+        written.push(WrittenKey { suspect, written_at: now, checked_at: now });
+    }
+
+    fn written(&self) -> MutexGuard<'_, Vec<WrittenKey>> {
+        self.written.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Writes what is refused again after each restore of the store.
--- a/daemon/src/direct/poison_reports.rs
+++ b/daemon/src/direct/poison_reports.rs
@@ -6,12 +6,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::join_all;
 use rosemarymoor_lib::dispatch::crash_tracker::{
-    Completion, Crash, Decision, SETTLING_MS, Suspect,
+    Completion, Crash, Decision, SETTLING_MS, Suspect, Suspicion,
 };
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::recent_suspects::RecentSuspects;
+use rosemarymoor_lib::kv_store::{EraReceiver, RestoreWatch};
 use rosemarymoor_lib::time::MonotonicClock;
 use serde::Serialize;
 
@@ -28,6 +30,9 @@
 /// Time after which the crash of a target is known, if it has ended a connection.
 const CRASH_NEWS_DELAY: Duration = Duration::from_millis(300);
 
+/// Name by which the budget servers are ranked that hear of refusals after a restore of the store.
+const RESTORED: &str = "restored";
+
 /// An entry's suspects and the budget servers that it tells of them; clones share them.
 #[derive(Clone)]
 pub struct PoisonReports {
@@ -58,8 +63,14 @@
         let (reports, servers) = (self.clone(), self.servers(service));
         let reported = crash.clone();
         tokio::spawn(async move {
-            if !reports.post_to_all(&servers, CRASH_PATH, &crash).await {
-                reports.record_alone(&crash).await;
+            let answers = reports.post_to_all(&servers, CRASH_PATH, &crash).await;
+            if answers.is_empty() {
+                return reports.record_alone(&crash).await;
+            }
+            for answer in answers {
+                // An older build answers with an empty body.
+                let told: Vec<Suspicion> = serde_json::from_slice(&answer).unwrap_or_default();
+                reports.own.apply(&told);
             }
         });
         reported
@@ -113,6 +124,22 @@
         }
     }
 
+    /// Spawns the task that tells budget servers of all refusals after each restore of the store, which
+    /// may have lost them.
+    pub fn report_after_restores(&self, era: Option<EraReceiver>) {
+        let Some(mut restores) = era.map(RestoreWatch::open) else { return };
+        let reports = self.clone();
+        tokio::spawn(async move {
+            loop {
+                restores.restored().await;
+                let refused = reports.own.refused();
+                if !refused.is_empty() {
+                    reports.report(RESTORED, SUSPECTED_PATH, refused);
+                }
+            }
+        });
+    }
+
     /// Asks whether a request may run as a trial at a target, after a crash of its attempt before. This
     /// entry decides alone if no budget server answers.
     pub async fn try_at(
@@ -146,21 +173,21 @@
         tokio::spawn(async move { reports.post_to_all(&servers, path, &message).await });
     }
 
-    /// Posts a message to servers; returns whether any of them has it.
+    /// Posts a message to servers; returns the answers of those that have it.
     async fn post_to_all<T: Serialize>(
         &self,
         servers: &[PeerRecord],
         path: &'static str,
         message: &T,
-    ) -> bool {
+    ) -> Vec<Bytes> {
         let posts = servers.iter().map(|server| async {
             let posted = self.client.post(server, path, message, REPORT_TIMEOUT).await;
             if let Err(err) = &posted {
                 log::debug!("event=crash_not_told server={} reason={err:?}", server.name);
             }
-            posted.is_ok()
+            posted.ok().map(|(_, body)| body)
         });
-        join_all(posts).await.into_iter().any(|is_told| is_told)
+        join_all(posts).await.into_iter().flatten().collect()
     }
 
     /// Returns the two budget servers that hear of a service's crashes, without those that did not
