direct: a target of another software version is no crash of the request

The error has a name of its own, and so has its count (tries_total{outcome="other_version"}); the case of test_stream_versions that plays it checks the count.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -50,6 +50,8 @@
     Silent,
     /// The target answered with a failure status; the request may have run.
     Failed,
+    /// A target of another software version than the one that began the stream went on with it.
+    OtherVersion,
 }
 
 impl AttemptError {
@@ -61,6 +63,7 @@
             AttemptError::Broken => "broken",
             AttemptError::Silent => "silent",
             AttemptError::Failed => "failed",
+            AttemptError::OtherVersion => "other_version",
         }
     }
 
--- a/daemon/src/direct/event_reader.rs
+++ b/daemon/src/direct/event_reader.rs
@@ -44,8 +44,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`AttemptError::Silent`] at the deadline, and [`AttemptError::Broken`] if the answer
-    /// was broken off or an event is too large.
+    /// Returns [`AttemptError::Silent`] at the deadline, [`AttemptError::Broken`] if the answer was broken
+    /// off or an event is too large, and [`AttemptError::OtherVersion`] if the answer may be of another
+    /// software version than the one that began the stream.
     pub async fn next(
         &mut self,
         request: &str,
@@ -108,7 +109,7 @@
             "event=other_version request={request} target={} required={required} found={found:?}",
             in_flight.target_id
         );
-        Err(AttemptError::Broken)
+        Err(AttemptError::OtherVersion)
     }
 
     /// Returns an error if the body ended where the stream cannot have ended.
--- a/daemon/tests/test_stream_versions.rs
+++ b/daemon/tests/test_stream_versions.rs
@@ -257,6 +257,8 @@
     .0;
     assert_eq!((taken.status, taken.seal()), (502, None));
     assert_eq!(fleet.reached(&["taken"]).len(), 1, "no other version is tried");
+    let metrics = fleet.fleet.scrape().await;
+    assert!(metrics.contains("outcome=\"other_version\""), "it is no crash: {metrics}");
 }
 
 /// Names each way in which an entry does not know what began a stream.
