direct: what has completed at an entry is no suspect for the fleet's list either

An entry that reads such a key tells two budget servers, which overwrite it and tell the others. Modules that use TargetProcess and KnownLimit share one type each, so that send_permits and target_limit no longer use each other; LimitNotice::per_second stands once.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -171,11 +171,7 @@
 
     /// Applies what the target says about the requests that it takes.
     fn apply_limit(&self, notice: LimitNotice) {
-        let limit = match notice {
-            LimitNotice::Unlimited => None,
-            LimitNotice::PerSecond(limit) => Some(limit),
-            LimitNotice::Malformed => return self.record_malformed_limit(),
-        };
+        let Ok(limit) = notice.per_second() else { return self.record_malformed_limit() };
         target_limits::apply_limit(&self.entry, self.target, limit, self.sent_at);
     }
 
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -254,8 +254,7 @@
         let Ok(told) = decode::<Vec<Suspicion>>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        self.publisher.publish(self.poison.apply(&told));
-        self.publisher.renew(&told);
+        self.publisher.apply(&told);
         empty(StatusCode::OK)
     }
 
--- a/daemon/src/direct/context.rs
+++ b/daemon/src/direct/context.rs
@@ -14,7 +14,8 @@
 use super::feed::{self, FeedSink, Urgency};
 use super::fleet_keys::{PEER_PREFIX, peer_key};
 use super::peers::{PeerRecord, Peers};
-use super::poison::PoisonedRequests;
+use super::poison;
+use super::poison_reports::PoisonReports;
 use super::settings::DirectSettings;
 use crate::http_pool::HttpPool;
 
@@ -77,7 +78,7 @@
     }
 
     /// Spawns the task that watches the fleet's own list.
-    pub fn watch_peers(&self, feed: Arc<dyn KvFeed>, poison: PoisonedRequests) {
+    pub fn watch_peers(&self, feed: Arc<dyn KvFeed>, poison: PoisonReports) {
         let sink = Arc::new(PeerSink {
             peers: self.peers.clone(),
             poison,
@@ -155,7 +156,7 @@
 /// Applies the fleet's own list to the peers and to the poisoned requests.
 struct PeerSink {
     peers: Arc<Peers>,
-    poison: PoisonedRequests,
+    poison: PoisonReports,
     /// Whether the next list is the first of a restored store.
     is_restored: AtomicBool,
 }
@@ -164,12 +165,12 @@
     fn listed(&self, listing: Listing) {
         let keeps_unlisted = self.is_restored.swap(false, Ordering::Relaxed);
         self.peers.apply_listing(&listing, keeps_unlisted);
-        self.poison.apply_listing(&listing);
+        self.poison.apply(&poison::listed(&listing));
     }
 
     fn changed(&self, changes: Changes) {
         self.peers.apply_changes(&changes);
-        self.poison.apply_changes(&changes);
+        self.poison.apply(&poison::changed(&changes));
     }
 
     fn store_restored(&self) {
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -96,7 +96,7 @@
     entry.budgets.clone().report_after_restores(store.era(), settings.data_center.clone());
     entry.poison.report_after_restores(store.era());
     entry_feeds::spawn(&entry, store.clone());
-    cx.watch_peers(store.clone(), entry.poison.own().clone());
+    cx.watch_peers(store.clone(), entry.poison.clone());
     cx.register(&settings, store);
     cx.stop_requested().await;
     stop(&entry, callers, settings.grace).await;
--- a/daemon/src/direct/peers.rs
+++ b/daemon/src/direct/peers.rs
@@ -103,6 +103,16 @@
         servers.into_iter().map(|peer| peer.record.clone()).collect()
     }
 
+    /// Returns the budget servers in the order in which all entries rank them for a key, without those in
+    /// backoff after a failed call.
+    pub fn answering_budget_servers(&self, key: u64) -> Vec<PeerRecord> {
+        let now = self.clock.now();
+        let peers = self.lock();
+        let servers = rank_budget_servers(&peers, key).into_iter();
+        let answering = servers.filter(|peer| now >= peer.backoff_until);
+        answering.map(|peer| peer.record.clone()).collect()
+    }
+
     /// Returns the two budget servers that issue permits for a key, in the order in which all entries
     /// rank them; without those in backoff after a failed call.
     pub fn permit_issuers(&self, key: u64) -> Vec<(IssuerRank, PeerRecord)> {
--- a/daemon/src/direct/poison.rs
+++ b/daemon/src/direct/poison.rs
@@ -144,25 +144,6 @@
         self.tracker().refused(self.clock.now())
     }
 
-    /// Applies the refused suspects in a complete list.
-    pub fn apply_listing(&self, listing: &Listing) {
-        let items = listing.items.iter();
-        let told: Vec<Suspicion> =
-            items.filter_map(|(key, found)| decode(key, &found.value)).collect();
-        self.apply(&told);
-    }
-
-    /// Applies the changes of the list. A key that vanishes does not end a refusal, which expires by
-    /// itself.
-    pub fn apply_changes(&self, changes: &Changes) {
-        let Changes::Received { changes, .. } = changes else { return };
-        let values =
-            changes.iter().filter_map(|change| Some((&change.key, change.value.as_ref()?)));
-        let told: Vec<Suspicion> =
-            values.filter_map(|(key, found)| decode(key, &found.value)).collect();
-        self.apply(&told);
-    }
-
     fn tracker(&self) -> MutexGuard<'_, CrashTracker> {
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -186,6 +167,20 @@
     }
 }
 
+/// Returns the suspects in a complete list.
+pub fn listed(listing: &Listing) -> Vec<Suspicion> {
+    let items = listing.items.iter();
+    items.filter_map(|(key, found)| decode(key, &found.value)).collect()
+}
+
+/// Returns the suspects in changes of the list. A key that vanishes does not end a refusal, which
+/// expires by itself.
+pub fn changed(changes: &Changes) -> Vec<Suspicion> {
+    let Changes::Received { changes, .. } = changes else { return Vec::new() };
+    let values = changes.iter().filter_map(|change| Some((&change.key, change.value.as_ref()?)));
+    values.filter_map(|(key, found)| decode(key, &found.value)).collect()
+}
+
 /// Decodes an item of the fleet's own list; `None` for items that are no suspects, and for malformed
 /// ones.
 fn decode(key: &str, value: &[u8]) -> Option<Suspicion> {
--- a/daemon/src/direct/poison_publisher.rs
+++ b/daemon/src/direct/poison_publisher.rs
@@ -17,7 +17,7 @@
 use super::fleet_keys::{PEER_PREFIX, poisoned_key};
 use super::peer_client::PeerClient;
 use super::peers::PeerRecord;
-use super::poison::{PoisonedRequests, SUSPECTED_PATH};
+use super::poison::{self, PoisonedRequests, SUSPECTED_PATH};
 
 /// Lease duration of a refused suspect in the list.
 const REFUSED_TTL: Duration = Duration::from_millis(RETENTION_MS);
@@ -122,13 +122,20 @@
         }
     }
 
-    /// Keeps suspects refused for longer, of which entries say that they still refuse them.
-    pub fn renew(&self, told: &[Suspicion]) {
-        for suspicion in told.iter().filter(|told| told.level == Level::Refused) {
-            if self.start_check(suspicion.suspect) {
-                tokio::spawn(self.clone().write(suspicion.clone()));
+    /// Applies what an entry says: which refusals it still needs, or to which it objects because the
+    /// suspect has completed there.
+    pub fn apply(&self, told: &[Suspicion]) {
+        let mut changes = self.poison.apply(told);
+        for suspicion in told.iter().filter(|told| self.start_check(told.suspect)) {
+            match suspicion.level {
+                Level::Free if !changes.contains(suspicion) => changes.push(suspicion.clone()),
+                Level::Refused => {
+                    tokio::spawn(self.clone().write(suspicion.clone()));
+                }
+                Level::Free | Level::Tried => {}
             }
         }
+        self.publish(changes);
     }
 
     async fn read_list(self) {
@@ -145,7 +152,7 @@
             return false;
         };
         self.client.peers.apply_listing(&listing, false);
-        self.poison.apply_listing(&listing);
+        self.poison.apply(&poison::listed(&listing));
         *self.listed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         true
     }
--- a/daemon/src/direct/poison_reports.rs
+++ b/daemon/src/direct/poison_reports.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use rosemarymoor_lib::dispatch::crash_tracker::{
-    Completion, Crash, Decision, SETTLING_MS, Suspect, Suspicion,
+    Completion, Crash, Decision, Level, SETTLING_MS, Suspect, Suspicion,
 };
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::recent_suspects::RecentSuspects;
@@ -33,8 +33,8 @@
 /// Time after which the crash of a target is known, if it has ended a connection.
 const CRASH_NEWS_DELAY: Duration = Duration::from_millis(300);
 
-/// Name by which the budget servers are ranked that hear of refusals after a restore of the store.
-const RESTORED: &str = "restored";
+/// Name by which the budget servers are ranked that hear what the fleet's own list lacks or has wrong.
+const LISTED: &str = "fleet";
 
 /// An entry's suspects and the budget servers that it tells of them; clones share them.
 #[derive(Clone)]
@@ -127,6 +127,19 @@
         }
     }
 
+    /// Applies what the fleet's own list says, and objects to what has completed here: whoever wrote it
+    /// may not have reached this entry.
+    pub fn apply(&self, listed: &[Suspicion]) {
+        self.own.apply(listed);
+        let sound = self.own.certainly_sound(listed).into_iter();
+        let free = |suspect| Suspicion { suspect, level: Level::Free, rivals: Vec::new() };
+        let objections: Vec<Suspicion> = sound.map(free).collect();
+        if !objections.is_empty() {
+            log::info!("event=suspicion_denied suspects={}", objections.len());
+            self.report(LISTED, SUSPECTED_PATH, objections);
+        }
+    }
+
     /// Spawns the task that tells budget servers of all refusals after each restore of the store, which
     /// may have lost them.
     pub fn report_after_restores(&self, era: Option<EraReceiver>) {
@@ -137,7 +150,7 @@
                 restores.restored().await;
                 let refused = reports.own.refused();
                 if !refused.is_empty() {
-                    reports.report(RESTORED, SUSPECTED_PATH, refused);
+                    reports.report(LISTED, SUSPECTED_PATH, refused);
                 }
             }
         });
@@ -157,7 +170,6 @@
             match self.client.post(&server, TRIAL_PATH, &req, TRIAL_TIMEOUT).await {
                 Ok((_, body)) => return serde_json::from_slice(&body).unwrap_or(Decision::Wait),
                 Err(err) => {
-                    self.client.peers.record_failure(server.internal);
                     log::info!("event=trial_not_answered server={} reason={err:?}", server.name);
                 }
             }
@@ -196,7 +208,7 @@
     /// Returns the budget servers that hear of a service's crashes; those that did not answer lately
     /// are replaced.
     fn servers(&self, service: &str) -> Vec<PeerRecord> {
-        let mut servers = self.client.peers.ranked_budget_servers(rank::key_of(service));
+        let mut servers = self.client.peers.answering_budget_servers(rank::key_of(service));
         servers.truncate(SERVERS);
         servers
     }
--- a/daemon/src/direct/target_limits.rs
+++ b/daemon/src/direct/target_limits.rs
@@ -1,7 +1,8 @@
 //! Limits that targets name in their answers, and the permits that requests need because of them.
 
+use rosemarymoor_lib::dispatch::known_limit::KnownLimit;
 use rosemarymoor_lib::dispatch::send_permits::{LimitReport, PermitReply};
-use rosemarymoor_lib::dispatch::target_limit::{KnownLimit, LimitChange, SendDecision};
+use rosemarymoor_lib::dispatch::target_limit::{LimitChange, SendDecision};
 use rosemarymoor_lib::dispatch::targets::{Target, TargetKey};
 use rosemarymoor_lib::time::Millis;
 
--- a/daemon/src/sidecar/gate.rs
+++ b/daemon/src/sidecar/gate.rs
@@ -126,11 +126,7 @@
     /// Sends the gate what an answer says about the requests that the target takes; the request was
     /// sent at `sent_at`.
     pub fn apply_limit(&self, notice: LimitNotice, sent_at: Millis) {
-        let limit = match notice {
-            LimitNotice::Unlimited => None,
-            LimitNotice::PerSecond(limit) => Some(limit),
-            LimitNotice::Malformed => return self.record_malformed_limit(),
-        };
+        let Ok(limit) = notice.per_second() else { return self.record_malformed_limit() };
         self.send(GateEvent::RequestLimit { limit, sent_at });
     }
 
--- a/daemon/tests/test_http_server.rs
+++ b/daemon/tests/test_http_server.rs
@@ -1,5 +1,6 @@
 //! Health routes, close and idle time of the HTTP server over real sockets.
 
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -129,3 +130,63 @@
     assert_eq!(taken, Err(std::io::ErrorKind::AddrInUse));
     drop(listener);
 }
+
+/// Request that the server of [`spawn`] answers with status 200.
+const REQUEST: &[u8] = b"GET /health HTTP/1.1\r\nHost: process\r\n\r\n";
+
+/// Number of connections of callers when a server closes.
+const CALLERS: usize = 20;
+
+fn healthy_server() -> (SocketAddr, HttpServer) {
+    let address = free_address();
+    let probe = Arc::new(SwitchableProbe(AtomicBool::new(true)));
+    let server = spawn(address, Health::new(probe, Metrics::start().unwrap())).unwrap();
+    (address, server)
+}
+
+/// Returns how many connections end with a complete answer.
+fn count_answered(callers: Vec<std::net::TcpStream>) -> usize {
+    let answers = callers.into_iter().map(|mut caller| {
+        caller.set_nonblocking(false).unwrap();
+        caller.set_read_timeout(Some(IDLE)).unwrap();
+        let mut answer = String::new();
+        // A reset is an error, after which the answer is what came before.
+        let _ = caller.read_to_string(&mut answer);
+        answer
+    });
+    answers.filter(|answer| answer.starts_with("HTTP/1.1 200") && answer.ends_with("ok\n")).count()
+}
+
+#[tokio::test]
+async fn requests_of_connections_that_wait_to_be_accepted_are_answered_at_the_close() {
+    let (address, server) = healthy_server();
+    // The server's task has not run yet: the test has not waited for anything.
+    let callers = (0..CALLERS).map(|_| {
+        let mut caller = std::net::TcpStream::connect(address).unwrap();
+        caller.write_all(REQUEST).unwrap();
+        caller
+    });
+    let callers: Vec<_> = callers.collect();
+    server.close(http_server::CLOSE_TIMEOUT).await;
+    assert_eq!(count_answered(callers), CALLERS);
+}
+
+#[tokio::test]
+async fn requests_that_have_arrived_on_idle_connections_are_answered_at_the_close() {
+    let (address, server) = healthy_server();
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = TcpStream::connect(address).await.unwrap();
+        caller.write_all(REQUEST).await.unwrap();
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"ok\n") {
+            assert!(caller.read_buf(&mut answer).await.unwrap() > 0);
+        }
+        callers.push(caller.into_std().unwrap());
+    }
+    for caller in &mut callers {
+        caller.write_all(REQUEST).unwrap();
+    }
+    server.close(http_server::CLOSE_TIMEOUT).await;
+    assert_eq!(count_answered(callers), CALLERS);
+}
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -5,7 +5,8 @@
 //! [`catalog`] holds the routes, services and caller keys, [`targets`] the
 //! registered targets and their observed state. [`choice`] selects a target, with
 //! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
-//! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests that crash their targets; [`retry_after`]
+//! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests and parts
+//! of prompts that crash targets, with [`recent_suspects`] for what has completed; [`retry_after`]
 //! computes the delay that refused callers are given; [`target_limit`] knows
 //! how many requests a target takes, and [`send_permits`] issues the permits to send them; [`event_stream`] splits an
 //! answer into server-sent events, and [`stream_origins`] knows which software version
@@ -16,6 +17,7 @@
 mod crash_row;
 pub mod crash_tracker;
 pub mod event_stream;
+pub mod known_limit;
 pub mod load_shedder;
 pub mod rank;
 pub mod recent_suspects;
@@ -26,4 +28,5 @@
 
 pub mod stream_origins;
 pub mod target_limit;
+pub mod target_process;
 pub mod targets;
--- a/lib/src/dispatch/send_permits.rs
+++ b/lib/src/dispatch/send_permits.rs
@@ -5,10 +5,10 @@
 //! so few that the sum holds even while some entries reach the first server and others do not. An
 //! issuer that starts anew begins without a permit.
 
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::target_limit::KnownLimit;
+use super::known_limit::KnownLimit;
+use super::target_process::TargetProcess;
 use crate::permit_bucket::PermitBucket;
 use crate::time::Millis;
 
@@ -30,15 +30,6 @@
 /// Time after which an issuer forgets a target that nobody asks for, in milliseconds.
 const RETENTION_MS: u64 = 300_000;
 
-/// Process of a target.
-#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[display("{id}/{started_ms}")]
-pub struct TargetProcess {
-    pub id: String,
-    /// Wall-clock start in Unix milliseconds.
-    pub started_ms: u64,
-}
-
 /// Place of an issuer among those of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/lib/src/dispatch/target_limit.rs
+++ b/lib/src/dispatch/target_limit.rs
@@ -4,8 +4,7 @@
 //! A target names its limit in each answer for as long as it has one. Answers may overtake each
 //! other: one without a limit ends it only if its request was sent after the limit was heard last.
 
-use serde::{Deserialize, Serialize};
-
+use super::known_limit::KnownLimit;
 use super::send_permits::{PERMIT_VALIDITY_MS, PermitReply, take_unassisted};
 use crate::permit_bucket::PermitBucket;
 use crate::time::Millis;
@@ -21,27 +20,6 @@
 /// Time until an entry asks again after no issuer answered, in milliseconds.
 const UNANSWERED_INTERVAL_MS: u64 = 500;
 
-/// What a process knows of a limit, as it tells others.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct KnownLimit {
-    /// Requests a second; `None` if the target no longer names a limit.
-    pub per_second: Option<f64>,
-    /// Time since the target said so, in milliseconds.
-    age_ms: u64,
-}
-
-impl KnownLimit {
-    /// Returns what was heard at a time on the clock of this process.
-    pub fn new(per_second: Option<f64>, heard_at: Millis, now: Millis) -> KnownLimit {
-        KnownLimit { per_second, age_ms: now.since(heard_at) }
-    }
-
-    /// Returns when it was heard, on the clock of this process.
-    pub fn heard_at(&self, now: Millis) -> Millis {
-        Millis(now.0.saturating_sub(self.age_ms))
-    }
-}
-
 /// Change of a target's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitChange {
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -10,8 +10,8 @@
 use std::net::SocketAddr;
 
 use super::refusal_backoff::RefusalBackoff;
-use super::send_permits::TargetProcess;
 use super::target_limit::TargetLimit;
+use super::target_process::TargetProcess;
 use crate::time::Millis;
 
 /// Time in milliseconds after a store outage until a registration that disappeared during
@@ -235,13 +235,6 @@
     Full,
 }
 
-/// Process of a target, which differs after a restart under the same identifier.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct TargetInstance {
-    id: String,
-    started_ms: u64,
-}
-
 /// Targets of all services, with the state of the platform's store.
 #[derive(Debug, Default)]
 pub struct TargetTable {
@@ -253,7 +246,7 @@
     store_unavailable: bool,
     /// Leaving processes whose registration has been removed, the latest one last: a store that
     /// was restored from a copy may list them once more.
-    departed: VecDeque<TargetInstance>,
+    departed: VecDeque<TargetProcess>,
 }
 
 impl TargetTable {
@@ -455,8 +448,7 @@
                 return true;
             }
             if target.leaving {
-                let Registration { id, started_ms, .. } = &target.registration;
-                departed.push_back(TargetInstance { id: id.clone(), started_ms: *started_ms });
+                departed.push_back(target.process());
             }
             false
         });
--- a/lib/src/limit_notice.rs
+++ b/lib/src/limit_notice.rs
@@ -14,6 +14,25 @@
     Malformed,
 }
 
+/// Error of a limit that cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MalformedLimit;
+
+impl LimitNotice {
+    /// Returns the requests a second that the target takes; `None` if it names no limit.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the limit cannot be read.
+    pub fn per_second(self) -> Result<Option<f64>, MalformedLimit> {
+        match self {
+            LimitNotice::Unlimited => Ok(None),
+            LimitNotice::PerSecond(limit) => Ok(Some(limit)),
+            LimitNotice::Malformed => Err(MalformedLimit),
+        }
+    }
+}
+
 /// Decodes the limit in a header: one decimal number without a sign or an exponent.
 pub fn decode(headers: &HeaderMap, name: &HeaderName) -> LimitNotice {
     let mut values = headers.get_all(name).iter();
--- a/lib/tests/test_target_limits.rs
+++ b/lib/tests/test_target_limits.rs
@@ -1,13 +1,12 @@
 //! Limits that targets name: what an entry knows of one, and permits that keep to it in sum.
 
 use proptest::prelude::*;
+use rosemarymoor_lib::dispatch::known_limit::KnownLimit;
 use rosemarymoor_lib::dispatch::send_permits::{
     IssuerRank, LimitReport, PERMIT_VALIDITY_MS, PermitIssuer, PermitReply, PermitRequest,
-    TargetProcess,
-};
-use rosemarymoor_lib::dispatch::target_limit::{
-    KnownLimit, LimitChange, SendDecision, TargetLimit,
 };
+use rosemarymoor_lib::dispatch::target_limit::{LimitChange, SendDecision, TargetLimit};
+use rosemarymoor_lib::dispatch::target_process::TargetProcess;
 use rosemarymoor_lib::time::Millis;
 
 /// Length of the window in which the users count requests, in milliseconds.
