--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -28,6 +28,9 @@
 /// Pause after a failed accept, for example while no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time after a close in which requests that have arrived are read.
+const READ_TIME: Duration = Duration::from_millis(50);
+
 /// Longest wait for open connections to end when a server closes.
 ///
 /// It covers the last bytes of finished answers; running requests are waited for earlier, by
@@ -95,10 +98,16 @@
         let (closing, closed) = watch::channel(false);
         let handle = Arc::new(handle);
         let accepting = tokio::spawn(async move {
+            let mut closing = closed.clone();
             loop {
-                let stream = accept(&listener).await;
-                let serving = serve(stream, limits(), handle.clone(), closed.clone());
-                tokio::spawn(serving);
+                let stream = tokio::select! {
+                    stream = accept(&listener) => stream,
+                    () = close_requested(&mut closing) => break,
+                };
+                tokio::spawn(serve(stream, limits(), handle.clone(), closed.clone()));
+            }
+            for stream in waiting(listener) {
+                tokio::spawn(serve(stream, limits(), handle.clone(), closed.clone()));
             }
         });
         HttpServer { accepting, closing }
@@ -108,14 +117,41 @@
     ///
     /// Returns the number of connections that were still open then.
     pub async fn close(self, timeout: Duration) -> usize {
-        self.accepting.abort();
         self.closing.send_replace(true);
-        let _ = tokio::time::timeout(timeout, self.closing.closed()).await;
-        // The accepting task holds one more receiver until its abort takes effect.
+        let closing = async {
+            // A task that has ended is no reason to wait less for the connections.
+            let _ = self.accepting.await;
+            self.closing.closed().await;
+        };
+        let _ = tokio::time::timeout(timeout, closing).await;
         self.closing.receiver_count()
     }
 }
 
+/// Closes a listener and returns the connections that waited to be accepted, whose requests would be
+/// lost with it.
+fn waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(err) => {
+            log::warn!("event=accept_failed reason={err}");
+            return streams;
+        }
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        match stream {
+            Ok(stream) => {
+                set_socket_options(&stream);
+                streams.push(stream);
+            }
+            Err(err) => log::warn!("event=accept_failed reason={err}"),
+        }
+    }
+    streams
+}
+
 /// Accepts the next connection; a failed accept is logged and retried.
 async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
@@ -160,7 +196,7 @@
     let mut connection = http.serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = &mut connection => ended,
-        () = close_requested(&mut closed) => {
+        () = close_after_arrived(&mut closed) => {
             Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
         }
@@ -179,6 +215,12 @@
     }
 }
 
+/// Waits until the server is closed and requests that had arrived by then have been read.
+async fn close_after_arrived(closed: &mut watch::Receiver<bool>) {
+    close_requested(closed).await;
+    tokio::time::sleep(READ_TIME).await;
+}
+
 /// Waits until the server is closed.
 async fn close_requested(closed: &mut watch::Receiver<bool>) {
     // The sender is gone when the `HttpServer` was dropped; the connections continue then.
