direct: what many requests of a crash have in common is refused after twice as many crashes

A part that crashes targets ends each with the first of its requests that begins, so that three or more of them in a crash on average speak against it.

--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -17,17 +17,21 @@
     assert!(report.faults > 0 && report.answered > 0, "{report:#?}");
 }
 
+/// Returns the plan of the soak by hand.
+fn full(seed: u64) -> Plan {
+    let logs = Some(PathBuf::from(env!("CARGO_TARGET_TMPDIR")));
+    Plan { logs, ..Plan::new(PathBuf::from(BINARY), seed) }
+}
+
 /// Returns a plan of 6 processes and 12 callers.
 fn short(seed: u64) -> Plan {
-    let plan = Plan::new(PathBuf::from(BINARY), seed);
     Plan {
         duration: FAULT_DURATION,
         entries: 3,
         budget_servers: 3,
         engines: 3,
         callers: 12,
-        logs: Some(PathBuf::from(env!("CARGO_TARGET_TMPDIR"))),
-        ..plan
+        ..full(seed)
     }
 }
 
@@ -53,4 +57,10 @@
     // soak's process before the entry bound it. Every test process now has a loopback address
     // of its own.
     seed_132_whose_entry_found_its_port_taken: short(132);
+    // A budget server that heard of one entry's crashes only took the common part for the cause,
+    // and those that knew better said nothing.
+    seed_7105_whose_server_heard_of_one_entry: Plan { crashes: true, ..full(7105) };
+    // Just after the start, reports of the bad part went to other servers than those of the
+    // requests beside it.
+    seed_7206_whose_reports_went_to_different_servers: Plan { crashes: true, ..full(7206) };
 }
--- a/lib/src/dispatch/crash_row.rs
+++ b/lib/src/dispatch/crash_row.rs
@@ -3,6 +3,16 @@
 use super::crash_tracker::{Level, MAX_CRASHES, SETTLING_MS, Suspect, Suspicion, TRIAL_CRASHES};
 use crate::time::Millis;
 
+/// Mean number of requests with a suspect in its crashes from which on it is taken for common: what
+/// crashes targets ends them with the first of its requests that begins.
+const MIN_COMMON_REQUESTS: usize = 3;
+
+/// Largest number of requests that counts in one crash.
+const MAX_COUNTED_REQUESTS: usize = 8;
+
+/// Number of crashes after which what is common is refused too.
+const MAX_COMMON_CRASHES: usize = 2 * MAX_CRASHES;
+
 /// Time by which a report of a crash may be later than the crash, in milliseconds.
 const REPORT_DELAY_MS: u64 = 100;
 
@@ -19,11 +29,13 @@
 const MAX_ROW_CRASHES: usize = 16;
 
 /// Crash of a target that ran the suspect.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RowCrash {
     /// Digest of the target's process.
     process: u64,
     is_counted: bool,
+    /// Digests of the requests with the suspect that it ended, as many as count.
+    requests: Vec<u32>,
 }
 
 /// Running trial of a suspect.
@@ -78,20 +90,23 @@
         self.crashes.iter().filter(|crash| crash.is_counted).count()
     }
 
-    /// Adds a crash, which counts unless its request was sent before the crash that was counted last.
-    pub fn add_crash(&mut self, process: u64, sent_at: Millis, now: Millis) {
+    /// Adds a crash of a request, which counts unless the request was sent before the crash that was
+    /// counted last.
+    pub fn add_crash(&mut self, process: u64, request: u32, sent_at: Millis, now: Millis) {
         self.touched_at = now;
         self.trial = None;
         let is_later = self.counted() == 0 || sent_at.plus(REPORT_DELAY_MS) >= self.last_counted_at;
-        let known = self.crashes.iter().position(|crash| crash.process == process);
-        if known.is_some() {
+        if let Some(known) = self.crashes.iter_mut().find(|crash| crash.process == process) {
+            if known.requests.len() < MAX_COUNTED_REQUESTS && !known.requests.contains(&request) {
+                known.requests.push(request);
+            }
             return;
         }
         if self.crashes.len() >= MAX_ROW_CRASHES {
             let Some(at) = self.crashes.iter().position(|crash| !crash.is_counted) else { return };
             self.crashes.remove(at);
         }
-        self.crashes.push(RowCrash { process, is_counted: is_later });
+        self.crashes.push(RowCrash { process, is_counted: is_later, requests: vec![request] });
         if is_later {
             self.last_counted_at = now;
         }
@@ -109,6 +124,19 @@
         true
     }
 
+    /// Returns whether there were enough crashes to refuse it.
+    pub fn has_enough_crashes(&self) -> bool {
+        let counted = self.counted();
+        let required = if self.is_common() { MAX_COMMON_CRASHES } else { MAX_CRASHES };
+        counted >= required
+    }
+
+    /// Returns whether many requests with it were in each of its crashes.
+    fn is_common(&self) -> bool {
+        let requests = self.crashes.iter().map(|crash| crash.requests.len());
+        requests.sum::<usize>() >= MIN_COMMON_REQUESTS * self.crashes.len()
+    }
+
     /// Returns whether all reports of the last crash are there.
     pub fn is_settled(&self, now: Millis) -> bool {
         now.since(self.last_counted_at) >= SETTLING_MS
@@ -116,7 +144,7 @@
 
     /// Returns whether it will be refused unless a report shows another cause.
     pub fn is_settling(&self, now: Millis) -> bool {
-        self.level < Level::Refused && self.counted() >= MAX_CRASHES && !self.is_settled(now)
+        self.level < Level::Refused && self.has_enough_crashes() && !self.is_settled(now)
     }
 
     /// Returns whether it was in all crashes that count for another suspect. One beyond the first ones
--- a/lib/src/dispatch/crash_tracker.rs
+++ b/lib/src/dispatch/crash_tracker.rs
@@ -15,6 +15,9 @@
 //! with some of them is a trial. What is refused without a rival explains its crashes, so that they no
 //! longer count for others.
 //!
+//! What many requests of each crash have in common is hardly the cause, which ends a target with the
+//! first of them that begins; it takes twice as many crashes.
+//!
 //! A refusal is tried again, ever less often, and ends when a trial completes. It ends by itself when
 //! nobody has sent such a request for [`RETENTION_MS`].
 
@@ -185,10 +188,12 @@
         let process = rank::key_of(&crash.target);
         self.record_end(process, now);
         let sent_at = Millis(now.0.saturating_sub(crash.sent_ago_ms));
+        let whole = crash.suspects.iter().find(|suspect| !suspect.is_part());
+        let request = whole.map_or(0, |whole| whole.0 as u32);
         let mut changes = Vec::new();
         for suspect in self.unproven(&crash.suspects) {
             let row = self.row_mut(suspect, now);
-            row.add_crash(process, sent_at, now);
+            row.add_crash(process, request, sent_at, now);
             if row.counted() >= TRIAL_CRASHES && row.raise(Level::Tried, now) {
                 changes.push(row.suspicion());
             }
@@ -210,7 +215,7 @@
     pub fn settle(&mut self, now: Millis) -> Vec<Suspicion> {
         let is_due = |row: &&Row| {
             let is_final = row.level == Level::Refused && row.rivals.is_empty();
-            !is_final && row.is_settled(now) && row.counted() >= MAX_CRASHES
+            !is_final && row.is_settled(now) && row.has_enough_crashes()
         };
         let mut due: Vec<(usize, Suspect)> =
             self.rows.iter().filter(is_due).map(|row| (row.counted(), row.suspect)).collect();
@@ -218,7 +223,7 @@
         let mut changes = Vec::new();
         for (_, suspect) in due {
             let Ok(at) = self.position(suspect) else { continue };
-            if self.rows[at].counted() < MAX_CRASHES {
+            if !self.rows[at].has_enough_crashes() {
                 continue;
             }
             let rivals = self.rivals(&self.rows[at]);
--- a/lib/tests/test_crash_tracker.rs
+++ b/lib/tests/test_crash_tracker.rs
@@ -222,6 +222,25 @@
     assert_eq!(tracker.try_at(&request(52, &[COMMON]), "t4/1", now), Decision::Run);
 }
 
+#[test]
+fn what_many_requests_of_each_crash_have_is_not_refused_with_the_first_crashes() {
+    let mut tracker = CrashTracker::default();
+    // The requests with the bad part are reported elsewhere.
+    let common = |first| (first..first + 4).map(|number| request(number, &[COMMON])).collect();
+    let now = crash_in_turn(&mut tracker, &[common(0), common(10), common(20)]);
+    assert_eq!(tracker.try_at(&request(50, &[COMMON]), "t8/1", now), Decision::Run);
+}
+
+#[test]
+fn a_bad_part_that_comes_in_bursts_is_refused() {
+    let mut tracker = CrashTracker::default();
+    let burst = |first| (first..first + 9).map(|number| request(number, &[BAD])).collect();
+    let one = |number| vec![request(number, &[BAD])];
+    let crashes = [burst(0), burst(10), one(20), one(21), one(22), one(23)];
+    let now = crash_in_turn(&mut tracker, &crashes);
+    assert!(is_refused(&tracker, &request(50, &[BAD]), now));
+}
+
 #[test]
 fn a_report_that_comes_late_shows_the_cause_before_another_is_refused() {
     let mut tracker = CrashTracker::default();
