direct: budget servers tell the fleet only what changes a decision

Found by reading: each completion of a request that had been in one crash was told to all entries, though none had ever heard of it, each suspect that an explained crash freed cost a read of the store, and a wrong key, denied by all entries, would have been told to all of them for each. The tests of crashes pass as before.

--- a/daemon/src/direct/poison_publisher.rs
+++ b/daemon/src/direct/poison_publisher.rs
@@ -57,7 +57,6 @@
 struct WrittenKey {
     suspect: Suspect,
     written_at: Instant,
-    checked_at: Instant,
 }
 
 /// Publisher of a budget server; clones share its state.
@@ -69,6 +68,8 @@
     /// When the list of entries was read last.
     listed_at: Arc<Mutex<Option<Instant>>>,
     written: Arc<Mutex<Vec<WrittenKey>>>,
+    /// Suspects whose keys were read lately, with the time.
+    checks: Arc<Mutex<Vec<(Suspect, Instant)>>>,
 }
 
 impl PoisonPublisher {
@@ -84,6 +85,7 @@
             client,
             listed_at: Arc::default(),
             written: Arc::default(),
+            checks: Arc::default(),
         };
         tokio::spawn(publisher.clone().read_list());
         tokio::spawn(publisher.clone().publish_after_restores());
@@ -117,25 +119,35 @@
             return;
         }
         tokio::spawn(self.clone().tell_entries(changes.clone()));
-        for change in changes.into_iter().filter(|change| change.level != Level::Tried) {
+        for change in changes.into_iter().filter(|change| self.is_for_list(change)) {
             tokio::spawn(self.clone().write(change));
         }
     }
 
+    /// Returns whether a change concerns the list: what is refused, and what was.
+    fn is_for_list(&self, change: &Suspicion) -> bool {
+        match change.level {
+            Level::Refused => true,
+            Level::Tried => false,
+            Level::Free => self.written().iter().any(|key| key.suspect == change.suspect),
+        }
+    }
+
     /// Applies what an entry says: which refusals it still needs, or to which it objects because the
     /// suspect has completed there.
     pub fn apply(&self, told: &[Suspicion]) {
-        let mut changes = self.poison.apply(told);
-        for suspicion in told.iter().filter(|told| self.start_check(told.suspect)) {
-            match suspicion.level {
-                Level::Free if !changes.contains(suspicion) => changes.push(suspicion.clone()),
-                Level::Refused => {
-                    tokio::spawn(self.clone().write(suspicion.clone()));
-                }
-                Level::Free | Level::Tried => {}
+        let mut news = self.poison.apply(told);
+        news.retain(|change| change.level != Level::Free);
+        let on_list = told.iter().filter(|told| told.level != Level::Tried);
+        for suspicion in on_list.filter(|told| self.start_check(told.suspect)) {
+            tokio::spawn(self.clone().write(suspicion.clone()));
+            if suspicion.level == Level::Free {
+                news.push(suspicion.clone());
             }
         }
-        self.publish(changes);
+        if !news.is_empty() {
+            tokio::spawn(self.clone().tell_entries(news));
+        }
     }
 
     async fn read_list(self) {
@@ -152,7 +164,11 @@
             return false;
         };
         self.client.peers.apply_listing(&listing, false);
-        self.poison.apply(&poison::listed(&listing));
+        let listed = poison::listed(&listing);
+        self.poison.apply(&listed);
+        for suspicion in listed.iter().filter(|listed| self.is_unwritten(listed.suspect)) {
+            self.record_written(suspicion.suspect);
+        }
         *self.listed_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         true
     }
@@ -257,17 +273,19 @@
         is_refused == (suspicion.level == Level::Refused)
     }
 
-    /// Returns whether the key of a suspect is to be read now.
+    /// Returns whether the key of a suspect is to be read now: many entries say the same of it.
     fn start_check(&self, suspect: Suspect) -> bool {
-        let now = Instant::now();
-        match self.written().iter_mut().find(|written| written.suspect == suspect) {
-            Some(written) if written.checked_at.elapsed() < CHECK_INTERVAL => false,
-            Some(written) => {
-                written.checked_at = now;
-                true
-            }
-            None => true,
+        let mut checks = self.checks.lock().unwrap_or_else(PoisonError::into_inner);
+        checks.retain(|(_, at)| at.elapsed() < CHECK_INTERVAL);
+        let is_due = !checks.iter().any(|(checked, _)| *checked == suspect);
+        if is_due {
+            checks.push((suspect, Instant::now()));
         }
+        is_due
+    }
+
+    fn is_unwritten(&self, suspect: Suspect) -> bool {
+        !self.written().iter().any(|key| key.suspect == suspect)
     }
 
     /// Returns whether the lease of a suspect's key is to be renewed.
@@ -281,7 +299,7 @@
         let now = Instant::now();
         let mut written = self.written();
         written.retain(|key| key.suspect != suspect && key.written_at.elapsed() < REFUSED_TTL);
-        written.push(WrittenKey { suspect, written_at: now, checked_at: now });
+        written.push(WrittenKey { suspect, written_at: now });
     }
 
     fn written(&self) -> MutexGuard<'_, Vec<WrittenKey>> {
--- a/lib/src/dispatch/crash_tracker.rs
+++ b/lib/src/dispatch/crash_tracker.rs
@@ -249,7 +249,7 @@
     }
 
     /// Records that a request has completed, which takes all crashes from its suspects; returns those
-    /// that were suspected. Its parts are sound if that is certain.
+    /// that were tried or refused. Its parts are sound if that is certain.
     ///
     /// An answer that ends with its connection may have been broken off: it counts for nothing if its
     /// target has crashed lately.
@@ -266,7 +266,8 @@
         for row in &cleared {
             self.forget_rival(row.suspect);
         }
-        cleared.iter().map(|row| Suspicion { level: Level::Free, ..row.suspicion() }).collect()
+        let suspected = cleared.iter().filter(|row| row.level > Level::Free);
+        suspected.map(|row| Suspicion { level: Level::Free, ..row.suspicion() }).collect()
     }
 
     /// Applies what another process knows of a suspect; returns whether that is new.
