--- a/daemon/src/direct/poison_publisher.rs
+++ b/daemon/src/direct/poison_publisher.rs
@@ -41,7 +41,7 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// Age of the list of entries from which on it is read again before entries are told.
-const LIST_AGE: Duration = Duration::from_secs(5);
+const LIST_AGE: Duration = Duration::from_secs(1);
 
 /// Timeout of a message to an entry.
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -178,7 +178,7 @@
         let listed_at = *self.listed_at.lock().unwrap_or_else(PoisonError::into_inner);
         let known = self.client.peers.entries();
         let told = self.tell(&known, &changes);
-        if listed_at.is_some_and(|at| at.elapsed() < LIST_AGE) {
+        if !known.is_empty() && listed_at.is_some_and(|at| at.elapsed() < LIST_AGE) {
             return told.await;
         }
         // Known entries do not wait for the list.
