direct: a trial that did not reach its target goes on at another one

A trial whose target was down was kept from the next one by itself, for 2 s each, so that no third crash came.

--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -266,7 +266,7 @@
             self.publisher.record_crash(crash);
         }
         self.publisher.publish(self.poison.apply(&req.suspicions));
-        let decision = self.poison.try_at(&req.suspects, &req.target);
+        let decision = self.poison.try_at(&req);
         log::info!("event=trial_asked target={} decision={decision:?}", req.target);
         json(&decision)
     }
--- a/daemon/src/direct/poison.rs
+++ b/daemon/src/direct/poison.rs
@@ -102,8 +102,8 @@
     }
 
     /// Decides on a request that asks to run as a trial.
-    pub fn try_at(&self, suspects: &[Suspect], target: &str) -> Decision {
-        self.tracker().try_at(suspects, target, self.clock.now())
+    pub fn try_at(&self, req: &TrialRequest) -> Decision {
+        self.tracker().try_at(&req.suspects, &req.target, req.request, self.clock.now())
     }
 
     /// Returns the request for a trial at another process, after a crash of the attempt before.
@@ -111,10 +111,12 @@
         &self,
         suspects: &[Suspect],
         target: &str,
+        request: u64,
         crash: Option<Crash>,
     ) -> TrialRequest {
         let suspicions = self.tracker().suspicions(suspects);
-        TrialRequest { suspects: suspects.to_vec(), suspicions, crash, target: target.to_owned() }
+        let (suspects, target) = (suspects.to_vec(), target.to_owned());
+        TrialRequest { suspects, suspicions, crash, target, request }
     }
 
     /// Returns what is known against a request, as far as it fits into an answer.
--- a/daemon/src/direct/poison_reports.rs
+++ b/daemon/src/direct/poison_reports.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use rosemarymoor_lib::dispatch::crash_tracker::{
-    Completion, Crash, Decision, Level, SETTLING_MS, Suspect, Suspicion,
+    Completion, Crash, Decision, Level, SETTLING_MS, Suspect, Suspicion, TrialRequest,
 };
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::recent_suspects::RecentSuspects;
@@ -158,23 +158,19 @@
 
     /// Asks whether a request may run as a trial at a target, after a crash of its attempt before. This
     /// entry decides alone if no budget server answers.
-    pub async fn try_at(
-        &self,
-        service: &str,
-        suspects: &[Suspect],
-        target: &str,
-        crash: Option<Crash>,
-    ) -> Decision {
-        let req = self.own.trial_request(suspects, target, crash);
+    pub async fn try_at(&self, service: &str, req: &TrialRequest) -> Decision {
         for server in self.servers(service) {
-            match self.client.post(&server, TRIAL_PATH, &req, TRIAL_TIMEOUT).await {
+            match self.client.post(&server, TRIAL_PATH, req, TRIAL_TIMEOUT).await {
                 Ok((_, body)) => return serde_json::from_slice(&body).unwrap_or(Decision::Wait),
                 Err(err) => {
                     log::info!("event=trial_not_answered server={} reason={err:?}", server.name);
                 }
             }
         }
-        self.own.try_at(suspects, target)
+        if let Some(crash) = &req.crash {
+            self.own.record_crash(crash);
+        }
+        self.own.try_at(req)
     }
 
     /// Posts a message to the budget servers of a service in the background.
--- a/daemon/src/direct/trials.rs
+++ b/daemon/src/direct/trials.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use rosemarymoor_lib::dispatch::crash_tracker::{Crash, Decision};
+use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::targets::TargetKey;
 use rosemarymoor_lib::time::Millis;
 
@@ -81,8 +82,9 @@
     if decision == Decision::Refuse || (decision == Decision::Run && crash.is_none()) {
         return decision;
     }
-    let decision =
-        entry.poison.try_at(&call.service, &call.suspects, process, crash.cloned()).await;
+    let request = rank::key_of(&call.head.attempt_id);
+    let req = entry.poison.own().trial_request(&call.suspects, process, request, crash.cloned());
+    let decision = entry.poison.try_at(&call.service, &req).await;
     entry.metrics.count_trial(match decision {
         Decision::Run | Decision::AskTrial => "run",
         Decision::Wait => "wait",
--- a/lib/src/dispatch/crash_row.rs
+++ b/lib/src/dispatch/crash_row.rs
@@ -43,6 +43,8 @@
 struct Trial {
     /// Digest of the target's process.
     process: u64,
+    /// Digest of the id of the request that runs.
+    request: u64,
     until: Millis,
 }
 
@@ -174,8 +176,9 @@
         is_freed
     }
 
-    pub fn is_tried(&self, now: Millis) -> bool {
-        self.trial.is_some_and(|trial| now < trial.until)
+    /// Returns whether another request is its trial.
+    pub fn is_tried_by_other(&self, request: u64, now: Millis) -> bool {
+        self.trial.is_some_and(|trial| trial.request != request && now < trial.until)
     }
 
     pub fn is_tried_at(&self, process: u64, now: Millis) -> bool {
@@ -184,7 +187,7 @@
 
     /// Starts a trial in a request with these suspects. The next one of a request that would be refused
     /// comes later than this one did.
-    pub fn start_trial(&mut self, suspects: &[Suspect], process: u64, now: Millis) {
+    pub fn start_trial(&mut self, suspects: &[Suspect], process: u64, request: u64, now: Millis) {
         if self.level == Level::Free {
             return;
         }
@@ -193,6 +196,6 @@
             let pause_ms = (MIN_RETRIAL_MS << self.retrials.min(8)).min(MAX_RETRIAL_MS);
             self.retrial_at = now.plus(pause_ms);
         }
-        self.trial = Some(Trial { process, until: now.plus(TRIAL_MS) });
+        self.trial = Some(Trial { process, request, until: now.plus(TRIAL_MS) });
     }
 }
--- a/lib/src/dispatch/crash_tracker.rs
+++ b/lib/src/dispatch/crash_tracker.rs
@@ -145,6 +145,8 @@
     pub crash: Option<Crash>,
     /// Process of the target.
     pub target: String,
+    /// Digest of the request's id: its own trial does not keep it from another target.
+    pub request: u64,
 }
 
 /// Decision on a request.
@@ -312,7 +314,14 @@
     }
 
     /// Decides on a request with these suspects at a target, and begins their trial if it may run.
-    pub fn try_at(&mut self, suspects: &[Suspect], target: &str, now: Millis) -> Decision {
+    /// `request` is the digest of its id.
+    pub fn try_at(
+        &mut self,
+        suspects: &[Suspect],
+        target: &str,
+        request: u64,
+        now: Millis,
+    ) -> Decision {
         let decision = self.decide(suspects, now);
         if decision != Decision::AskTrial {
             return decision;
@@ -320,16 +329,16 @@
         let process = rank::key_of(target);
         for row in &self.rows {
             let is_in_request = suspects.binary_search(&row.suspect).is_ok();
-            if is_in_request && (row.is_tried(now) || row.is_settling(now)) {
+            if is_in_request && (row.is_tried_by_other(request, now) || row.is_settling(now)) {
                 return Decision::Wait;
             }
-            if row.is_tried_at(process, now) {
+            if !is_in_request && row.is_tried_at(process, now) {
                 return Decision::OtherTarget;
             }
         }
         for suspect in suspects {
             if let Ok(at) = self.position(*suspect) {
-                self.rows[at].start_trial(suspects, process, now);
+                self.rows[at].start_trial(suspects, process, request, now);
             }
         }
         Decision::Run
--- a/lib/tests/test_crash_tracker.rs
+++ b/lib/tests/test_crash_tracker.rs
@@ -182,8 +182,8 @@
     let now = crash_in_turn(&mut tracker, &[bad(1), bad(2), bad(3)]);
     assert!(is_refused(&tracker, &request(50, &[COMMON, BAD]), now));
     let sound = request(51, &[COMMON]);
-    assert_eq!(tracker.try_at(&sound, "t8/1", now), Decision::Run);
-    assert_eq!(tracker.try_at(&request(52, &[COMMON]), "t9/1", now), Decision::Wait);
+    assert_eq!(tracker.try_at(&sound, "t8/1", 1, now), Decision::Run);
+    assert_eq!(tracker.try_at(&request(52, &[COMMON]), "t9/1", 2, now), Decision::Wait);
     tracker.record_sound(&completion(&sound, true), now);
     tracker.settle(now);
     assert_eq!(tracker.decide(&request(53, &[COMMON]), now), Decision::Run);
@@ -215,11 +215,11 @@
     let bad = |number| vec![request(number, &[COMMON, BAD])];
     let now = crash_in_turn(&mut tracker, &[bad(1), bad(2), bad(3)]).plus(GAP_MS);
     let sound = request(51, &[COMMON]);
-    assert_eq!(tracker.try_at(&sound, "t3/1", now), Decision::Run);
+    assert_eq!(tracker.try_at(&sound, "t3/1", 3, now), Decision::Run);
     tracker.record_crash(&crash(&sound, 3), now);
     let now = now.plus(GAP_MS);
     tracker.settle(now);
-    assert_eq!(tracker.try_at(&request(52, &[COMMON]), "t4/1", now), Decision::Run);
+    assert_eq!(tracker.try_at(&request(52, &[COMMON]), "t4/1", 4, now), Decision::Run);
 }
 
 #[test]
@@ -228,7 +228,7 @@
     // The requests with the bad part are reported elsewhere.
     let common = |first| (first..first + 4).map(|number| request(number, &[COMMON])).collect();
     let now = crash_in_turn(&mut tracker, &[common(0), common(10), common(20)]);
-    assert_eq!(tracker.try_at(&request(50, &[COMMON]), "t8/1", now), Decision::Run);
+    assert_eq!(tracker.try_at(&request(50, &[COMMON]), "t8/1", 5, now), Decision::Run);
 }
 
 #[test]
@@ -265,10 +265,21 @@
     let both = vec![one.clone(), other.clone()];
     let now = crash_in_turn(&mut tracker, &vec![both; TRIAL_CRASHES]);
     assert_eq!(tracker.decide(&one, now), Decision::AskTrial);
-    assert_eq!(tracker.try_at(&one, "t7/1", now), Decision::Run);
-    assert_eq!(tracker.try_at(&request(3, &[BAD]), "t8/1", now), Decision::Wait);
-    assert_eq!(tracker.try_at(&other, "t7/1", now), Decision::OtherTarget);
-    assert_eq!(tracker.try_at(&other, "t8/1", now), Decision::Run);
+    assert_eq!(tracker.try_at(&one, "t7/1", 6, now), Decision::Run);
+    assert_eq!(tracker.try_at(&request(3, &[BAD]), "t8/1", 7, now), Decision::Wait);
+    assert_eq!(tracker.try_at(&other, "t7/1", 8, now), Decision::OtherTarget);
+    assert_eq!(tracker.try_at(&other, "t8/1", 9, now), Decision::Run);
+}
+
+#[test]
+fn a_trial_that_did_not_reach_its_target_goes_on_at_another_one() {
+    let mut tracker = CrashTracker::default();
+    let bad = |number| vec![request(number, &[BAD])];
+    let now = crash_in_turn(&mut tracker, &[bad(1), bad(2)]);
+    let next = request(3, &[BAD]);
+    assert_eq!(tracker.try_at(&next, "t7/1", 70, now), Decision::Run);
+    assert_eq!(tracker.try_at(&next, "t8/1", 70, now), Decision::Run);
+    assert_eq!(tracker.try_at(&next, "t8/1", 71, now), Decision::Wait);
 }
 
 #[test]
@@ -291,10 +302,10 @@
     let bad = |number| vec![request(number, &[BAD])];
     let now = crash_in_turn(&mut tracker, &[bad(1), bad(2), bad(3)]);
     let next = request(4, &[BAD]);
-    assert_eq!(tracker.try_at(&next, "t8/1", now), Decision::Refuse);
+    assert_eq!(tracker.try_at(&next, "t8/1", 10, now), Decision::Refuse);
     let due = now.plus(30_000);
-    assert_eq!(tracker.try_at(&next, "t8/1", due), Decision::Run);
-    assert_eq!(tracker.try_at(&request(5, &[BAD]), "t9/1", due), Decision::Refuse);
+    assert_eq!(tracker.try_at(&next, "t8/1", 11, due), Decision::Run);
+    assert_eq!(tracker.try_at(&request(5, &[BAD]), "t9/1", 12, due), Decision::Refuse);
     tracker.record_sound(&completion(&next, true), due);
     assert_eq!(tracker.decide(&request(6, &[BAD]), due), Decision::Run);
 }
@@ -309,7 +320,7 @@
         let now = refused_at.plus(second * 1_000);
         let next = request(10 + second, &[BAD]);
         tracker.record_refused(&next, now);
-        if tracker.try_at(&next, &format!("u{second}/1"), now) == Decision::Run {
+        if tracker.try_at(&next, &format!("u{second}/1"), 13, now) == Decision::Run {
             trials.push(second);
             tracker.record_crash(&crash(&next, 100 + second as usize), now.plus(50));
             tracker.settle(now.plus(500));
