direct: an entry without budget servers records a crash once, and before it tries again

It records it at once if no budget server is listed, and only then. test_direct_streams, test_direct_poison and the tests of pages and order pass.

--- a/daemon/src/direct/poison_reports.rs
+++ b/daemon/src/direct/poison_reports.rs
@@ -65,10 +65,15 @@
         }
         let (reports, servers) = (self.clone(), self.servers(service));
         let reported = crash.clone();
+        if servers.is_empty() {
+            // At once, so that the next attempt sees it.
+            self.record_alone(&crash);
+            return reported;
+        }
         tokio::spawn(async move {
             let answers = reports.post_to_all(&servers, CRASH_PATH, &crash).await;
             if answers.is_empty() {
-                return reports.record_alone(&crash).await;
+                reports.record_alone(&crash);
             }
             for answer in answers {
                 // An older build answers with an empty body.
@@ -80,10 +85,13 @@
     }
 
     /// Records a crash that no budget server has heard of.
-    async fn record_alone(&self, crash: &Crash) {
+    fn record_alone(&self, crash: &Crash) {
         self.own.record_crash(crash);
-        tokio::time::sleep(Duration::from_millis(SETTLING_MS)).await;
-        self.own.settle();
+        let own = self.own.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(SETTLING_MS)).await;
+            own.settle();
+        });
     }
 
     /// Records that a request of a service has completed, and reports it if it was suspected.
@@ -167,9 +175,6 @@
                 }
             }
         }
-        if let Some(crash) = &req.crash {
-            self.own.record_crash(crash);
-        }
         self.own.try_at(req)
     }
 
