--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -11,8 +11,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
-use rosemarymoor_lib::dispatch::choice::prefill_ms;
+use rosemarymoor_lib::dispatch::choice::{prefill_ms, prefill_work};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
+use rosemarymoor_lib::dispatch::urgency::{Beginning, urgency_of};
 use rosemarymoor_lib::limit_notice::LimitNotice;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_lib::time::Millis;
@@ -111,9 +112,10 @@
     pub process: String,
     /// Software version that the target had registered when the request was sent.
     software: Option<String>,
-    /// Expected prefill time of the prompt in milliseconds, counted as pending at the
-    /// target until the first answer; 0 afterwards.
+    /// Expected prefill time of the prompt in milliseconds.
     prefill_ms: f64,
+    /// Prefill work in tokens, counted as pending at the target until the first answer; 0 afterwards.
+    pending_tokens: u64,
     sent_at: Millis,
     has_prompt: bool,
 }
@@ -196,8 +198,8 @@
     }
 
     fn prefill_done(&mut self) {
-        let prefill_ms = std::mem::take(&mut self.prefill_ms);
-        self.entry.targets().prefill_done(self.target, prefill_ms);
+        let pending_tokens = std::mem::take(&mut self.pending_tokens);
+        self.entry.targets().prefill_done(self.target, pending_tokens);
     }
 }
 
@@ -227,6 +229,7 @@
         workspace: call.workspace.as_deref(),
         time_left: call.time_left(),
         last_event: last_event.or(call.head.last_event()),
+        urgency: urgency(call, last_event),
     };
     let mut req = Request::new(Full::new(call.body.clone()));
     *req.method_mut() = call.method.clone();
@@ -263,10 +266,12 @@
     let software = target.registration.software.clone();
     let prompt = &call.head.prompt;
     let is_uncached = |part: &&PromptPart| !target.caches_part(part.id, now);
-    let uncached_tokens = prompt.iter().filter(is_uncached).map(|part| part.tokens).sum();
-    let prefill_ms = prefill_ms(uncached_tokens, prompt.iter().map(|part| part.tokens).sum());
+    let uncached_tokens: u64 = prompt.iter().filter(is_uncached).map(|part| part.tokens).sum();
+    let all_tokens = prompt.iter().map(|part| part.tokens).sum();
+    let prefill_ms = prefill_ms(uncached_tokens, all_tokens);
+    let pending_tokens = prefill_work(uncached_tokens, all_tokens);
     let parts: Vec<u64> = prompt.iter().map(|part| part.id).collect();
-    table.start(key, prefill_ms, &parts, now);
+    table.start(key, pending_tokens, &parts, now);
     let has_prompt = !prompt.is_empty();
     let in_flight = InFlightAttempt {
         entry: entry.clone(),
@@ -275,12 +280,22 @@
         process,
         software,
         prefill_ms,
+        pending_tokens,
         sent_at: now,
         has_prompt,
     };
     Some((in_flight, address))
 }
 
+/// Returns the urgency of a request at its target; `None` for a call, which no target orders, and
+/// without a configured priority.
+fn urgency(call: &Call, last_event: Option<u64>) -> Option<u8> {
+    let priority = call.priority.filter(|_| call.route.kind.is_stream())?;
+    let is_taken_up = last_event.is_some() || call.head.resumption.is_some();
+    let beginning = if is_taken_up { Beginning::TakenUp } else { Beginning::New };
+    Some(urgency_of(priority, beginning))
+}
+
 fn classify(
     call: &Call,
     exchange: Exchange,
--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -145,14 +145,14 @@
     let table = entry.targets();
     let Some(target) = table.get(chosen) else { return };
     log::info!(
-        "event=placed request={} try={attempt} target={} software={} data_center={} running={} unread_ms={:.0} \
+        "event=placed request={} try={attempt} target={} software={} data_center={} running={} pending_tokens={} \
          failures={:.2} delay_ms={:.0} news_age_ms={}",
         call.head.attempt_id,
         target.registration.id,
         target.registration.software.as_deref().unwrap_or("unnamed"),
         target.registration.data_center,
         target.running,
-        target.pending_prefill_ms,
+        target.pending_tokens,
         target.failure_rate(now),
         target.delay_ms(now),
         entry.update_age_ms()
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -12,6 +12,7 @@
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::crash_tracker::{Decision, Suspect, suspects_of};
 use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::dispatch::urgency::priority_of;
 use rosemarymoor_lib::id::{BudgetId, digest128};
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
 use rosemarymoor_platform::request::{self, CallerHead, HeadError};
@@ -155,6 +156,7 @@
         suspects,
         service,
         origin,
+        priority: priority_of(&route, workspace.as_ref()),
         workspace: workspace.map(|workspace| workspace.name),
         catalog_version: catalog.version,
         route,
--- a/daemon/tests/test_direct_logs.rs
+++ b/daemon/tests/test_direct_logs.rs
@@ -142,6 +142,7 @@
         latency_objective: Duration::from_secs(1),
         backends: Vec::new(),
         max_attempts: 1,
+        priority: None,
         public: true,
     };
     for at in 0..MAX_ROUTES + 50 {
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -7,7 +7,8 @@
 //! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
 //! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests and parts
 //! of prompts that crash targets, with [`recent_suspects`] for what has completed; [`retry_after`]
-//! computes the delay that refused callers are given; [`target_limit`] knows
+//! computes the delay that refused callers are given; [`urgency`] orders requests at a target, and
+//! [`known_load`] keeps what the fleet knows of a target's load; [`target_limit`] knows
 //! how many requests a target takes, and [`send_permits`] issues the permits to send them; [`event_stream`] splits an
 //! answer into server-sent events, and [`stream_origins`] knows which software version
 //! began a stream.
@@ -18,6 +19,7 @@
 pub mod crash_tracker;
 pub mod event_stream;
 pub mod known_limit;
+pub mod known_load;
 pub mod load_shedder;
 pub mod rank;
 pub mod recent_suspects;
@@ -30,3 +32,4 @@
 pub mod target_limit;
 pub mod target_process;
 pub mod targets;
+pub mod urgency;
--- a/lib/src/dispatch/catalog.rs
+++ b/lib/src/dispatch/catalog.rs
@@ -53,6 +53,8 @@
     pub backends: Vec<Backend>,
     /// Maximum number of targets that one request is sent to.
     pub max_attempts: u32,
+    /// Priority of the requests, 0 is the highest; `None` if the route has none.
+    pub priority: Option<u8>,
     /// Whether requests need no workspace key.
     pub public: bool,
 }
@@ -80,6 +82,8 @@
     pub name: String,
     /// Total prepaid tokens; `None` if requests are not charged.
     pub prepaid: Option<u64>,
+    /// Priority of the requests, which goes before that of their routes; `None` if it has none.
+    pub priority: Option<u8>,
 }
 
 /// Limits on callers' requests and connections.
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -20,8 +20,9 @@
 /// Prefill rate of an engine, in tokens per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 60.0;
 
-/// Attention time per million pairs of a new token and an earlier one, in milliseconds.
-const ATTENTION_MS_PER_M_PAIRS: f64 = 0.5;
+/// Prefilled tokens that cost as much as the attention of a million pairs of a new token and an
+/// earlier one.
+const TOKENS_PER_M_PAIRS: f64 = 30.0;
 
 /// Delay that each running request adds to the others, in milliseconds.
 const RUNNING_MS: f64 = 6.0;
@@ -88,14 +89,20 @@
     best.map(|(_, key)| key)
 }
 
-/// Estimates the time that an engine takes to prefill the new tokens of a prompt, in
-/// milliseconds.
+/// Estimates the work to prefill the new tokens of a prompt, as the number of tokens of a short
+/// prompt that take as long.
 ///
-/// The time grows faster than the prompt, since each token attends to all earlier ones.
-pub fn prefill_ms(new_tokens: u64, all_tokens: u64) -> f64 {
+/// It grows faster than the prompt, since each token attends to all earlier ones.
+pub fn prefill_work(new_tokens: u64, all_tokens: u64) -> u64 {
     let (new, all) = (new_tokens as f64, all_tokens as f64);
     let pairs = new * (all - new / 2.0);
-    new / PREFILL_TOKENS_PER_MS + pairs / 1e6 * ATTENTION_MS_PER_M_PAIRS
+    (new + pairs / 1e6 * TOKENS_PER_M_PAIRS) as u64
+}
+
+/// Estimates the time that an engine takes to prefill the new tokens of a prompt, in
+/// milliseconds.
+pub fn prefill_ms(new_tokens: u64, all_tokens: u64) -> f64 {
+    prefill_work(new_tokens, all_tokens) as f64 / PREFILL_TOKENS_PER_MS
 }
 
 fn estimated_cost_ms(
@@ -113,7 +120,8 @@
     }
     if criteria.prompt.is_some() {
         cost += rank as f64 * RANK_MS;
-        cost += target.pending_prefill_ms * fleet_load_factor(criteria.entry_count);
+        let pending_ms = target.pending_tokens as f64 / PREFILL_TOKENS_PER_MS;
+        cost += pending_ms * fleet_load_factor(criteria.entry_count);
         cost += f64::from(target.running) * RUNNING_MS;
         return cost;
     }
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use super::known_load::KnownLoad;
 use super::refusal_backoff::RefusalBackoff;
 use super::target_limit::TargetLimit;
 use super::target_process::TargetProcess;
@@ -77,8 +78,10 @@
     pub registration: Registration,
     /// Number of this entry's requests that it runs.
     pub running: u32,
-    /// Estimated time to prefill this entry's pending prompts, in milliseconds.
-    pub pending_prefill_ms: f64,
+    /// Prefill work of this entry's requests whose answers have not begun, in tokens.
+    pub pending_tokens: u64,
+    /// What the fleet knows of its load.
+    pub known: KnownLoad,
     /// Smoothed delay beyond the expected time, in milliseconds, as of `delay_at`.
     pub delay_ms: f64,
     delay_at: Millis,
@@ -112,7 +115,8 @@
             key,
             registration,
             running: 0,
-            pending_prefill_ms: 0.0,
+            pending_tokens: 0,
+            known: KnownLoad::default(),
             delay_ms: 0.0,
             delay_at: Millis(0),
             failure_rate: 0.0,
@@ -370,11 +374,11 @@
         }
     }
 
-    /// Records a request sent to a target, with its estimated prefill time and prompt parts.
-    pub fn start(&mut self, key: TargetKey, prefill_ms: f64, parts: &[u64], now: Millis) {
+    /// Records a request sent to a target, with its tokens to prefill and prompt parts.
+    pub fn start(&mut self, key: TargetKey, new_tokens: u64, parts: &[u64], now: Millis) {
         let Some(target) = self.get_mut(key) else { return };
         target.running += 1;
-        target.pending_prefill_ms += prefill_ms;
+        target.pending_tokens += new_tokens;
         for part in parts {
             match target.cached_parts.binary_search_by_key(part, |cached| cached.0) {
                 Ok(at) => target.cached_parts[at].1 = now,
@@ -391,9 +395,9 @@
 
     /// Records that a prompt is no longer pending: its first event has arrived, or the request
     /// has ended.
-    pub fn prefill_done(&mut self, key: TargetKey, prefill_ms: f64) {
+    pub fn prefill_done(&mut self, key: TargetKey, new_tokens: u64) {
         if let Some(target) = self.get_mut(key) {
-            target.pending_prefill_ms = (target.pending_prefill_ms - prefill_ms).max(0.0);
+            target.pending_tokens = target.pending_tokens.saturating_sub(new_tokens);
         }
     }
 
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -26,12 +26,14 @@
         latency_objective: Duration::from_millis(150),
         backends: vec![Backend { service: "filing".to_owned(), weight: 1 }],
         max_attempts: 2,
+        priority: None,
         public: false,
     }
 }
 
 fn catalog(routes: Vec<Route>) -> Catalog {
-    let workspaces = vec![Workspace { name: "vienna".to_owned(), prepaid: Some(10) }];
+    let workspaces =
+        vec![Workspace { name: "vienna".to_owned(), prepaid: Some(10), priority: None }];
     let keys = vec![CallerKey { key: "k1".to_owned(), workspace: 0 }];
     let services = vec![Service { name: "filing".to_owned(), engine: None }];
     Catalog::new(3, routes, services, workspaces, keys, CallerLimits::default())
@@ -235,11 +237,11 @@
 fn a_target_restarted_under_its_id_starts_with_empty_state() {
     let mut table = table(1);
     let key = table.iter().next().unwrap().key;
-    table.start(key, 500.0, &[7], NOW);
+    table.start(key, 500, &[7], NOW);
     table.register(Registration { started_ms: 2, ..registration("t0") });
     let restarted = table.iter().next().unwrap();
     assert_ne!(restarted.key, key);
-    assert_eq!((restarted.running, restarted.pending_prefill_ms), (0, 0.0));
+    assert_eq!((restarted.running, restarted.pending_tokens), (0, 0));
     assert!(!restarted.caches_part(7, NOW));
 }
 
@@ -247,12 +249,12 @@
 fn requests_and_pending_prefill_are_counted_while_they_run() {
     let mut table = table(1);
     let key = table.iter().next().unwrap().key;
-    table.start(key, 500.0, &[], NOW);
-    assert_eq!(table.get(key).unwrap().pending_prefill_ms, 500.0);
-    table.prefill_done(key, 500.0);
+    table.start(key, 500, &[], NOW);
+    assert_eq!(table.get(key).unwrap().pending_tokens, 500);
+    table.prefill_done(key, 500);
     table.end(key);
     let target = table.get(key).unwrap();
-    assert_eq!((target.running, target.pending_prefill_ms), (0, 0.0));
+    assert_eq!((target.running, target.pending_tokens), (0, 0));
 }
 
 fn criteria(prompt: Option<u64>, random: u64) -> SelectionCriteria<'static> {
@@ -315,7 +317,7 @@
     let mut used = Vec::new();
     for _ in 0..30 {
         let key = choose(&table, Some(1), 0);
-        table.start(key, choice::prefill_ms(17_000, 17_000), &[1], NOW);
+        table.start(key, choice::prefill_work(17_000, 17_000), &[1], NOW);
         used.push(key);
     }
     used.sort_unstable();
@@ -328,7 +330,7 @@
     let mut table = table(4);
     for random in 0..40 {
         let key = choose(&table, None, random);
-        table.start(key, 0.0, &[], NOW);
+        table.start(key, 0, &[], NOW);
     }
     assert!(table.iter().all(|target| target.running == 10));
 }
@@ -407,7 +409,7 @@
     assert!(cached < short / 2.0, "{cached} ms with cached parts, {short} ms without");
     let mut table = table(4);
     let first = choose(&table, Some(1), 0);
-    table.start(first, long, &[2], NOW);
+    table.start(first, choice::prefill_work(51_000, 51_000), &[2], NOW);
     assert_ne!(choose(&table, Some(1), 0), first);
 }
 
@@ -419,7 +421,7 @@
     let key = table.iter().next().unwrap().key;
     for step in 0..300 {
         // Later parts have larger identifiers.
-        table.start(key, 0.0, &[step], NOW.plus(step));
+        table.start(key, 0, &[step], NOW.plus(step));
     }
     let target = table.get(key).unwrap();
     let now = NOW.plus(300);
