--- a/lib/src/budget/ceiling/budget_ceiling.rs
+++ b/lib/src/budget/ceiling/budget_ceiling.rs
@@ -3,7 +3,10 @@
 //!
 //! [`CeilingSystem`](super::CeilingSystem) passes every event of a budget to its
 //! [`BudgetCeiling`], which grants and refuses requests and decides when the
-//! budget's account is read and written.
+//! budget's account is read and written. [`replies`] and [`store_calls`] have these two decisions.
+
+mod replies;
+mod store_calls;
 
 use std::collections::VecDeque;
 
@@ -11,38 +14,21 @@
 use super::spending::Spending;
 use super::store_era::StoreEra;
 use super::store_health::StoreHealth;
-use super::stored_account::{
-    StoredAccount, WitnessedGrant, add_witnessed, others_totals, record_shown,
-    reserve_after_restore,
-};
+use super::stored_account::{StoredAccount, WitnessedGrant, add_witnessed, record_shown};
 use super::{
     CeilingEffect, CeilingStatus, Headroom, ReservationId, ReservationReply, ReservationRequest,
 };
-use crate::budget::ledger::{Account, Grant, Shard};
+use crate::budget::ledger::Account;
 use crate::id::{BudgetId, EpochId};
 use crate::kv_store::{NotDone, Outcome, Revision, Versioned};
-use crate::result_code::FAILURE_LOG;
 use crate::time::Millis;
 
-/// Headroom is lowered when it exceeds its desired size by more than this factor.
-const SURPLUS_FACTOR: u64 = 2;
-
-/// Headroom is raised in advance when less than this share of its desired size is left.
-const RAISE_BELOW_SHARE: f64 = 0.35;
-
 /// Shortest time between two writes that no request waits for, in milliseconds.
 const BACKGROUND_WRITE_INTERVAL_MS: u64 = 500;
 
 /// Time without a request after which a holder returns its headroom, in milliseconds.
 const RETURN_AFTER_MS: u64 = 1_500;
 
-/// Backoff before the store is called again after a first failure, in milliseconds;
-/// it doubles with each further failure.
-const MIN_BACKOFF_MS: u64 = 40;
-
-/// Longest backoff before the store is called again, in milliseconds.
-const MAX_BACKOFF_MS: u64 = 640;
-
 /// Request that is neither granted nor refused yet.
 struct WaitingRequest {
     req: ReservationRequest,
@@ -302,274 +288,6 @@
         }
     }
 
-    /// Grants waiting requests in their order as long as the ceiling covers them.
-    fn grant_waiting(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) {
-        while let Some(first) = self.waiting.front() {
-            let tokens = first.req.tokens;
-            if self.committed() + tokens > self.ceiling {
-                return;
-            }
-            let Some(WaitingRequest { req, .. }) = self.waiting.pop_front() else { return };
-            self.spending.reserve(req.id, tokens, now.plus(req.lifetime_ms));
-            log::info!(
-                "event=reserved reservation={:032x} budget={} tokens={tokens} used={} reserved={} ceiling={}",
-                req.id,
-                self.budget,
-                self.spending.used(),
-                self.spending.reserved(),
-                self.ceiling
-            );
-            effects.push(CeilingEffect::Answer { id: req.id, reply: ReservationReply::Granted });
-        }
-    }
-
-    /// Refuses the waiting requests whose deadline has passed or that do not fit into
-    /// the account.
-    fn refuse_waiting(
-        &mut self,
-        epoch: EpochId,
-        store: &StoreHealth,
-        era: &StoreEra,
-        now: Millis,
-        effects: &mut Vec<CeilingEffect>,
-    ) {
-        let mut kept = VecDeque::new();
-        let mut tokens_ahead = 0;
-        while let Some(waiting) = self.waiting.pop_front() {
-            let reply = self.refusal(epoch, store, era, &waiting, tokens_ahead, now);
-            match reply {
-                None => {
-                    tokens_ahead += waiting.req.tokens;
-                    kept.push_back(waiting);
-                }
-                Some(reply) => {
-                    self.log_refusal(epoch, &waiting.req, reply);
-                    effects.push(CeilingEffect::Answer { id: waiting.req.id, reply });
-                }
-            }
-        }
-        self.waiting = kept;
-    }
-
-    fn log_refusal(&self, epoch: EpochId, req: &ReservationRequest, reply: ReservationReply) {
-        let (granted, settled) = match &self.last_read {
-            Some(stored) => others_totals(&stored.account, epoch),
-            None => (0, 0),
-        };
-        log::info!(
-            target: FAILURE_LOG,
-            "event=money_refused reservation={:032x} budget={} reply={reply:?} tokens={} prepaid={} \
-             prepaid_version={} used={} reserved={} ceiling={} others_granted={granted} \
-             others_settled={settled} account_seen={}",
-            req.id,
-            self.budget,
-            req.tokens,
-            self.prepaid,
-            self.prepaid_version,
-            self.spending.used(),
-            self.spending.reserved(),
-            self.ceiling,
-            self.last_read.is_some()
-        );
-    }
-
-    /// Returns the refusal of a waiting request; `None` while it may still be granted.
-    ///
-    /// `tokens_ahead` are the tokens of the requests that wait before it.
-    fn refusal(
-        &self,
-        epoch: EpochId,
-        store: &StoreHealth,
-        era: &StoreEra,
-        waiting: &WaitingRequest,
-        tokens_ahead: u64,
-        now: Millis,
-    ) -> Option<ReservationReply> {
-        let tokens = waiting.req.tokens;
-        if self.is_exhausted(epoch, tokens) {
-            return Some(ReservationReply::Exhausted);
-        }
-        // With no store call open and none allowed yet, waiting longer would not help.
-        let must_pause = store.is_backing_off(now) || store.is_unavailable() && now < self.retry_at;
-        let is_stuck = self.pending.is_none() && must_pause;
-        if now >= waiting.deadline || is_stuck {
-            return Some(ReservationReply::Unavailable);
-        }
-        let stored = self.last_read.as_ref()?;
-        let needed = self.committed() + tokens_ahead + tokens;
-        let has_settled = self.pending.is_none() && self.lost_ceiling.is_none();
-        if has_settled && needed > self.ceiling && !era.may_raise(stored.era, now) {
-            return Some(ReservationReply::Unavailable);
-        }
-        let exceeds_account = needed > self.max_ceiling(&stored.account, epoch);
-        (exceeds_account && self.pending.is_none()).then_some(ReservationReply::Short)
-    }
-
-    /// Returns the largest ceiling that the account allows this holder.
-    fn max_ceiling(&self, account: &Account, epoch: EpochId) -> u64 {
-        self.prepaid.saturating_sub(others_totals(account, epoch).0)
-    }
-
-    /// Returns whether the tokens would not fit even if all other holders spent no more.
-    fn is_exhausted(&self, epoch: EpochId, tokens: u64) -> bool {
-        let Some(stored) = self.last_read.as_ref() else { return false };
-        others_totals(&stored.account, epoch).1 + self.committed() + tokens > self.prepaid
-    }
-
-    /// Reads the account if it is unknown; otherwise writes the ceiling if it has to change.
-    fn call_store(
-        &mut self,
-        epoch: EpochId,
-        store: &StoreHealth,
-        era: &StoreEra,
-        now: Millis,
-        effects: &mut Vec<CeilingEffect>,
-    ) {
-        if self.pending.is_some() || now < self.retry_at || store.is_backing_off(now) {
-            return;
-        }
-        let is_lease_due = era.confirm_at().is_some_and(|at| now >= at);
-        let confirms = is_lease_due && self.ceiling > self.committed();
-        let Some(stored) = self.last_read.clone().filter(|_| !confirms) else {
-            let is_needed = !self.waiting.is_empty() || self.last_write_failed || self.closing;
-            let is_lost = self.lost_ceiling.is_some_and(|lost| lost > 0);
-            if is_needed || is_lost || self.ceiling > self.committed() {
-                self.pending = Some(PendingCall::Read);
-                effects.push(CeilingEffect::Read { budget: self.budget.clone() });
-            }
-            return;
-        };
-        if let Some(lost) = self.lost_ceiling {
-            let granted = lost.max(self.committed());
-            return self.write(stored, epoch, granted, era, now, effects);
-        }
-        let may_raise = era.may_raise(stored.era, now);
-        let max_ceiling = self.max_ceiling(&stored.account, epoch);
-        let max_ceiling = if may_raise { max_ceiling } else { max_ceiling.min(self.ceiling) };
-        if let Some(granted) = self.next_ceiling(&stored.account, max_ceiling, epoch, now) {
-            self.write(stored, epoch, granted, era, now, effects);
-        }
-    }
-
-    /// Returns the ceiling to write now; `None` if the present one suffices.
-    fn next_ceiling(
-        &self,
-        account: &Account,
-        max_ceiling: u64,
-        epoch: EpochId,
-        now: Millis,
-    ) -> Option<u64> {
-        let committed = self.committed();
-        let free = max_ceiling.saturating_sub(committed);
-        let is_idle = now.since(self.last_request_at) >= RETURN_AFTER_MS;
-        let has_none = is_idle || self.closing || self.headroom_kind == Headroom::None;
-        let headroom = if has_none { 0 } else { self.demand.headroom(free, self.prepaid, now) };
-        let requested: u64 = self.waiting.iter().map(|waiting| waiting.req.tokens).sum();
-        let desired = (committed + requested + headroom).min(max_ceiling).max(committed);
-        if !self.waiting.is_empty() {
-            let first = self.waiting.front().map_or(0, |waiting| waiting.req.tokens);
-            return (committed + first <= max_ceiling).then_some(desired);
-        }
-        let recently_written = now.since(self.last_write_at) < BACKGROUND_WRITE_INTERVAL_MS;
-        if recently_written && !self.closing {
-            return None;
-        }
-        let remaining = self.ceiling.saturating_sub(committed);
-        if is_idle || self.closing {
-            let own = account.grant(epoch);
-            let is_recorded = own
-                .is_some_and(|own| own.granted == committed && own.settled == self.spending.used());
-            let has_nothing = own.is_none() && committed == 0;
-            return (!is_recorded && !has_nothing).then_some(committed);
-        }
-        if remaining > headroom.max(self.largest_request_tokens) * SURPLUS_FACTOR {
-            return Some(desired);
-        }
-        ((remaining as f64) < headroom as f64 * RAISE_BELOW_SHARE && desired > self.ceiling)
-            .then_some(desired)
-    }
-
-    /// Writes this holder's grant into the account.
-    fn write(
-        &mut self,
-        stored: StoredAccount,
-        epoch: EpochId,
-        granted: u64,
-        store_era: &StoreEra,
-        now: Millis,
-        effects: &mut Vec<CeilingEffect>,
-    ) {
-        let StoredAccount { revision, mut account, mut era } = stored;
-        if era < store_era.number() && store_era.may_raise(era, now) {
-            era = store_era.number();
-            reserve_after_restore(&mut account, self.prepaid, era);
-        }
-        let total: u64 = account.grants.iter().map(|grant| grant.granted).sum();
-        let lost = self.lost_ceiling.map_or(0, |_| {
-            granted.saturating_sub(account.grant(epoch).map_or(0, |grant| grant.granted))
-        });
-        // A lowered budget may be smaller than what was granted, and so may one whose grants are
-        // written again after a restore. The account then counts what was granted as prepaid, and
-        // nothing is free.
-        account.prepaid = self.prepaid.max(account.settled + total + lost);
-        let grant = Grant { epoch, granted, settled: self.spending.used() };
-        if !account.set_grant(grant) {
-            log::warn!("event=ceiling_refused budget={} granted={granted}", self.budget);
-            return;
-        }
-        // A lower ceiling applies at once, whether or not the write succeeds.
-        self.ceiling = self.ceiling.min(granted);
-        let shard = Shard { accounts: vec![account.clone()], era };
-        let value = shard.encode();
-        log::info!(
-            "event=ceiling_asked budget={} revision={revision} granted={granted} used={} reserved={} \
-             waiting={} prepaid={}",
-            self.budget,
-            self.spending.used(),
-            self.spending.reserved(),
-            self.waiting.len(),
-            self.prepaid
-        );
-        self.pending = Some(PendingCall::Write { granted, account, era });
-        effects.push(CeilingEffect::Write {
-            budget: self.budget.clone(),
-            expected: revision,
-            value,
-        });
-    }
-
-    /// Adopts an account that was read; it may lower the ceiling.
-    fn apply_read(&mut self, epoch: EpochId, found: Option<Versioned>, now: Millis) {
-        let (revision, mut account, era) = match found {
-            None => (Revision::ABSENT, Shard::default().open_account(&self.budget).clone(), 0),
-            Some(found) => {
-                let shard = Shard::decode(&found.value);
-                let account = shard.as_ref().and_then(|shard| shard.account(&self.budget));
-                let Some(account) = account else {
-                    log::error!("event=account_malformed budget={}", self.budget);
-                    self.record_store_failure(now);
-                    return;
-                };
-                (found.revision, account.clone(), shard.as_ref().map_or(0, |shard| shard.era))
-            }
-        };
-        record_shown(&account, &mut self.witnessed);
-        add_witnessed(&mut account, &self.witnessed);
-        // A write of unknown outcome that lowered the ceiling may still take effect, so
-        // only a confirmed write raises the ceiling, never a read.
-        let recorded = account.grant(epoch).map_or(0, |grant| grant.granted);
-        self.ceiling = self.ceiling.min(recorded);
-        self.last_read = Some(StoredAccount { revision, account, era });
-        self.consecutive_failures = 0;
-    }
-
-    /// Sets the time of the next store call after a failed one.
-    fn record_store_failure(&mut self, now: Millis) {
-        let backoff = (MIN_BACKOFF_MS << self.consecutive_failures.min(8)).min(MAX_BACKOFF_MS);
-        self.consecutive_failures += 1;
-        self.retry_at = now.plus(backoff);
-    }
-
     /// Counts reservations as spent whose settlement did not arrive in time.
     pub(super) fn expire_reservations(&mut self, now: Millis) {
         let expired = self.spending.expire(now);
