dispatch: routes order the requests of workspaces with the same priority

Change: the pairs of priorities that a configuration names are ranked, the workspace's first; the rank stands in the line `admitted`.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -290,10 +290,10 @@
 /// Returns the urgency of a request at its target; `None` for a call, which no target orders, and
 /// without a configured priority.
 fn urgency(call: &Call, last_event: Option<u64>) -> Option<u8> {
-    let priority = call.priority.filter(|_| call.route.kind.is_stream())?;
+    let rank = call.rank.filter(|_| call.route.kind.is_stream())?;
     let is_taken_up = last_event.is_some() || call.head.resumption.is_some();
     let beginning = if is_taken_up { Beginning::TakenUp } else { Beginning::New };
-    Some(urgency_of(priority, beginning))
+    Some(urgency_of(rank, beginning))
 }
 
 fn classify(
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -32,8 +32,8 @@
     pub origin: Option<StreamOrigin>,
     /// Name of the workspace; `None` for a request to a public route without a known key.
     pub workspace: Option<String>,
-    /// Priority by the configuration, 0 is the highest; `None` if it names none.
-    pub priority: Option<u8>,
+    /// Rank by the configuration's priorities, 0 is the highest; `None` if it names none.
+    pub rank: Option<u8>,
     pub catalog_version: u64,
     pub arrived_at: Instant,
     /// Time by which the answer has to end, by the caller's or the route's limit.
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -12,7 +12,6 @@
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::crash_tracker::{Decision, Suspect, suspects_of};
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::dispatch::urgency::priority_of;
 use rosemarymoor_lib::id::{BudgetId, digest128};
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
 use rosemarymoor_platform::request::{self, CallerHead, HeadError};
@@ -138,8 +137,10 @@
         Some(workspace) => reserve(entry, &catalog, &route, &head, workspace, deadline).await?,
         None => None,
     };
+    let rank = catalog.rank(&route, workspace.as_ref());
     log::info!(
-        "event=admitted request={} route={} service={service} workspace={} version={} deadline_ms={} body_bytes={}",
+        "event=admitted request={} route={} rank={rank:?} service={service} workspace={} version={} deadline_ms={} \
+         body_bytes={}",
         head.attempt_id,
         route.name,
         workspace.as_ref().map_or("none", |workspace| workspace.name.as_str()),
@@ -156,7 +157,7 @@
         suspects,
         service,
         origin,
-        priority: priority_of(&route, workspace.as_ref()),
+        rank,
         workspace: workspace.map(|workspace| workspace.name),
         catalog_version: catalog.version,
         route,
--- a/lib/src/dispatch/catalog.rs
+++ b/lib/src/dispatch/catalog.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use super::urgency::PriorityRanks;
+
 /// Whether a route's requests may be repeated, and the shape of its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -127,6 +129,7 @@
     workspaces: Vec<Workspace>,
     /// Sorted by key.
     keys: Vec<CallerKey>,
+    ranks: PriorityRanks,
     pub limits: CallerLimits,
 }
 
@@ -143,7 +146,8 @@
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         services.sort_by(|a, b| a.name.cmp(&b.name));
         keys.sort_by(|a, b| a.key.cmp(&b.key));
-        Catalog { version, routes, services, workspaces, keys, limits }
+        let ranks = PriorityRanks::new(&routes, &workspaces);
+        Catalog { version, routes, services, workspaces, keys, ranks, limits }
     }
 
     /// Returns the host's route with the longest prefix of `path`.
@@ -173,6 +177,11 @@
         self.workspaces.get(self.keys[at].workspace)
     }
 
+    /// Returns the rank of a request by its priorities, 0 is the highest; `None` if it has none.
+    pub fn rank(&self, route: &Route, workspace: Option<&Workspace>) -> Option<u8> {
+        self.ranks.rank(route, workspace)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/lib/tests/test_urgency.rs
+++ b/lib/tests/test_urgency.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rosemarymoor_lib::dispatch::catalog::{CallKind, Route, Workspace};
-use rosemarymoor_lib::dispatch::urgency::{Beginning, priority_of, urgency_of};
+use rosemarymoor_lib::dispatch::urgency::{Beginning, PriorityRanks, urgency_of};
 
 fn route(priority: Option<u8>) -> Route {
     Route {
@@ -24,28 +24,49 @@
     Workspace { name: "w".to_owned(), prepaid: None, priority }
 }
 
-macro_rules! priority_cases {
-    ($($name:ident: $route:expr, $workspace:expr => $expected:expr;)*) => {
+macro_rules! rank_cases {
+    ($($name:ident: $first:expr, $second:expr;)*) => {
         $(#[test]
         fn $name() {
-            assert_eq!(priority_of(&route($route), Some(&workspace($workspace))), $expected);
+            let routes: Vec<Route> = [None, Some(0), Some(1), Some(3)].map(route).into();
+            let workspaces: Vec<Workspace> = [None, Some(1), Some(4)].map(workspace).into();
+            let ranks = PriorityRanks::new(&routes, &workspaces);
+            let rank = |(of_workspace, of_route)| ranks.rank(&route(of_route), Some(&workspace(of_workspace)));
+            let (first, second) = (rank($first).unwrap(), rank($second).unwrap());
+            assert!(first < second, "{first} before {second}");
         })*
     };
 }
 
-priority_cases! {
-    the_workspace_goes_before_the_route: Some(3), Some(1) => Some(1);
-    a_lower_workspace_goes_before_the_route_too: Some(0), Some(4) => Some(4);
-    the_route_counts_without_one_of_the_workspace: Some(3), None => Some(3);
-    neither_names_one: None, None => None;
+rank_cases! {
+    the_workspace_goes_before_the_route: (Some(1), Some(3)), (Some(4), Some(0));
+    routes_order_the_requests_of_one_workspace: (Some(4), Some(0)), (Some(4), Some(1));
+    routes_order_requests_of_workspaces_without_a_priority: (None, Some(1)), (None, Some(3));
+    a_workspace_without_a_priority_goes_last: (Some(4), Some(3)), (None, Some(0));
+    a_route_without_a_priority_goes_last: (Some(1), Some(3)), (Some(1), None);
+}
+
+#[test]
+fn a_request_without_any_priority_has_no_rank() {
+    let ranks = PriorityRanks::new(&[route(None), route(Some(1))], &[workspace(None)]);
+    assert_eq!(ranks.rank(&route(None), Some(&workspace(None))), None);
+    assert_eq!(ranks.rank(&route(None), None), None);
+}
+
+#[test]
+fn a_configuration_with_few_priorities_uses_the_first_levels() {
+    let routes = [route(Some(0)), route(Some(1)), route(Some(2))];
+    let ranks = PriorityRanks::new(&routes, &[workspace(Some(1)), workspace(Some(1))]);
+    let of = |at: usize| ranks.rank(&routes[at], Some(&workspace(Some(1))));
+    assert_eq!([of(0), of(1), of(2)], [Some(0), Some(1), Some(2)]);
 }
 
 #[test]
 fn a_stream_that_is_taken_up_goes_before_new_requests_of_its_priority() {
-    for priority in 0..=8 {
-        let taken_up = urgency_of(priority, Beginning::TakenUp);
-        assert!(taken_up < urgency_of(priority, Beginning::New));
-        assert!(taken_up > 0 || priority == 0);
+    for rank in 0..=8 {
+        let taken_up = urgency_of(rank, Beginning::TakenUp);
+        assert!(taken_up < urgency_of(rank, Beginning::New));
+        assert!(taken_up > 0 || rank == 0);
     }
 }
 
