dispatch: the choice of a target computes wait and prefill instead of a cost for each rank

Cause: a fixed cost for each rank, one engine's rate and the entry's own count alone: shared parts are prefilled again, and slow targets get as much as fast ones.

Change: the cost of a target is its wait, the prefill of what it has not cached, the same once more for the requests that this delays, and what runs there. Rates are reported or learned, caches are known or believed. With news few targets are compared, against herding. A choice returns the predicted time to the first event.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -11,16 +11,15 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HeaderMap;
 use hyper::{Request, StatusCode};
-use rosemarymoor_lib::dispatch::choice::{prefill_ms, prefill_work};
+use rosemarymoor_lib::dispatch::choice;
+use rosemarymoor_lib::dispatch::placement_cost::{self, PlacementCost};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 use rosemarymoor_lib::dispatch::urgency::{Beginning, urgency_of};
 use rosemarymoor_lib::limit_notice::LimitNotice;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_lib::time::Millis;
 use rosemarymoor_platform::answer::{self, AnswerKind, TargetNotice};
-use rosemarymoor_platform::request::{
-    PromptPart, TargetHead, strip_connection_headers, target_headers,
-};
+use rosemarymoor_platform::request::{TargetHead, strip_connection_headers, target_headers};
 
 use super::call::Call;
 use super::entry::Entry;
@@ -34,9 +33,8 @@
 /// Size up to which an unwanted answer is read.
 const MAX_DRAINED_BYTES: usize = 64 << 10;
 
-/// Expected time to the first answer in addition to the prompt's prefill; half of it
-/// is expected of a call without a prompt.
-const EXPECTED_FIRST_ANSWER_MS: f64 = 120.0;
+/// Predicted wait up to which an answer shows the pace of its target, in milliseconds.
+const MAX_LEARNED_WAIT_MS: f64 = 20.0;
 
 /// Reason why an attempt failed; the variants' names appear in the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,27 +110,42 @@
     pub process: String,
     /// Software version that the target had registered when the request was sent.
     software: Option<String>,
-    /// Expected prefill time of the prompt in milliseconds.
-    prefill_ms: f64,
+    /// Expected cost when it was sent.
+    cost: PlacementCost,
+    /// Whether it waits at the target for work that is not known to the table.
+    may_wait: bool,
     /// Prefill work in tokens, counted as pending at the target until the first answer; 0 afterwards.
     pending_tokens: u64,
     sent_at: Millis,
-    has_prompt: bool,
 }
 
 impl InFlightAttempt {
     /// Records that the target has begun to answer, with the delay beyond the expected
     /// time.
     pub fn record_first_answer(&mut self) {
-        let expected_ms = EXPECTED_FIRST_ANSWER_MS + self.prefill_ms;
-        let expected_ms =
-            if self.has_prompt { expected_ms } else { EXPECTED_FIRST_ANSWER_MS / 2.0 };
         let elapsed_ms = self.entry.now().since(self.sent_at) as f64;
-        let delay_ms = (elapsed_ms - expected_ms).max(0.0);
+        let delay_ms = (elapsed_ms - self.expected_ms()).max(0.0);
         self.observe(Observation::Answered { delay_ms });
+        self.learn_pace(elapsed_ms);
         self.prefill_done();
     }
 
+    /// Returns the expected time to the first answer. A wait counts only if news showed it: other
+    /// waits are the target's delay.
+    fn expected_ms(&self) -> f64 {
+        let wait_ms = if self.may_wait { 0.0 } else { self.cost.wait_ms };
+        self.cost.base_ms + self.cost.prefill_ms + wait_ms
+    }
+
+    /// Learns the pace of the target's service from a request that waited for little.
+    fn learn_pace(&self, elapsed_ms: f64) {
+        if self.cost.wait_ms > MAX_LEARNED_WAIT_MS {
+            return;
+        }
+        let work_tokens = self.cost.prefill_tokens as f64;
+        self.entry.targets().learn_pace(self.target, work_tokens, elapsed_ms);
+    }
+
     /// Returns the software version that answers the request; `None` if the target named none, or
     /// has started anew under its identifier since the request was sent.
     pub fn certain_software(&self) -> Option<&str> {
@@ -264,25 +277,22 @@
     let target_id = target.registration.id.clone();
     let process = target.process().to_string();
     let software = target.registration.software.clone();
+    let may_wait = placement_cost::others(target, now).is_none();
     let prompt = &call.head.prompt;
-    let is_uncached = |part: &&PromptPart| !target.caches_part(part.id, now);
-    let uncached_tokens: u64 = prompt.iter().filter(is_uncached).map(|part| part.tokens).sum();
-    let all_tokens = prompt.iter().map(|part| part.tokens).sum();
-    let prefill_ms = prefill_ms(uncached_tokens, all_tokens);
-    let pending_tokens = prefill_work(uncached_tokens, all_tokens);
+    let cost = choice::cost_at(&table, key, call.selection_criteria(false), now)?;
+    let pending_tokens = cost.prefill_tokens;
     let parts: Vec<u64> = prompt.iter().map(|part| part.id).collect();
     table.start(key, pending_tokens, &parts, now);
-    let has_prompt = !prompt.is_empty();
     let in_flight = InFlightAttempt {
         entry: entry.clone(),
         target: key,
         target_id,
         process,
         software,
-        prefill_ms,
+        cost,
+        may_wait,
         pending_tokens,
         sent_at: now,
-        has_prompt,
     };
     Some((in_flight, address))
 }
--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
-use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria};
-use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::dispatch::cache_belief;
+use rosemarymoor_lib::dispatch::choice::{self, Choice};
+use rosemarymoor_lib::dispatch::placement_cost;
 use rosemarymoor_lib::dispatch::targets::TargetKey;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 
@@ -88,17 +89,18 @@
         let without_asking = asked >= PERMIT_REQUESTS_BEFORE_OTHERS;
         let chosen = choose(entry, call, &excluded, without_asking)
             .or_else(|| choose(entry, call, &excluded, false))?;
-        if !target_limits::acquire(entry, chosen).await {
+        let key = chosen.key;
+        if !target_limits::acquire(entry, key).await {
             continue;
         }
-        match trials::acquire(entry, call, chosen, attempts.latest.as_ref()).await {
+        match trials::acquire(entry, call, key, attempts.latest.as_ref()).await {
             Ok(Some(latest)) => {
                 attempts.latest = Some(latest);
-                attempts.targets.push(chosen);
-                log_placement(entry, call, chosen, attempts.targets.len());
-                return Some(chosen);
+                attempts.targets.push(key);
+                log_placement(entry, call, &chosen, attempts.targets.len());
+                return Some(key);
             }
-            Ok(None) => excluded.push(chosen),
+            Ok(None) => excluded.push(key),
             Err(denied) => {
                 attempts.denied = Some(denied);
                 return None;
@@ -124,29 +126,23 @@
     call: &Call,
     excluded: &[TargetKey],
     without_asking: bool,
-) -> Option<TargetKey> {
+) -> Option<Choice> {
     let now = entry.now();
-    let criteria = SelectionCriteria {
-        service: &call.service,
-        software: call.origin.as_ref().map(|origin| origin.software.as_str()),
-        data_center: &entry.data_center,
-        prompt: call.shared_prompt(),
-        random: rank::key_of(&call.head.attempt_id),
-        without_asking,
-        entry_count: entry.peers.entry_count(),
-    };
+    let criteria = call.selection_criteria(without_asking);
     let mut table = entry.targets();
     table.expire(now);
     choice::choose(&table, criteria, excluded, now)
 }
 
-fn log_placement(entry: &Entry, call: &Call, chosen: TargetKey, attempt: usize) {
-    let now = entry.now();
+fn log_placement(entry: &Entry, call: &Call, chosen: &Choice, attempt: usize) {
     let table = entry.targets();
-    let Some(target) = table.get(chosen) else { return };
+    let Some(target) = table.get(chosen.key) else { return };
+    let now = entry.now();
+    let cost = &chosen.cost;
     log::info!(
         "event=placed request={} try={attempt} target={} software={} data_center={} running={} pending_tokens={} \
-         failures={:.2} delay_ms={:.0} news_age_ms={}",
+         failures={:.2} delay_ms={:.0} wait_ms={:.0} prefill_tokens={} prefill_ms={:.0} running_ms={:.0} \
+         penalty_ms={:.0} first_event_ms={:.0} load_news={} parts_news={} news_age_ms={}",
         call.head.attempt_id,
         target.registration.id,
         target.registration.software.as_deref().unwrap_or("unnamed"),
@@ -154,7 +150,15 @@
         target.running,
         target.pending_tokens,
         target.failure_rate(now),
-        target.delay_ms(now),
+        cost.delay_ms,
+        cost.wait_ms,
+        cost.prefill_tokens,
+        cost.prefill_ms,
+        cost.running_ms,
+        cost.penalty_ms,
+        chosen.first_event_ms,
+        placement_cost::others(target, now).is_some(),
+        cache_belief::has_news(target, now),
         entry.update_age_ms()
     );
 }
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -7,7 +7,9 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use rosemarymoor_lib::dispatch::catalog::Route;
+use rosemarymoor_lib::dispatch::choice::SelectionCriteria;
 use rosemarymoor_lib::dispatch::crash_tracker::{Completion, Suspect};
+use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
 use rosemarymoor_platform::request::CallerHead;
 
@@ -77,12 +79,19 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the last part of the prompt that other prompts may share: the one before
-    /// the last, or the only one.
-    pub fn shared_prompt(&self) -> Option<u64> {
-        let parts = &self.head.prompt;
-        let shared = parts.len().saturating_sub(2);
-        parts.get(shared).map(|part| part.id)
+    /// Returns what its target is selected by; with `without_asking` targets are left out for which
+    /// a permit would have to be asked for.
+    pub fn selection_criteria(&self, without_asking: bool) -> SelectionCriteria<'_> {
+        SelectionCriteria {
+            service: &self.service,
+            software: self.origin.as_ref().map(|origin| origin.software.as_str()),
+            data_center: &self.entry.data_center,
+            prompt: &self.head.prompt,
+            tokens: self.head.tokens.map_or(0, |tokens| tokens.total()),
+            random: rank::key_of(&self.head.attempt_id),
+            without_asking,
+            entry_count: self.entry.peers.entry_count(),
+        }
     }
 
     /// Charges one event that is forwarded to the caller; the first one includes the prompt.
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -3,8 +3,9 @@
 //!
 //! The modules do no I/O: they work on tables, events and the time passed in.
 //! [`catalog`] holds the routes, services and caller keys, [`targets`] the
-//! registered targets and their observed state. [`choice`] selects a target, with
-//! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
+//! registered targets and their observed state. [`choice`] selects a target by its
+//! [`placement_cost`], with the rendezvous order of [`rank`], what [`cache_belief`] says of the
+//! [`prompt`] and the rates that [`prefill_rate`] learns; [`retry_budget`] limits retries;
 //! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests and parts
 //! of prompts that crash targets, with [`recent_suspects`] for what has completed; [`retry_after`]
 //! computes the delay that refused callers are given; [`urgency`] orders requests at a target, and
@@ -13,6 +14,7 @@
 //! answer into server-sent events, and [`stream_origins`] knows which software version
 //! began a stream.
 
+pub mod cache_belief;
 pub mod catalog;
 pub mod choice;
 mod crash_row;
@@ -21,6 +23,9 @@
 pub mod known_limit;
 pub mod known_load;
 pub mod load_shedder;
+pub mod placement_cost;
+pub mod prefill_rate;
+pub mod prompt;
 pub mod rank;
 pub mod recent_suspects;
 pub mod refusal_backoff;
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -1,46 +1,30 @@
-//! Selects the target of a request by the lowest estimated cost.
+//! Selects the target of a request by the lowest estimated cost ([`placement_cost`]).
 //!
-//! Model requests have prompt affinity: all entries rank the targets in the same
-//! order for a prompt's last shared part, so that few targets prefill and cache
-//! that part, without coordination between entries. Each rank further down that
-//! order costs as much as a wait of `RANK_MS`. The load is expected to be steady,
-//! with many shared parts; in a burst for one part its requests overflow to the
-//! next ranks as the first targets fill.
-//!
-//! Other requests, which are expected to be short calls, go to the target with the
-//! shortest estimated wait.
-
+//! All entries rank the targets in the same order for a prompt's last shared part, so that few
+//! targets prefill and cache it without coordination. With news of the others' load, all entries
+//! see the same idle target at once: a request then compares only the first targets of its part's
+//! order, some that hold the part, and some that its random number picks.
+
+use super::cache_belief;
+use super::placement_cost::{self, PlacementCost};
+use super::prefill_rate::Pace;
+use super::prompt::{self, PromptPart};
 use super::rank;
 use super::targets::{Target, TargetKey, TargetTable};
 use crate::time::Millis;
 
-/// Cost of each rank further down a prompt part's order, in milliseconds.
-const RANK_MS: f64 = 250.0;
-
-/// Prefill rate of an engine, in tokens per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 60.0;
-
 /// Prefilled tokens that cost as much as the attention of a million pairs of a new token and an
 /// earlier one.
 const TOKENS_PER_M_PAIRS: f64 = 30.0;
 
-/// Delay that each running request adds to the others, in milliseconds.
-const RUNNING_MS: f64 = 6.0;
-
-/// Duration of a typical call to a target without an engine, in milliseconds.
-const CALL_MS: f64 = 30.0;
-
-/// Cost of a failure rate of 1, in milliseconds.
-const FAILURE_MS: f64 = 2_500.0;
-
-/// Cost of a suspended target, in milliseconds.
-const SUSPENDED_MS: f64 = 100_000.0;
+/// Number of targets in a part's order that are always compared.
+const FIRST_RANKS: usize = 1;
 
-/// Cost of a target that turns requests away, in milliseconds.
-const AVOIDED_MS: f64 = 50_000.0;
+/// Largest number of targets that are compared since they hold the part.
+const MAX_HOLDERS: usize = 3;
 
-/// Cost of a target in another data centre, in milliseconds.
-const OTHER_DATA_CENTER_MS: f64 = 3.0;
+/// Number of targets that the random number picks.
+const MAX_PICKED: usize = 2;
 
 /// Properties of a request that its target is selected by.
 #[derive(Clone, Copy, Debug)]
@@ -51,8 +35,10 @@
     pub software: Option<&'a str>,
     /// Data centre of this entry.
     pub data_center: &'a str,
-    /// Identifier of the prompt's last shared part; `None` for calls without a prompt.
-    pub prompt: Option<u64>,
+    /// Parts of the prompt in their order; empty for calls without a prompt.
+    pub prompt: &'a [PromptPart],
+    /// Largest number of tokens that the request keeps in a target's memory; 0 if not known.
+    pub tokens: u64,
     /// Random number that breaks ties between targets of equal cost.
     pub random: u64,
     /// Whether targets are left out for which a permit would have to be asked for.
@@ -61,6 +47,18 @@
     pub entry_count: u64,
 }
 
+/// Chosen target, with what is expected there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    pub key: TargetKey,
+    /// Predicted time to the first event, in milliseconds.
+    pub first_event_ms: f64,
+    /// Predicted time to prefill the prompt, in milliseconds.
+    pub prefill_ms: f64,
+    /// All terms of the cost.
+    pub cost: PlacementCost,
+}
+
 /// Returns the target with the lowest cost that is not in `attempted`, has not asked for a pause, has
 /// not reached its limit and has not just turned requests away.
 ///
@@ -70,23 +68,35 @@
     criteria: SelectionCriteria<'_>,
     attempted: &[TargetKey],
     now: Millis,
-) -> Option<TargetKey> {
-    let mut candidates: Vec<&Target> = table
-        .of_service(criteria.service)
-        .filter(|target| !attempted.contains(&target.key) && target.closed_for_ms(now) == 0)
-        .filter(|target| !criteria.without_asking || target.limit.is_ready(now))
-        .filter(|target| criteria.software.is_none_or(|software| target.has_software(software)))
-        .collect();
-    let rank_key = criteria.prompt.unwrap_or(criteria.random);
-    rank::order(rank_key, &mut candidates, |target| target.registration.id.as_str());
-    let mut best: Option<(f64, TargetKey)> = None;
-    for (rank, target) in candidates.iter().enumerate() {
-        let cost = estimated_cost_ms(target, rank, criteria, now);
-        if best.is_none_or(|(lowest, _)| cost < lowest) {
-            best = Some((cost, target.key));
-        }
-    }
-    best.map(|(_, key)| key)
+) -> Option<Choice> {
+    let takes_it = |target: &&Target| {
+        !attempted.contains(&target.key)
+            && target.closed_for_ms(now) == 0
+            && (!criteria.without_asking || target.limit.is_ready(now))
+            && criteria.software.is_none_or(|software| target.has_software(software))
+    };
+    let mut ranked = rank_targets(table, &criteria);
+    ranked.retain(|ranked| takes_it(&ranked.target));
+    let compared = compared_targets(&ranked, &criteria, now);
+    let pace = table.pace(criteria.service);
+    compared
+        .iter()
+        .map(|ranked| choice_of(ranked, pace, &criteria, now))
+        .reduce(|best, other| if other.1 < best.1 { other } else { best })
+        .map(|(choice, _)| choice)
+}
+
+/// Estimates the cost of a request at a target that has been chosen.
+pub fn cost_at(
+    table: &TargetTable,
+    key: TargetKey,
+    criteria: SelectionCriteria<'_>,
+    now: Millis,
+) -> Option<PlacementCost> {
+    let ranked = rank_targets(table, &criteria);
+    let RankedTarget { target, rank } = ranked.iter().find(|ranked| ranked.target.key == key)?;
+    let pace = table.pace(criteria.service);
+    Some(placement_cost::estimate(target, *rank, pace, &criteria, now))
 }
 
 /// Estimates the work to prefill the new tokens of a prompt, as the number of tokens of a short
@@ -99,42 +109,85 @@
     (new + pairs / 1e6 * TOKENS_PER_M_PAIRS) as u64
 }
 
-/// Estimates the time that an engine takes to prefill the new tokens of a prompt, in
-/// milliseconds.
-pub fn prefill_ms(new_tokens: u64, all_tokens: u64) -> f64 {
-    prefill_work(new_tokens, all_tokens) as f64 / PREFILL_TOKENS_PER_MS
+/// Target with its place in the order of the prompt's last shared part.
+#[derive(Clone, Copy)]
+struct RankedTarget<'a> {
+    target: &'a Target,
+    rank: usize,
 }
 
-fn estimated_cost_ms(
-    target: &Target,
-    rank: usize,
-    criteria: SelectionCriteria<'_>,
+/// Returns the targets of the service that accept new requests, in the order of the last shared
+/// part; of a call, in a random order.
+fn rank_targets<'a>(
+    table: &'a TargetTable,
+    criteria: &SelectionCriteria<'a>,
+) -> Vec<RankedTarget<'a>> {
+    let key = prompt::last_shared(criteria.prompt).map_or(criteria.random, |part| part.id);
+    let mut targets: Vec<&Target> = table.of_service(criteria.service).collect();
+    rank::order(key, &mut targets, |target| target.registration.id.as_str());
+    targets.into_iter().enumerate().map(|(rank, target)| RankedTarget { target, rank }).collect()
+}
+
+/// Returns the targets to compare, in the order in which they are given: with news those that the
+/// request's own order picks, without news all.
+fn compared_targets<'a>(
+    ranked: &[RankedTarget<'a>],
+    criteria: &SelectionCriteria<'_>,
     now: Millis,
-) -> f64 {
-    let mut cost = target.failure_rate(now) * FAILURE_MS + target.delay_ms(now);
-    if target.is_suspended(now) {
-        cost += SUSPENDED_MS;
+) -> Vec<RankedTarget<'a>> {
+    let has_news = |ranked: &RankedTarget<'_>| placement_cost::others(ranked.target, now).is_some();
+    if !ranked.iter().any(has_news) {
+        return ranked.to_vec();
     }
-    if target.is_avoided(now) {
-        cost += AVOIDED_MS;
+    let is_sound =
+        |ranked: &&RankedTarget<'a>| placement_cost::is_sound(ranked.target, criteria, now);
+    let sound: Vec<RankedTarget<'a>> = ranked.iter().filter(is_sound).copied().collect();
+    if sound.is_empty() {
+        return ranked.to_vec();
     }
-    if criteria.prompt.is_some() {
-        cost += rank as f64 * RANK_MS;
-        let pending_ms = target.pending_tokens as f64 / PREFILL_TOKENS_PER_MS;
-        cost += pending_ms * fleet_load_factor(criteria.entry_count);
-        cost += f64::from(target.running) * RUNNING_MS;
-        return cost;
-    }
-    if target.registration.data_center != criteria.data_center {
-        cost += OTHER_DATA_CENTER_MS;
+    pick(sound, criteria, now)
+}
+
+/// Returns the first targets of the part's order, some that hold the part and some random ones.
+fn pick<'a>(
+    sound: Vec<RankedTarget<'a>>,
+    criteria: &SelectionCriteria<'_>,
+    now: Millis,
+) -> Vec<RankedTarget<'a>> {
+    let part = prompt::last_shared(criteria.prompt);
+    let first = if part.is_some() { FIRST_RANKS } else { 0 };
+    let mut picked: Vec<RankedTarget<'a>> = sound.iter().take(first).copied().collect();
+    let mut others: Vec<RankedTarget<'a>> = sound.into_iter().skip(first).collect();
+    let random = rank::weight(criteria.random, "");
+    rank::order(random, &mut others, |ranked| ranked.target.registration.id.as_str());
+    let (mut holders, mut random_ones) = (0, 0);
+    for ranked in others {
+        if random_ones < MAX_PICKED {
+            random_ones += 1;
+            picked.push(ranked);
+        } else if holders < MAX_HOLDERS
+            && part.is_some_and(|part| cache_belief::holds(ranked.target, part.id, now))
+        {
+            holders += 1;
+            picked.push(ranked);
+        }
     }
-    cost + f64::from(target.running) * CALL_MS
+    picked
 }
 
-/// Estimates the load of all entries per unit of this entry's own load.
-///
-/// Half of the other entries' load is assumed to be on the same targets.
-fn fleet_load_factor(entry_count: u64) -> f64 {
-    const MAX_FACTOR: f64 = 3.0;
-    (1.0 + entry_count.saturating_sub(1) as f64 * 0.5).min(MAX_FACTOR)
+/// Returns a choice with the cost that it is compared by.
+fn choice_of(
+    ranked: &RankedTarget<'_>,
+    pace: Pace,
+    criteria: &SelectionCriteria<'_>,
+    now: Millis,
+) -> (Choice, f64) {
+    let cost = placement_cost::estimate(ranked.target, ranked.rank, pace, criteria, now);
+    let choice = Choice {
+        key: ranked.target.key,
+        first_event_ms: cost.first_event_ms(),
+        prefill_ms: cost.prefill_ms,
+        cost,
+    };
+    (choice, cost.total_ms())
 }
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 
 use super::known_load::KnownLoad;
+use super::prefill_rate::{Pace, ServicePace, TargetSpeed};
 use super::refusal_backoff::RefusalBackoff;
 use super::target_limit::TargetLimit;
 use super::target_process::TargetProcess;
@@ -82,6 +83,8 @@
     pub pending_tokens: u64,
     /// What the fleet knows of its load.
     pub known: KnownLoad,
+    /// Speed in relation to its service, as its answers showed it.
+    pub speed: TargetSpeed,
     /// Smoothed delay beyond the expected time, in milliseconds, as of `delay_at`.
     pub delay_ms: f64,
     delay_at: Millis,
@@ -117,6 +120,7 @@
             running: 0,
             pending_tokens: 0,
             known: KnownLoad::default(),
+            speed: TargetSpeed::default(),
             delay_ms: 0.0,
             delay_at: Millis(0),
             failure_rate: 0.0,
@@ -219,6 +223,14 @@
             Err(_) => false,
         }
     }
+
+    /// Returns whether this entry has sent it a prompt part after `since`.
+    pub fn was_sent_part_since(&self, part: u64, since: Millis) -> bool {
+        match self.cached_parts.binary_search_by_key(&part, |cached| cached.0) {
+            Ok(at) => self.cached_parts[at].1 > since,
+            Err(_) => false,
+        }
+    }
 }
 
 /// Returns the factor by which an average has decayed since its update.
@@ -245,6 +257,8 @@
     next_key: u64,
     /// Sorted by key.
     targets: Vec<Target>,
+    /// What was learned of each service's engines; sorted by service.
+    paces: Vec<(String, ServicePace)>,
     /// End of the grace time for missing registrations; `None` if no grace time is running.
     grace_until: Option<Millis>,
     store_unavailable: bool,
@@ -284,6 +298,30 @@
             .filter(|target| !target.leaving)
     }
 
+    /// Returns the pace of a service's engines, as far as their answers showed it.
+    pub fn pace(&self, service: &str) -> Pace {
+        match self.paces.binary_search_by(|(known, _)| known.as_str().cmp(service)) {
+            Ok(at) => self.paces[at].1.pace(),
+            Err(_) => Pace::default(),
+        }
+    }
+
+    /// Learns from the time of a first answer to a request that waited for nothing known.
+    pub fn learn_pace(&mut self, key: TargetKey, work_tokens: f64, elapsed_ms: f64) {
+        let Some(target) = self.get_mut(key) else { return };
+        let service = target.registration.service.clone();
+        let expected_ms = self.pace(&service).first_answer_ms(work_tokens);
+        let found = self.paces.binary_search_by(|(known, _)| known.cmp(&service));
+        let at = found.unwrap_or_else(|at| {
+            self.paces.insert(at, (service, ServicePace::default()));
+            at
+        });
+        self.paces[at].1.learn(work_tokens, elapsed_ms);
+        if let Some(target) = self.get_mut(key) {
+            target.speed.learn(expected_ms, elapsed_ms);
+        }
+    }
+
     /// Returns the shortest time in milliseconds until a target of a service accepts requests
     /// again, if there are any and all of them have asked for a pause or have reached their limits.
     pub fn shortest_wait_ms(&self, service: &str, now: Millis) -> Option<u64> {
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -8,6 +8,7 @@
 };
 use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria};
 use rosemarymoor_lib::dispatch::event_stream::EventSplitter;
+use rosemarymoor_lib::dispatch::prompt::PromptPart;
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
 use rosemarymoor_lib::dispatch::retry_budget::{FleetRetryLimits, RetryBudget};
@@ -257,12 +258,22 @@
     assert_eq!((target.running, target.pending_tokens), (0, 0));
 }
 
-fn criteria(prompt: Option<u64>, random: u64) -> SelectionCriteria<'static> {
+/// Returns a prompt with a shared part and one of its own; the parts of a call are empty.
+fn prompt(part: Option<u64>) -> Vec<PromptPart> {
+    let parts = |shared| {
+        let own = PromptPart { id: shared ^ 0xffff_0000, tokens: 3_700 };
+        vec![PromptPart { id: shared, tokens: 13_300 }, own]
+    };
+    part.map(parts).unwrap_or_default()
+}
+
+fn criteria(prompt: &[PromptPart], random: u64) -> SelectionCriteria<'_> {
     SelectionCriteria {
         service: "models",
         software: None,
         data_center: "leics",
         prompt,
+        tokens: 18_000,
         random,
         without_asking: false,
         entry_count: 4,
@@ -270,7 +281,19 @@
 }
 
 fn choose(table: &TargetTable, prompt: Option<u64>, random: u64) -> TargetKey {
-    choice::choose(table, criteria(prompt, random), &[], NOW).unwrap()
+    choose_at(table, prompt, random, &[], NOW).unwrap()
+}
+
+fn choose_at(
+    table: &TargetTable,
+    part: Option<u64>,
+    random: u64,
+    attempted: &[TargetKey],
+    now: Millis,
+) -> Option<TargetKey> {
+    let prompt = prompt(part);
+    let choice = choice::choose(table, criteria(&prompt, random), attempted, now);
+    choice.map(|choice| choice.key)
 }
 
 #[test]
@@ -279,8 +302,9 @@
     table.register(Registration { software: Some("v2".to_owned()), ..registration("t2") });
     table.register(Registration { software: None, ..registration("t3") });
     for part in 0..50 {
-        let criteria = SelectionCriteria { software: Some("v2"), ..criteria(Some(part), part) };
-        let chosen = choice::choose(&table, criteria, &[], NOW).unwrap();
+        let prompt = prompt(Some(part));
+        let criteria = SelectionCriteria { software: Some("v2"), ..criteria(&prompt, part) };
+        let chosen = choice::choose(&table, criteria, &[], NOW).unwrap().key;
         assert_eq!(table.get(chosen).unwrap().registration.id, "t2");
         assert_eq!(choice::choose(&table, criteria, &[chosen], NOW), None);
     }
@@ -344,7 +368,7 @@
     }
     assert_ne!(choose(&table, Some(1), 0), first);
     let later = NOW.plus(30_000);
-    assert_eq!(choice::choose(&table, criteria(Some(1), 0), &[], later), Some(first));
+    assert_eq!(choose_at(&table, Some(1), 0, &[], later), Some(first));
 }
 
 #[test]
@@ -360,9 +384,9 @@
 fn attempted_targets_are_not_chosen_again() {
     let table = table(2);
     let first = choose(&table, Some(1), 0);
-    let second = choice::choose(&table, criteria(Some(1), 0), &[first], NOW).unwrap();
+    let second = choose_at(&table, Some(1), 0, &[first], NOW).unwrap();
     assert_ne!(first, second);
-    assert_eq!(choice::choose(&table, criteria(Some(1), 0), &[first, second], NOW), None);
+    assert_eq!(choose_at(&table, Some(1), 0, &[first, second], NOW), None);
 }
 
 #[test]
@@ -403,10 +427,11 @@
 /// times the tokens takes five times as long, so the request goes to the next target.
 #[test]
 fn prefill_time_grows_faster_than_the_prompt() {
-    let (short, long) = (choice::prefill_ms(17_000, 17_000), choice::prefill_ms(51_000, 51_000));
-    assert!(long > short * 4.0, "{long} ms for the long prompt, {short} ms for the short one");
-    let cached = choice::prefill_ms(3_700, 17_000);
-    assert!(cached < short / 2.0, "{cached} ms with cached parts, {short} ms without");
+    let (short, long) =
+        (choice::prefill_work(17_000, 17_000), choice::prefill_work(51_000, 51_000));
+    assert!(long > short * 4, "{long} for the long prompt, {short} for the short one");
+    let cached = choice::prefill_work(3_700, 17_000);
+    assert!(cached < short / 2, "{cached} with cached parts, {short} without");
     let mut table = table(4);
     let first = choose(&table, Some(1), 0);
     table.start(first, choice::prefill_work(51_000, 51_000), &[2], NOW);
@@ -481,16 +506,16 @@
     let (one, two) = (key_of(&table, "t0"), key_of(&table, "t1"));
     table.pause(one, NOW.plus(3_000));
     for random in 0..20 {
-        let chosen = choice::choose(&table, criteria(None, random), &[], NOW.plus(2_999));
+        let chosen = choose_at(&table, None, random, &[], NOW.plus(2_999));
         assert_eq!(chosen, Some(two));
     }
     assert_eq!(table.shortest_wait_ms("models", NOW), None, "one target takes work");
     table.pause(two, NOW.plus(1_000));
-    assert_eq!(choice::choose(&table, criteria(None, 1), &[], NOW), None);
+    assert_eq!(choose_at(&table, None, 1, &[], NOW), None);
     assert_eq!(table.shortest_wait_ms("models", NOW), Some(1_000));
     // A later and shorter request does not end the first.
     table.pause(one, NOW.plus(500));
     let after_two = NOW.plus(1_000);
-    assert_eq!(choice::choose(&table, criteria(None, 1), &[], after_two), Some(two));
+    assert_eq!(choose_at(&table, None, 1, &[], after_two), Some(two));
     assert_eq!(table.get(one).unwrap().pause_left_ms(after_two), 2_000);
 }
