dispatch, direct: entries know the load of all targets

Cause: an entry knew only what it had sent itself, with twenty entries a twentieth of a target's load. Change: a budget server whose settings name the target beside it reads the target's report and the changes of its cached parts, and keeps them on a board. Entries read the board of one budget server of their data centre and tell it what they have sent; it reads the boards of the others there, and of one in each other data centre. Nothing is read without a reader.

--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -15,6 +15,8 @@
 //!   stream's origin or `null`;
 //! - `POST /permit` accepts a [`PermitRequest`] and answers with the permits to send to a target,
 //!   `POST /limit` a [`LimitReport`];
+//! - `POST /load` accepts a [`LoadQuery`] and answers with news of targets' load, if the settings
+//!   name the target beside the server;
 //! - every path under `/store` is a call to the platform's store, relayed unchanged, but for
 //!   watches, of which equal ones share a call;
 //!   status 502 means that the store did not answer, so that a write may have been applied;
@@ -34,6 +36,7 @@
     Headroom, ReservationReply, ReservationRequest, Settlement, WitnessReport,
 };
 use rosemarymoor_lib::dispatch::crash_tracker::{Completion, Crash, Suspicion, TrialRequest};
+use rosemarymoor_lib::dispatch::load_news::{self, LoadQuery};
 use rosemarymoor_lib::dispatch::send_permits::{LimitReport, PermitRequest};
 use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId};
 use rosemarymoor_lib::kv_feed::KvFeed;
@@ -45,14 +48,17 @@
 use super::ceilings::Ceilings;
 use super::context::{ProcessContext, reload_on_hangup};
 use super::fleet_keys::PEER_PREFIX;
-use super::metrics::{self, StoreMetrics};
+use super::load_collector::{self, CollectorContext};
+use super::load_server::{LOAD_PATH, LoadServer};
+use super::metrics::{self, LoadMetrics, StoreMetrics};
 use super::peer_client::PeerClient;
 use super::poison::{CRASH_PATH, PoisonedRequests, SOUND_PATH, SUSPECTED_PATH, TRIAL_PATH};
 use super::poison_publisher::PoisonPublisher;
 use super::send_permits::{LIMIT_PATH, PERMIT_PATH, SharedIssuer};
 use super::settings::DirectSettings;
 use super::shared_watch::SharedWatches;
-use super::store_path::{DirectPath, RELAY_PREFIX, STORE_NOT_REACHED, STORE_SILENT};
+use super::store_path::{DirectPath, RELAY_PREFIX, RelayedPath, STORE_NOT_REACHED, STORE_SILENT};
+use super::target_watch;
 use crate::http_server::{self, ConnectionLimits, HttpServer};
 
 /// Timeout of a relayed call other than a watch, which waits as long as it says.
@@ -88,6 +94,8 @@
     publisher: PoisonPublisher,
     streams: BegunStreams,
     permits: SharedIssuer,
+    /// News of targets' load; `None` without a target beside the server.
+    load: Option<LoadServer>,
 }
 
 /// Runs a budget server until it is requested to stop; returns the exit code.
@@ -109,6 +117,13 @@
     metrics::observe_ceilings(&meter, &ceilings);
     let poison = PoisonedRequests::open(cx.clock);
     let client = PeerClient::open(cx.pool.clone(), cx.peers.clone());
+    let load = settings.target.map(|target| {
+        let board = LoadServer::open(cx.clock);
+        let metrics = LoadMetrics::open(&meter, &board);
+        target_watch::spawn(target, cx.pool.clone(), board.clone(), cx.clock, metrics);
+        collect_load(&cx, &settings, store.clone(), client.clone(), board.clone());
+        board
+    });
     let publisher = PoisonPublisher::spawn(poison.clone(), kv.clone(), client);
     let server = Arc::new(Server {
         ceilings: ceilings.clone(),
@@ -119,6 +134,7 @@
         publisher,
         streams: BegunStreams::open(cx.clock),
         permits: SharedIssuer::open(cx.clock),
+        load,
     });
     let listener = match http_server::bind(settings.internal) {
         Ok(listener) => listener,
@@ -145,6 +161,20 @@
     0
 }
 
+/// Spawns the tasks that follow the fleet's own list and collect the news of its targets' load.
+fn collect_load(
+    cx: &ProcessContext,
+    settings: &DirectSettings,
+    store: DirectPath,
+    client: PeerClient,
+    board: LoadServer,
+) {
+    let path = RelayedPath::spawn(store, cx.peers.clone(), &settings.name, &settings.data_center);
+    cx.follow_peers(Arc::new(PlatformStore::open(path)));
+    let (name, data_center) = (settings.name.clone(), settings.data_center.clone());
+    load_collector::spawn(CollectorContext { name, data_center, client, board });
+}
+
 /// Hands the begun streams over to the servers that are listed now.
 async fn hand_over(cx: &ProcessContext, kv: &PlatformStore, server: &Server, own: SocketAddr) {
     if server.streams.recent().is_empty() {
@@ -188,6 +218,7 @@
             (Method::POST, PERMIT_PATH) => self.issue_permits(&body),
             (Method::POST, LIMIT_PATH) => self.apply_limit(&body),
             (Method::POST, ORIGIN_PATH) => self.find_origin(&body),
+            (Method::POST, LOAD_PATH) => self.answer_load(&body).await,
             _ => empty(StatusCode::NOT_FOUND),
         }
     }
@@ -303,6 +334,15 @@
         empty(StatusCode::OK)
     }
 
+    async fn answer_load(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Some(board) = &self.load else { return empty(StatusCode::NOT_FOUND) };
+        let Ok(query) = load_news::decode::<LoadQuery>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let reply = board.answer(&query).await;
+        Response::new(Full::new(load_news::encode(&reply).into()))
+    }
+
     /// Relays a call to the store; `path` includes the query.
     async fn relay(&self, method: Method, path: String, body: Bytes) -> Response<Full<Bytes>> {
         let call = StoreCall { method, path, body, timeout: RELAY_TIMEOUT };
--- a/daemon/src/direct/context.rs
+++ b/daemon/src/direct/context.rs
@@ -79,11 +79,17 @@
 
     /// Spawns the task that watches the fleet's own list.
     pub fn watch_peers(&self, feed: Arc<dyn KvFeed>, poison: PoisonReports) {
-        let sink = Arc::new(PeerSink {
-            peers: self.peers.clone(),
-            poison,
-            is_restored: AtomicBool::new(false),
-        });
+        self.spawn_peer_feed(feed, Some(poison));
+    }
+
+    /// Spawns the task that watches the fleet's own list for its processes alone.
+    pub fn follow_peers(&self, feed: Arc<dyn KvFeed>) {
+        self.spawn_peer_feed(feed, None);
+    }
+
+    fn spawn_peer_feed(&self, feed: Arc<dyn KvFeed>, poison: Option<PoisonReports>) {
+        let is_restored = AtomicBool::new(false);
+        let sink = Arc::new(PeerSink { peers: self.peers.clone(), poison, is_restored });
         feed::spawn(feed, PEER_PREFIX, Urgency::Low, sink);
     }
 
@@ -156,7 +162,8 @@
 /// Applies the fleet's own list to the peers and to the poisoned requests.
 struct PeerSink {
     peers: Arc<Peers>,
-    poison: PoisonReports,
+    /// `None` if poisoned requests are not followed.
+    poison: Option<PoisonReports>,
     /// Whether the next list is the first of a restored store.
     is_restored: AtomicBool,
 }
@@ -165,12 +172,16 @@
     fn listed(&self, listing: Listing) {
         let keeps_unlisted = self.is_restored.swap(false, Ordering::Relaxed);
         self.peers.apply_listing(&listing, keeps_unlisted);
-        self.poison.apply(&poison::listed(&listing));
+        if let Some(reports) = &self.poison {
+            reports.apply(&poison::listed(&listing));
+        }
     }
 
     fn changed(&self, changes: Changes) {
         self.peers.apply_changes(&changes);
-        self.poison.apply(&poison::changed(&changes));
+        if let Some(reports) = &self.poison {
+            reports.apply(&poison::changed(&changes));
+        }
     }
 
     fn store_restored(&self) {
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -49,6 +49,9 @@
     pub(super) logged_ready: AtomicBool,
     /// Time of the store's last answer about targets, in milliseconds on the entry's clock.
     pub(super) updated_at_ms: AtomicU64,
+    /// Time of the last complete news of targets' load on the entry's clock, in milliseconds; 0
+    /// before the first.
+    pub(super) load_news_at_ms: AtomicU64,
     pub metrics: DirectMetrics,
 }
 
@@ -83,6 +86,15 @@
         self.now().since(Millis(self.updated_at_ms.load(Ordering::Relaxed)))
     }
 
+    /// Returns the time since the last complete news of targets' load, in milliseconds; 0 if there
+    /// were none.
+    pub fn load_news_age_ms(&self) -> u64 {
+        match self.load_news_at_ms.load(Ordering::Relaxed) {
+            0 => 0,
+            at => self.now().since(Millis(at)),
+        }
+    }
+
     /// Logs the readiness if it has changed.
     pub(super) fn log_readiness(&self) {
         let is_ready = self.is_ready();
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -26,7 +26,7 @@
 use super::send_permits::PermitClient;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RelayedPath};
-use super::{entry_feeds, entry_metrics, listener};
+use super::{entry_feeds, entry_metrics, listener, load_client};
 use crate::answer_memory::AnswerMemory;
 use crate::http_server::HttpServer;
 
@@ -61,6 +61,7 @@
     metrics::observe_ceilings(&meter, &local_ceilings);
     let load = LoadMonitor::spawn(cx.clock);
     let client = PeerClient::open(cx.pool.clone(), cx.peers.clone());
+    let load_client = client.clone();
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
         data_center: settings.data_center.clone(),
@@ -81,6 +82,7 @@
         has_targets: AtomicBool::new(false),
         logged_ready: AtomicBool::new(false),
         updated_at_ms: AtomicU64::new(0),
+        load_news_at_ms: AtomicU64::new(0),
         metrics: DirectMetrics::open(&meter),
     });
     entry_metrics::observe(&meter, &entry);
@@ -96,6 +98,7 @@
     entry.budgets.clone().report_after_restores(store.era(), settings.data_center.clone());
     entry.poison.report_after_restores(store.era());
     entry_feeds::spawn(&entry, store.clone());
+    load_client::spawn(entry.clone(), load_client);
     cx.watch_peers(store.clone(), entry.poison.clone());
     cx.register(&settings, store);
     cx.stop_requested().await;
--- a/daemon/src/direct/load_monitor.rs
+++ b/daemon/src/direct/load_monitor.rs
@@ -1,6 +1,6 @@
 //! Measures how late an entry's timers run while it serves requests, for its [`LoadShedder`].
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,8 @@
     shedder: Mutex<LoadShedder>,
     clock: MonotonicClock,
     running: AtomicUsize,
+    /// Requests that have begun so far.
+    began: AtomicU64,
     /// Wakes the sampling task when the first request begins.
     request_began: Notify,
 }
@@ -37,6 +39,7 @@
             shedder: Mutex::default(),
             clock,
             running: AtomicUsize::new(0),
+            began: AtomicU64::new(0),
             request_began: Notify::new(),
         });
         let monitor = LoadMonitor { shared };
@@ -49,6 +52,16 @@
         self.shared.shedder.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether a request runs.
+    pub fn is_busy(&self) -> bool {
+        self.shared.running.load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns the number of requests that have begun so far.
+    pub fn began(&self) -> u64 {
+        self.shared.began.load(Ordering::Relaxed)
+    }
+
     /// Returns whether new connections should go to other entries.
     pub fn is_unready(&self) -> bool {
         self.shedder().is_unready(self.shared.clock.now())
@@ -56,6 +69,7 @@
 
     /// Counts a request as running until the guard is dropped.
     pub fn track_request(&self) -> LoadGuard {
+        self.shared.began.fetch_add(1, Ordering::Relaxed);
         if self.shared.running.fetch_add(1, Ordering::Relaxed) == 0 {
             self.shared.request_began.notify_one();
         }
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -10,9 +10,11 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use rosemarymoor_lib::dispatch::catalog::{CallKind, Route};
+use rosemarymoor_lib::dispatch::load_board::LoadBoard;
 use rosemarymoor_platform::store::{CallError, StoreAnswer, is_served};
 
 use super::ceilings::Ceilings;
+use super::load_server::LoadServer;
 use crate::health::{Metrics, MetricsError};
 use crate::http_server::{self, ConnectionLimits, HttpServer};
 
@@ -47,6 +49,7 @@
     permits: Counter<u64>,
     trials: Counter<u64>,
     malformed_inputs: Counter<u64>,
+    load_news: Counter<u64>,
     reservations: Counter<u64>,
     tokens_charged: Counter<u64>,
     answer_ms: Histogram<f64>,
@@ -73,6 +76,7 @@
             permits: counter("send_permits"),
             trials: counter("suspect_trials"),
             malformed_inputs: counter("malformed_inputs"),
+            load_news: counter("load_news"),
             reservations: counter("money_asked"),
             tokens_charged: counter("tokens_charged"),
             answer_ms: histogram("answer_ms", LATENCY_BUCKETS_MS),
@@ -149,6 +153,12 @@
         self.malformed_inputs.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a question for news of targets' load by its outcome: `news`, `nothing`, `no_board` or
+    /// `no_answer`.
+    pub fn count_load_news(&self, outcome: &'static str) {
+        self.load_news.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the time to a stream's first event.
     pub fn record_first_event(&self, elapsed: Duration) {
         self.first_event_ms.record(to_ms(elapsed), &[]);
@@ -203,6 +213,34 @@
     });
 }
 
+/// Instruments of the reading of the target beside a budget server.
+#[derive(Clone)]
+pub struct LoadMetrics {
+    target_reads: Counter<u64>,
+}
+
+impl LoadMetrics {
+    /// Opens the instruments on a meter, with gauges of the board.
+    pub fn open(meter: &Meter, board: &LoadServer) -> LoadMetrics {
+        let gauge = |name: &'static str, value: fn(&LoadBoard) -> u64| {
+            let board = board.clone();
+            meter
+                .u64_observable_gauge(name)
+                .with_callback(move |observer| observer.observe(value(&board.lock()), &[]))
+                .build();
+        };
+        gauge("load_targets", |board| board.reported_targets() as u64);
+        gauge("load_news_dropped", LoadBoard::dropped);
+        LoadMetrics { target_reads: meter.u64_counter("target_reads").build() }
+    }
+
+    /// Counts a question to the target by its outcome: `read`, `parts_changed`, `parts_listed`,
+    /// `status`, `malformed` or `no_answer`.
+    pub fn count_target_read(&self, outcome: &'static str) {
+        self.target_reads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+}
+
 /// Instruments of a process's calls to the platform's store.
 #[derive(Clone)]
 pub struct StoreMetrics {
--- a/daemon/src/direct/peer_client.rs
+++ b/daemon/src/direct/peer_client.rs
@@ -44,17 +44,32 @@
         timeout: Duration,
     ) -> Result<(HeaderMap, Bytes), SendError> {
         let body = serde_json::to_vec(payload).expect("serializing a message to JSON cannot fail");
+        match self.post_bytes(server, path, body.into(), timeout, MAX_ANSWER_BYTES).await? {
+            (StatusCode::OK, headers, body) => Ok((headers, body)),
+            _ => Err(SendError::Broken),
+        }
+    }
+
+    /// Posts a body and reads an answer of at most `max_bytes`, with any status.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`], which says whether the body may have been sent.
+    pub async fn post_bytes(
+        &self,
+        server: &PeerRecord,
+        path: &'static str,
+        body: Bytes,
+        timeout: Duration,
+        max_bytes: usize,
+    ) -> Result<(StatusCode, HeaderMap, Bytes), SendError> {
         let req = Request::builder()
             .method(Method::POST)
             .uri(path)
             .header(HOST, server.internal.to_string())
-            .body(Full::new(body.into()))
+            .body(Full::new(body))
             .map_err(|_| SendError::NotSent)?;
-        let fetch = self.pool.fetch(server.internal, req, CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
-        match tokio::time::timeout(timeout, fetch).await {
-            Ok(Ok((StatusCode::OK, headers, body))) => Ok((headers, body)),
-            Ok(Ok(_)) | Err(_) => Err(SendError::Broken),
-            Ok(Err(err)) => Err(err),
-        }
+        let fetch = self.pool.fetch(server.internal, req, CONNECT_TIMEOUT, max_bytes);
+        tokio::time::timeout(timeout, fetch).await.unwrap_or(Err(SendError::Broken))
     }
 }
--- a/daemon/src/direct/settings.rs
+++ b/daemon/src/direct/settings.rs
@@ -59,12 +59,14 @@
     pub retries: FleetRetryLimits,
     /// Longest time between a request to stop and the end of the process.
     pub grace: Duration,
+    /// Address of the target beside a budget server; `None` if its load is not read.
+    pub target: Option<SocketAddr>,
 }
 
 const ADDRESS_EXPECTED: &str = "an IP address with a port, as 10.0.0.1:7000";
 const NUMBER_EXPECTED: &str = "a number, as 0.2";
 const SECONDS_EXPECTED: &str = "a number of seconds, at most 86400";
-const SECTIONS: &[&str] = &["process", "listen", "platform", "retries"];
+const SECTIONS: &[&str] = &["process", "listen", "platform", "retries", "target"];
 
 /// Retries allowed for each request, if the settings name no ratio.
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
@@ -142,6 +144,8 @@
     let window_s = seconds_or(&mut reader, "window_s", DEFAULT_RETRY_WINDOW_S);
     reader.finish();
 
+    let target = read_target(document, role, errors);
+
     Some(DirectSettings {
         name,
         role,
@@ -158,9 +162,28 @@
             window_ms: (window_s * MS_PER_S) as u64,
         },
         grace: Duration::from_secs_f64(grace_s),
+        target,
     })
 }
 
+/// Reads the section of the target beside a budget server, if there is one.
+fn read_target(
+    document: &IniDocument,
+    role: DirectRole,
+    errors: &mut Vec<IniError>,
+) -> Option<SocketAddr> {
+    let section = document.section("target")?;
+    let mut reader = SectionReader::new(section, errors);
+    if role == DirectRole::Entry {
+        let hint = "remove it, or set `role = budget-server`";
+        reader.record_section_conflict("an entry has no `[target]` section", hint);
+        return None;
+    }
+    let address = reader.parse("address", ADDRESS_EXPECTED);
+    reader.finish();
+    address
+}
+
 fn empty_section(document: &IniDocument) -> IniSection {
     let at = Position { file: document.file.clone(), line: 1 };
     IniSection { name: String::new(), at, keys: Vec::new() }
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -8,7 +8,9 @@
 //! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests and parts
 //! of prompts that crash targets, with [`recent_suspects`] for what has completed; [`retry_after`]
 //! computes the delay that refused callers are given; [`urgency`] orders requests at a target, and
-//! [`known_load`] keeps what the fleet knows of a target's load; [`target_limit`] knows
+//! [`known_load`] keeps what the fleet knows of a target's load, which processes read from each
+//! other's [`load_board`] as [`load_news`], with the cached prompt parts of [`load_parts`] and the
+//! prefill rate of [`prefill_meter`]; [`target_limit`] knows
 //! how many requests a target takes, and [`send_permits`] issues the permits to send them; [`event_stream`] splits an
 //! answer into server-sent events, and [`stream_origins`] knows which software version
 //! began a stream.
@@ -20,7 +22,12 @@
 pub mod event_stream;
 pub mod known_limit;
 pub mod known_load;
+pub mod load_board;
+pub mod load_news;
+pub mod load_parts;
 pub mod load_shedder;
+pub mod load_update;
+pub mod prefill_meter;
 pub mod rank;
 pub mod recent_suspects;
 pub mod refusal_backoff;
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -276,6 +276,11 @@
         self.targets.iter()
     }
 
+    /// Iterates over all targets for changes of their state.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.targets.iter_mut()
+    }
+
     /// Iterates over the targets of a service that accept new requests.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
         self.targets
