--- a/daemon/tests/test_settings.rs
+++ b/daemon/tests/test_settings.rs
@@ -101,6 +101,42 @@
     assert_eq!(settings.grace, Duration::from_secs(8));
 }
 
+const VALID_SERVER: &str = "\
+[process]
+name = side-1
+role = budget-server
+data_center = wien-a
+[listen]
+internal = 127.0.0.1:8002
+[platform]
+store = 127.0.0.1:2379
+";
+
+/// Defines a test for what each ending of [`VALID_SERVER`] says of the target beside the server.
+macro_rules! target_beside {
+    ($($name:ident: $ending:literal => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let read = open_direct(&format!("{VALID_SERVER}{}", $ending));
+            let expected: Result<Option<&str>, &str> = $expected;
+            match (read, expected) {
+                (Ok(settings), Ok(target)) => {
+                    assert_eq!(settings.target, target.map(|target| target.parse().unwrap()));
+                }
+                (Err(message), Err(part)) => assert!(message.contains(part), "{message}"),
+                (read, _) => panic!("{:?}", read.map(|settings| settings.target)),
+            }
+        }
+    )*};
+}
+
+target_beside! {
+    no_target_beside_a_server: "" => Ok(None);
+    a_target_beside_a_server: "[target]\naddress = 127.0.0.1:9000\n" => Ok(Some("127.0.0.1:9000"));
+    a_target_without_an_address: "[target]\n" => Err("`[target]` lacks the key `address`");
+    a_target_at_a_bad_address: "[target]\naddress = here\n" => Err("a.ini:10: `address = here` is not valid");
+}
+
 /// Defines a test for each faulty change of [`VALID_DIRECT`] and the message expected for it.
 macro_rules! refused_direct {
     ($($name:ident: $from:literal => $to:literal, $message:literal;)*) => {$(
@@ -117,5 +153,6 @@
     a_huge_time_limit: "grace_s = 8" => "grace_s = 1e30", "a.ini:11: `grace_s = 1e30` is not valid\n  hint: give a number of seconds, at most 86400";
     an_infinite_time_limit: "grace_s = 8" => "grace_s = inf", "a.ini:11: `grace_s = inf` is not valid";
     a_negative_time_limit: "grace_s = 8" => "grace_s = -1", "a.ini:11: `grace_s = -1` is not valid";
+    an_entry_beside_a_target: "[retries]" => "[target]\naddress = 127.0.0.1:9000\n[retries]", "a.ini:12: an entry has no `[target]` section";
     a_huge_window: "window_s = 10" => "window_s = 1e30", "a.ini:13: `window_s = 1e30` is not valid";
 }
