direct: evacuated data centres, cold targets and allowed regions decide where requests go

Cause: nothing read the operator's evacuations, the cold time of registrations or the regions of routes and workspaces.

Change: one watch follows all that the operator writes; targets of evacuated data centres are left out where targets are chosen, and checked once more right before a request is sent. A cold target has a second limit, which the existing permits keep in sum; it ends by itself. Requests with allowed regions choose among the data centres of those regions, by the settings' section [regions].

--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -92,6 +92,8 @@
             continue;
         }
         match trials::acquire(entry, call, chosen, attempts.latest.as_ref()).await {
+            // It may have left or been evacuated while the request waited.
+            Ok(Some(_)) if !may_receive(entry, chosen) => excluded.push(chosen),
             Ok(Some(latest)) => {
                 attempts.latest = Some(latest);
                 attempts.targets.push(chosen);
@@ -108,6 +110,12 @@
     None
 }
 
+/// Returns whether a target is still listed and gets new requests.
+fn may_receive(entry: &Entry, target: TargetKey) -> bool {
+    let table = entry.targets();
+    table.get(target).is_some_and(|target| table.may_receive(target))
+}
+
 /// Records a retry if the retry budget allows it.
 fn try_retry(entry: &Entry, call: &Call) -> bool {
     let entry_count = entry.peers.entry_count();
@@ -129,6 +137,7 @@
     let criteria = SelectionCriteria {
         service: &call.service,
         software: call.origin.as_ref().map(|origin| origin.software.as_str()),
+        allowed_data_centers: call.allowed_data_centers.as_deref(),
         data_center: &entry.data_center,
         prompt: call.shared_prompt(),
         random: rank::key_of(&call.head.attempt_id),
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -28,6 +28,8 @@
     pub suspects: Vec<Suspect>,
     pub route: Route,
     pub service: String,
+    /// Data centres that may serve the request, sorted; `None` if any may.
+    pub allowed_data_centers: Option<Vec<String>>,
     /// What began the stream; `None` before its first event, and if that is not known.
     pub origin: Option<StreamOrigin>,
     /// Name of the workspace; `None` for a request to a public route without a known key.
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -163,7 +163,9 @@
         }
         None => {}
     }
-    if let Some(wait_ms) = entry.targets().shortest_wait_ms(&call.service, entry.now()) {
+    let allowed = call.allowed_data_centers.as_deref();
+    let shortest_wait_ms = entry.targets().shortest_wait_in_ms(&call.service, allowed, entry.now());
+    if let Some(wait_ms) = shortest_wait_ms {
         let jitter_ms = jitter_ms.max(wait_ms * (random % WAIT_JITTER_PERCENT) / 100);
         let detail = "all targets have asked to wait, have reached their limits or have no room";
         let retry_after_ms = wait_ms.max(MIN_WAIT_RETRY_AFTER_MS) + jitter_ms;
@@ -173,9 +175,20 @@
         None if call.origin.is_some() => {
             (ResultCode::NoTarget, "no target of the version that began the stream is listed")
         }
-        None => (ResultCode::NoTarget, "no target of the service is listed"),
+        None => (ResultCode::NoTarget, no_target_detail(entry, call)),
         Some(AttemptError::TurnedAway) => (ResultCode::QueueFull, "the targets have no room"),
         Some(_) => (ResultCode::TargetUnreachable, "no target could be reached"),
     };
     Refusal::new(code, detail).retry_after(NOT_RUN_RETRY_AFTER_MS + jitter_ms)
 }
+
+/// Returns why no target was chosen for a request.
+fn no_target_detail(entry: &Entry, call: &Call) -> &'static str {
+    if call.allowed_data_centers.is_some() {
+        return "no target of the service is in an allowed region";
+    }
+    if entry.targets().evacuations.count() > 0 {
+        return "no target of the service is in a data centre that is not evacuated";
+    }
+    "no target of the service is listed"
+}
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -3,8 +3,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use rosemarymoor_lib::dispatch::catalog::Catalog;
+use rosemarymoor_lib::dispatch::regions::RegionMap;
 use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
 use rosemarymoor_lib::dispatch::targets::TargetTable;
@@ -25,6 +26,8 @@
     /// Name of the host.
     pub name: String,
     pub data_center: String,
+    /// Regions of the data centres, by the settings.
+    pub regions: ArcSwap<RegionMap>,
     /// Catalog in force; `None` until the first one has been read.
     pub catalog: ArcSwapOption<Catalog>,
     pub(super) targets: Mutex<TargetTable>,
--- a/daemon/src/direct/entry_feeds.rs
+++ b/daemon/src/direct/entry_feeds.rs
@@ -1,31 +1,39 @@
-//! Feeds of an entry: the catalog and the targets' registrations in the platform's store.
+//! Feeds of an entry from the platform's store: the catalog and the evacuated data centres, which the
+//! operator writes, and the targets' registrations.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use rosemarymoor_lib::dispatch::catalog::Catalog;
+use rosemarymoor_lib::dispatch::cold_start::{ColdReport, ColdStart};
+use rosemarymoor_lib::dispatch::cold_targets::ColdTarget;
+use rosemarymoor_lib::dispatch::evacuations::EvacuationChange;
 use rosemarymoor_lib::dispatch::targets::{Registration, TargetTable};
 use rosemarymoor_lib::kv_feed::{Changes, KeyChange, KvFeed, Listing};
-use rosemarymoor_lib::kv_store::Versioned;
+use rosemarymoor_lib::kv_store::{Revision, Versioned};
 use rosemarymoor_platform::{catalog, keys, registration};
 
 use super::entry::Entry;
 use super::feed::{self, FeedSink, Urgency};
 
-/// Spawns the tasks that keep the catalog and the targets up to date.
+/// Spawns the tasks that keep the catalog, the evacuated data centres and the targets up to date.
+///
+/// One watch follows all that the operator writes, which costs the store no more calls than one of
+/// the catalog, and an entry that knows its catalog knows which data centres are evacuated.
 pub fn spawn(entry: &Arc<Entry>, store: Arc<dyn KvFeed>) {
-    let catalog = Arc::new(CatalogSink { entry: entry.clone() });
-    feed::spawn(store.clone(), keys::CONFIGURATION, Urgency::High, catalog);
+    let operator = Arc::new(OperatorSink { entry: entry.clone() });
+    feed::spawn(store.clone(), keys::OPERATOR, Urgency::High, operator);
     let targets = Arc::new(TargetSink { entry: entry.clone() });
     feed::spawn(store, keys::REGISTRATIONS, Urgency::High, targets);
 }
 
-/// Puts newer catalogs into force.
-struct CatalogSink {
+/// Puts newer catalogs and the operator's evacuations into force.
+struct OperatorSink {
     entry: Arc<Entry>,
 }
 
-impl CatalogSink {
-    fn apply(&self, bytes: &[u8]) {
+impl OperatorSink {
+    fn apply_catalog(&self, bytes: &[u8]) {
         let decoded = match catalog::decode(bytes) {
             Ok(decoded) => decoded,
             Err(err) => {
@@ -44,28 +52,89 @@
             "event=catalog_in_force version={} before={current_version} routes={routes}",
             decoded.version
         );
+        self.entry.targets().set_cold_starts(cold_starts(&decoded));
         self.entry.catalog.store(Some(Arc::new(decoded)));
         self.entry.log_readiness();
     }
+
+    fn apply_evacuations(&self, listing: &Listing) {
+        let names = listing.items.iter().filter_map(|(key, _)| keys::evacuated_data_center(key));
+        let changes = self.entry.targets().evacuations.replace(names.map(str::to_owned).collect());
+        for change in &changes {
+            self.record_evacuation(change, listing.global_revision);
+        }
+    }
+
+    fn apply_evacuation_change(&self, change: &KeyChange, revision: Revision) {
+        let Some(data_center) = keys::evacuated_data_center(&change.key) else { return };
+        let mut table = self.entry.targets();
+        let change = match change.value {
+            Some(_) => table.evacuations.begin(data_center),
+            None => table.evacuations.end(data_center),
+        };
+        drop(table);
+        if let Some(change) = change {
+            self.record_evacuation(&change, revision);
+        }
+    }
+
+    /// Logs and counts a change; the targets of a data centre may be cold after its evacuation.
+    fn record_evacuation(&self, change: &EvacuationChange, revision: Revision) {
+        match change {
+            EvacuationChange::Began(data_center) => {
+                log::warn!("event=evacuated data_center={data_center}");
+                self.entry.metrics.count_evacuation("began");
+            }
+            EvacuationChange::Ended(data_center) => {
+                log::warn!("event=evacuation_ended data_center={data_center}");
+                self.entry.metrics.count_evacuation("ended");
+                let now = self.entry.now();
+                let became_cold = self.entry.targets().presume_cold(data_center, revision, now);
+                became_cold.iter().for_each(|target| record_cold(&self.entry, target));
+            }
+        }
+    }
 }
 
-impl FeedSink for CatalogSink {
+/// Returns how the targets of the catalog's services start, where they are cold at first.
+fn cold_starts(catalog: &Catalog) -> Vec<(String, ColdStart)> {
+    let services = catalog.services();
+    services.filter_map(|service| Some((service.name.clone(), service.cold_start?))).collect()
+}
+
+/// Logs and counts a target that has become cold.
+fn record_cold(entry: &Entry, target: &ColdTarget) {
+    let ColdTarget { id, left_ms, reason } = target;
+    log::info!("event=target_cold target={id} left_ms={left_ms} reason={}", reason.label());
+    entry.metrics.count_cold_target(reason.label());
+}
+
+impl FeedSink for OperatorSink {
     fn listed(&self, listing: Listing) {
+        self.apply_evacuations(&listing);
         for (key, found) in &listing.items {
             if key == keys::CONFIGURATION {
-                self.apply(&found.value);
+                self.apply_catalog(&found.value);
             }
         }
     }
 
     fn changed(&self, changes: Changes) {
-        let Changes::Received { changes, .. } = changes else { return };
+        let Changes::Received { changes, global_revision } = changes else { return };
+        for change in &changes {
+            self.apply_evacuation_change(change, global_revision);
+        }
         // Older versions among the changes are obsolete.
         let newest = changes.iter().rev().find(|change| change.key == keys::CONFIGURATION);
         if let Some(found) = newest.and_then(|change| change.value.as_ref()) {
-            self.apply(&found.value);
+            self.apply_catalog(&found.value);
         }
     }
+
+    /// A restored store may lack an evacuation that is in force.
+    fn store_restored(&self) {
+        self.entry.targets().evacuations.store_restored();
+    }
 }
 
 /// Applies registrations to the table of targets.
@@ -75,20 +144,34 @@
 
 impl TargetSink {
     /// Decodes the registration of the target `id`; logs and counts a malformed one.
-    fn decode(&self, id: &str, found: &Versioned) -> Option<Registration> {
-        let decoded = registration::decode(id, &found.value);
-        if decoded.is_none() {
+    fn decode(&self, id: &str, found: &Versioned) -> Option<(Registration, ColdReport)> {
+        let Some(decoded) = registration::decode(id, &found.value) else {
             log::warn!("event=registration_malformed target={id}");
             self.entry.metrics.count_malformed_input("registration");
+            return None;
+        };
+        let report = ColdReport { left_ms: decoded.cold_left_ms, revision: found.revision };
+        Some((decoded, report))
+    }
+
+    fn report_cold(
+        &self,
+        table: &mut TargetTable,
+        id: &str,
+        report: ColdReport,
+        is_after_list: bool,
+    ) {
+        let became_cold = table.report_cold(id, report, is_after_list, self.entry.now());
+        if let Some(target) = became_cold {
+            record_cold(&self.entry, &target);
         }
-        decoded
     }
 
     fn apply(&self, table: &mut TargetTable, change: &KeyChange) {
         let Some(id) = keys::registered_target_id(&change.key) else { return };
         let decoded = change.value.as_ref().and_then(|found| self.decode(id, found));
         match decoded {
-            Some(registration) => {
+            Some((registration, report)) => {
                 let leaving = registration.leaving;
                 let service = registration.service.clone();
                 let software = registration.software.clone().unwrap_or_default();
@@ -97,6 +180,7 @@
                         "event=target_listed target={id} service={service} software={software} leaving={leaving}"
                     );
                 }
+                self.report_cold(table, id, report, true);
             }
             None => {
                 log::info!(
@@ -114,11 +198,15 @@
         let decode = |(key, found): &(String, Versioned)| {
             self.decode(keys::registered_target_id(key)?, found)
         };
-        let registrations: Vec<_> = listing.items.iter().filter_map(decode).collect();
-        log::info!("event=targets_listed count={}", registrations.len());
+        let decoded: Vec<_> = listing.items.iter().filter_map(decode).collect();
+        log::info!("event=targets_listed count={}", decoded.len());
+        let is_after_list = self.entry.has_targets.load(Ordering::Relaxed);
         let mut table = self.entry.targets();
         table.expire(self.entry.now());
-        table.replace(registrations);
+        table.replace(decoded.iter().map(|(registration, _)| registration.clone()).collect());
+        for (registration, report) in &decoded {
+            self.report_cold(&mut table, &registration.id, *report, is_after_list);
+        }
         drop(table);
         self.entry.has_targets.store(true, Ordering::Relaxed);
         self.entry.log_readiness();
--- a/daemon/src/direct/entry_metrics.rs
+++ b/daemon/src/direct/entry_metrics.rs
@@ -6,7 +6,7 @@
 
 use super::entry::Entry;
 
-/// Registers gauges of an entry's state: catalog, targets, entries, age of the last update,
+/// Registers gauges of an entry's state: catalog, targets, evacuations, entries, age of the last update,
 /// readiness and load.
 pub fn observe(meter: &Meter, entry: &Arc<Entry>) {
     let gauge = |name: &'static str, value: fn(&Entry) -> u64| {
@@ -24,6 +24,7 @@
         entry.catalog.load().as_ref().map_or(0, |catalog| catalog.version)
     });
     gauge("targets_listed", |entry| entry.targets().iter().count() as u64);
+    gauge("data_centers_evacuated", |entry| entry.targets().evacuations.count() as u64);
     gauge("entries_listed", |entry| entry.peers.entry_count());
     gauge("news_age_ms", Entry::update_age_ms);
     gauge("is_ready", |entry| u64::from(entry.is_ready()));
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use rosemarymoor_lib::budget::ceiling::Headroom;
 use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
@@ -64,6 +64,7 @@
     let entry = Arc::new(Entry {
         name: settings.name.clone(),
         data_center: settings.data_center.clone(),
+        regions: ArcSwap::from_pointee(settings.regions.clone()),
         catalog: ArcSwapOption::empty(),
         targets: Mutex::new(TargetTable::default()),
         retries: Mutex::new(RetryBudget::open(settings.retries)),
@@ -92,7 +93,10 @@
         }
     };
     let reloaded = entry.clone();
-    reload_on_hangup(path, move |settings| reloaded.retries().set_limits(settings.retries));
+    reload_on_hangup(path, move |settings| {
+        reloaded.retries().set_limits(settings.retries);
+        reloaded.regions.store(Arc::new(settings.regions.clone()));
+    });
     entry.budgets.clone().report_after_restores(store.era(), settings.data_center.clone());
     entry.poison.report_after_restores(store.era());
     entry_feeds::spawn(&entry, store.clone());
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -103,6 +103,7 @@
     let route = catalog.route(&head.host, path);
     let route = route.ok_or_else(|| Refusal::new(ResultCode::UnknownRoute, "no route"))?.clone();
     let workspace = workspace(&catalog, &route, &head)?.cloned();
+    let allowed_data_centers = allowed_data_centers(entry, &route, workspace.as_ref());
     let random = rank::key_of(&head.attempt_id);
     if entry.load.shedder().is_refused(random) {
         let refusal = Refusal::new(ResultCode::Overloaded, "the entry cannot keep up");
@@ -155,6 +156,7 @@
         body,
         suspects,
         service,
+        allowed_data_centers,
         origin,
         priority: priority_of(&route, workspace.as_ref()),
         workspace: workspace.map(|workspace| workspace.name),
@@ -193,6 +195,17 @@
     Ok(workspace)
 }
 
+/// Returns the data centres that may serve a request, by the regions that its route and its workspace
+/// allow; `None` if any may.
+fn allowed_data_centers(
+    entry: &Entry,
+    route: &Route,
+    workspace: Option<&Workspace>,
+) -> Option<Vec<String>> {
+    let by_workspace = workspace.map_or(&[][..], |workspace| &workspace.allowed_regions);
+    entry.regions.load().allowed_data_centers(&[&route.allowed_regions, by_workspace])
+}
+
 /// Reads the body up to the size limit, until the request's deadline at the latest.
 async fn read_body(body: Incoming, catalog: &Catalog, deadline: Instant) -> Result<Bytes, Refusal> {
     let limits = catalog.limits;
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -44,6 +44,8 @@
     unfinished_events: Counter<u64>,
     taken_up: Counter<u64>,
     target_notices: Counter<u64>,
+    cold_targets: Counter<u64>,
+    evacuations: Counter<u64>,
     permits: Counter<u64>,
     trials: Counter<u64>,
     malformed_inputs: Counter<u64>,
@@ -70,6 +72,8 @@
             unfinished_events: counter("unfinished_events"),
             taken_up: counter("streams_taken_up"),
             target_notices: counter("target_notices"),
+            cold_targets: counter("cold_targets"),
+            evacuations: counter("evacuations"),
             permits: counter("send_permits"),
             trials: counter("suspect_trials"),
             malformed_inputs: counter("malformed_inputs"),
@@ -132,6 +136,16 @@
         self.target_notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a target that has become cold, by the reason: `registered`, `started` or `evacuated`.
+    pub fn count_cold_target(&self, reason: &'static str) {
+        self.cold_targets.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts an evacuation of a data centre that `began` or `ended`.
+    pub fn count_evacuation(&self, change: &'static str) {
+        self.evacuations.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Counts a request for a permit to send to a target with a limit, by its outcome: `granted`,
     /// `denied`, `unassisted` or `unanswered`.
     pub fn count_permit(&self, outcome: &'static str) {
--- a/daemon/src/direct/settings.rs
+++ b/daemon/src/direct/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use log::LevelFilter;
+use rosemarymoor_lib::dispatch::regions::RegionMap;
 use rosemarymoor_lib::dispatch::retry_budget::FleetRetryLimits;
 use rosemarymoor_lib::ini::{
     IniDocument, IniError, IniErrors, IniSection, Position, SectionReader,
@@ -59,12 +60,15 @@
     pub retries: FleetRetryLimits,
     /// Longest time between a request to stop and the end of the process.
     pub grace: Duration,
+    /// Regions of the data centres; empty if the settings name none.
+    pub regions: RegionMap,
 }
 
 const ADDRESS_EXPECTED: &str = "an IP address with a port, as 10.0.0.1:7000";
 const NUMBER_EXPECTED: &str = "a number, as 0.2";
 const SECONDS_EXPECTED: &str = "a number of seconds, at most 86400";
-const SECTIONS: &[&str] = &["process", "listen", "platform", "retries"];
+const REGION_EXPECTED: &str = "the name of the data centre's region";
+const SECTIONS: &[&str] = &["process", "listen", "platform", "retries", "regions"];
 
 /// Retries allowed for each request, if the settings name no ratio.
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
@@ -142,6 +146,8 @@
     let window_s = seconds_or(&mut reader, "window_s", DEFAULT_RETRY_WINDOW_S);
     reader.finish();
 
+    let regions = read_regions(section("regions"), errors);
+
     Some(DirectSettings {
         name,
         role,
@@ -158,9 +164,23 @@
             window_ms: (window_s * MS_PER_S) as u64,
         },
         grace: Duration::from_secs_f64(grace_s),
+        regions,
     })
 }
 
+/// Reads the section whose keys are the data centres and whose values are their regions.
+fn read_regions(section: &IniSection, errors: &mut Vec<IniError>) -> RegionMap {
+    let mut reader = SectionReader::new(section, errors);
+    let mut regions = Vec::new();
+    for key in &section.keys {
+        if key.value.is_empty() {
+            reader.record_bad_value(key, REGION_EXPECTED);
+        }
+        regions.push((key.name.clone(), key.value.clone()));
+    }
+    RegionMap::new(regions)
+}
+
 fn empty_section(document: &IniDocument) -> IniSection {
     let at = Position { file: document.file.clone(), line: 1 };
     IniSection { name: String::new(), at, keys: Vec::new() }
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -5,6 +5,8 @@
 //! [`catalog`] holds the routes, services and caller keys, [`targets`] the
 //! registered targets and their observed state. [`choice`] selects a target, with
 //! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
+//! [`evacuations`] knows the data centres whose targets get nothing new, [`regions`] where
+//! requests with allowed regions may go, and [`cold_start`] which targets take few requests yet;
 //! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests and parts
 //! of prompts that crash targets, with [`recent_suspects`] for what has completed; [`retry_after`]
 //! computes the delay that refused callers are given; [`urgency`] orders requests at a target, and
@@ -15,8 +17,11 @@
 
 pub mod catalog;
 pub mod choice;
+pub mod cold_start;
+pub mod cold_targets;
 mod crash_row;
 pub mod crash_tracker;
+pub mod evacuations;
 pub mod event_stream;
 pub mod known_limit;
 pub mod known_load;
@@ -24,6 +29,7 @@
 pub mod rank;
 pub mod recent_suspects;
 pub mod refusal_backoff;
+pub mod regions;
 pub mod retry_after;
 pub mod retry_budget;
 pub mod send_permits;
--- a/lib/src/dispatch/catalog.rs
+++ b/lib/src/dispatch/catalog.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use super::cold_start::ColdStart;
+
 /// Whether a route's requests may be repeated, and the shape of its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -57,6 +59,8 @@
     pub priority: Option<u8>,
     /// Whether requests need no workspace key.
     pub public: bool,
+    /// Regions in which targets may serve the requests; empty if any will do.
+    pub allowed_regions: Vec<String>,
 }
 
 /// Limits of a service's model engines.
@@ -69,11 +73,13 @@
 }
 
 /// Group of interchangeable targets.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     pub name: String,
     /// Set for services of model engines, whose requests are charged in tokens.
     pub engine: Option<EngineLimits>,
+    /// Set for services whose targets take few requests at first.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Customer account with its prepaid tokens.
@@ -84,6 +90,9 @@
     pub prepaid: Option<u64>,
     /// Priority of the requests, which goes before that of their routes; `None` if it has none.
     pub priority: Option<u8>,
+    /// Regions in which targets may serve the requests, besides those of the route; empty if any
+    /// will do.
+    pub allowed_regions: Vec<String>,
 }
 
 /// Limits on callers' requests and connections.
@@ -116,7 +125,7 @@
 }
 
 /// One version of the catalog, indexed for look-ups.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
     /// Version number that the platform gave the catalog.
     pub version: u64,
@@ -167,6 +176,11 @@
         Some(&self.services[at])
     }
 
+    /// Iterates over all services, sorted by name.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.iter()
+    }
+
     /// Returns the workspace that a caller's key belongs to.
     pub fn workspace_of(&self, key: &str) -> Option<&Workspace> {
         let at = self.keys.binary_search_by(|entry| entry.key.as_str().cmp(key)).ok()?;
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -49,6 +49,8 @@
     pub service: &'a str,
     /// Software version that the target must have; `None` if any will do.
     pub software: Option<&'a str>,
+    /// Data centres that the target may be in, sorted; `None` if any will do.
+    pub allowed_data_centers: Option<&'a [String]>,
     /// Data centre of this entry.
     pub data_center: &'a str,
     /// Identifier of the prompt's last shared part; `None` for calls without a prompt.
@@ -75,6 +77,7 @@
         .of_service(criteria.service)
         .filter(|target| !attempted.contains(&target.key) && target.closed_for_ms(now) == 0)
         .filter(|target| !criteria.without_asking || target.limit.is_ready(now))
+        .filter(|target| target.is_in(criteria.allowed_data_centers))
         .filter(|target| criteria.software.is_none_or(|software| target.has_software(software)))
         .collect();
     let rank_key = criteria.prompt.unwrap_or(criteria.random);
--- a/lib/src/dispatch/send_permits.rs
+++ b/lib/src/dispatch/send_permits.rs
@@ -1,4 +1,4 @@
-//! Permits to send to targets that have named a limit, which holds for all entries together.
+//! Permits to send to targets that have named a limit or are cold; the limit holds for all entries together.
 //!
 //! One budget server issues the permits for a target, so that their sum keeps to the limit whatever
 //! the number of entries is. A second server, and the entries themselves if neither answers, issue
@@ -84,13 +84,51 @@
 #[derive(Clone, Debug)]
 struct Row {
     target: TargetProcess,
-    /// Latest that entries have told of the limit.
-    per_second: Option<f64>,
-    heard_at: Millis,
+    /// Latest that entries have told of the limit, and when it was heard; `None` if they have heard
+    /// of none.
+    named: Option<(Option<f64>, Millis)>,
+    /// Limit while the target is cold, and until when it is.
+    cold: Option<(f64, Millis)>,
     bucket: PermitBucket,
     used_at: Millis,
 }
 
+impl Row {
+    fn new(target: TargetProcess, now: Millis) -> Row {
+        let bucket = PermitBucket::new(0.0, now);
+        Row { target, named: None, cold: None, bucket, used_at: now }
+    }
+
+    /// Applies what an entry knows.
+    fn apply(&mut self, limit: &KnownLimit, now: Millis) {
+        self.used_at = now;
+        let is_newer = |heard_at: &Millis| self.named.is_none_or(|(_, before)| before < *heard_at);
+        if let Some(heard_at) = limit.heard_at(now).filter(is_newer) {
+            self.named = Some((limit.per_second, heard_at));
+        }
+        if let Some(cold) = limit.cold {
+            let until = now.plus(cold.left_ms);
+            let before = self.cold.map_or(until, |(_, before)| before);
+            self.cold = Some((cold.per_second, until.max(before)));
+        }
+    }
+
+    /// Returns what is known of the limit that the target names.
+    fn known(&self, now: Millis) -> KnownLimit {
+        match self.named {
+            Some((per_second, heard_at)) => KnownLimit::new(per_second, heard_at, now),
+            None => KnownLimit::unheard(),
+        }
+    }
+
+    /// Returns the stricter of the limits that hold.
+    fn in_force(&self, now: Millis) -> Option<f64> {
+        let named = self.named.and_then(|(per_second, _)| per_second);
+        let cold = self.cold.filter(|(_, until)| now < *until).map(|(per_second, _)| per_second);
+        named.into_iter().chain(cold).reduce(f64::min)
+    }
+}
+
 /// Issues permits for the targets that entries ask for.
 #[derive(Clone, Debug, Default)]
 pub struct PermitIssuer {
@@ -107,8 +145,8 @@
     /// Issues the permits that there are, or says how long to wait.
     pub fn issue(&mut self, req: &PermitRequest, now: Millis) -> PermitReply {
         let row = self.row(&req.report, now);
-        let limit = KnownLimit::new(row.per_second, row.heard_at, now);
-        let Some(per_second) = row.per_second else {
+        let limit = row.known(now);
+        let Some(per_second) = row.in_force(now) else {
             return PermitReply { limit, granted: 0, wait_ms: 0 };
         };
         let share = match req.rank {
@@ -126,33 +164,20 @@
     /// Returns the row of a target after a report.
     fn row(&mut self, report: &LimitReport, now: Millis) -> &mut Row {
         let LimitReport { target, limit } = report;
-        let heard_at = limit.heard_at(now);
         let at = match self.rows.binary_search_by(|row| row.target.cmp(target)) {
             Ok(at) => at,
-            Err(_) => self.insert(target, limit.per_second, heard_at, now),
+            Err(_) => self.insert(target, now),
         };
         let row = &mut self.rows[at];
-        row.used_at = now;
-        if heard_at > row.heard_at {
-            row.heard_at = heard_at;
-            row.per_second = limit.per_second;
-        }
+        row.apply(limit, now);
         row
     }
 
     /// Inserts a target and returns its index; removes those that nobody asks for any more.
-    fn insert(
-        &mut self,
-        target: &TargetProcess,
-        per_second: Option<f64>,
-        heard_at: Millis,
-        now: Millis,
-    ) -> usize {
+    fn insert(&mut self, target: &TargetProcess, now: Millis) -> usize {
         self.rows.retain(|row| now.since(row.used_at) < RETENTION_MS);
         let at = self.rows.partition_point(|row| row.target < *target);
-        let bucket = PermitBucket::new(0.0, now);
-        let target = target.clone();
-        self.rows.insert(at, Row { target, per_second, heard_at, bucket, used_at: now });
+        self.rows.insert(at, Row::new(target.clone(), now));
         at
     }
 }
--- a/lib/src/dispatch/target_limit.rs
+++ b/lib/src/dispatch/target_limit.rs
@@ -1,10 +1,11 @@
-//! Limit of requests that a target has named, and the permits to send to it, as one entry knows
+//! Limit of requests that a target has named or that holds while it is cold, and the permits to send to it, as one entry knows
 //! them.
 //!
 //! A target names its limit in each answer for as long as it has one. Answers may overtake each
-//! other: one without a limit ends it only if its request was sent after the limit was heard last.
+//! other: one without a limit ends it only if its request was sent after the limit was heard last. The limit of a cold
+//! target ends by itself. The stricter of the two holds.
 
-use super::known_limit::KnownLimit;
+use super::known_limit::{KnownColdLimit, KnownLimit};
 use super::send_permits::{PERMIT_VALIDITY_MS, PermitReply, take_unassisted};
 use crate::permit_bucket::PermitBucket;
 use crate::time::Millis;
@@ -49,10 +50,19 @@
     heard_at: Millis,
 }
 
+/// Limit of a cold target.
+#[derive(Clone, Copy, Debug, Default)]
+struct ColdLimit {
+    /// `None` if the service has no cold targets.
+    per_second: Option<f64>,
+    until: Millis,
+}
+
 /// What an entry knows of a target's limit.
 #[derive(Clone, Debug, Default)]
 pub struct TargetLimit {
     heard: Option<HeardLimit>,
+    cold: ColdLimit,
     /// Permits that are left, and until when they are valid.
     permits: u32,
     permits_until: Millis,
@@ -72,6 +82,16 @@
         self.heard.and_then(|heard| heard.per_second)
     }
 
+    /// Sets the requests a second that the target takes while it is cold, and until when it is.
+    pub fn set_cold(&mut self, per_second: Option<f64>, until: Millis) {
+        self.cold = ColdLimit { per_second, until };
+    }
+
+    /// Returns whether the limit of a cold target holds.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        self.cold_limit(now).is_some()
+    }
+
     /// Applies what an answer says; `sent_at` is when its request was sent.
     pub fn apply(&mut self, limit: Option<f64>, sent_at: Millis, now: Millis) -> LimitChange {
         let is_outdated = self.heard.is_some_and(|heard| sent_at < heard.heard_at);
@@ -83,11 +103,11 @@
 
     /// Applies the reply of an issuer to a request for permits.
     pub fn apply_reply(&mut self, reply: &PermitReply, now: Millis) -> LimitChange {
-        let heard_at = reply.limit.heard_at(now);
-        let is_newer = self.heard.is_none_or(|heard| heard.heard_at < heard_at);
-        let change = match is_newer {
-            true => self.replace(reply.limit.per_second, heard_at),
-            false => LimitChange::Unchanged,
+        let is_newer =
+            |heard_at: &Millis| self.heard.is_none_or(|heard| heard.heard_at < *heard_at);
+        let change = match reply.limit.heard_at(now).filter(is_newer) {
+            Some(heard_at) => self.replace(reply.limit.per_second, heard_at),
+            None => LimitChange::Unchanged,
         };
         self.unassisted = None;
         self.permits = reply.granted;
@@ -99,7 +119,7 @@
 
     /// Records that no issuer answered; returns whether this entry may send by itself.
     pub fn take_unassisted(&mut self, entry_count: u64, random: f64, now: Millis) -> bool {
-        let Some(per_second) = self.per_second() else { return true };
+        let Some(per_second) = self.in_force(now) else { return true };
         self.wait(UNANSWERED_INTERVAL_MS, UNANSWERED_INTERVAL_MS, now);
         // The first permits of the entries are due at different times.
         let bucket = self.unassisted.get_or_insert_with(|| PermitBucket::new(random, now));
@@ -108,9 +128,9 @@
 
     /// Decides on a request, and takes a permit for it if there is one.
     pub fn decide(&mut self, now: Millis) -> SendDecision {
-        let Some(HeardLimit { per_second: Some(per_second), heard_at }) = self.heard else {
+        if self.in_force(now).is_none() {
             return SendDecision::Send;
-        };
+        }
         if self.has_permit(now) {
             self.permits -= 1;
             return SendDecision::Send;
@@ -118,17 +138,17 @@
         if now < self.ask_at {
             return SendDecision::Wait;
         }
-        SendDecision::Ask(KnownLimit::new(Some(per_second), heard_at, now))
+        SendDecision::Ask(self.known(now))
     }
 
     /// Returns whether a request may be sent, as far as is known without asking.
     pub fn is_open(&self, now: Millis) -> bool {
-        self.per_second().is_none() || self.has_permit(now) || now >= self.ask_at
+        self.in_force(now).is_none() || self.has_permit(now) || now >= self.ask_at
     }
 
     /// Returns whether a request may be sent without asking for a permit.
     pub fn is_ready(&self, now: Millis) -> bool {
-        self.per_second().is_none() || self.has_permit(now)
+        self.in_force(now).is_none() || self.has_permit(now)
     }
 
     /// Returns the time until there may be a permit, in milliseconds; 0 without a limit.
@@ -146,6 +166,24 @@
         true
     }
 
+    /// Returns the stricter of the limits that hold.
+    fn in_force(&self, now: Millis) -> Option<f64> {
+        let cold = self.cold_limit(now).map(|cold| cold.per_second);
+        self.per_second().into_iter().chain(cold).reduce(f64::min)
+    }
+
+    fn cold_limit(&self, now: Millis) -> Option<KnownColdLimit> {
+        let left_ms = self.cold.until.since(now);
+        let per_second = self.cold.per_second.filter(|_| left_ms > 0)?;
+        Some(KnownColdLimit { per_second, left_ms })
+    }
+
+    /// Returns what this entry tells an issuer.
+    fn known(&self, now: Millis) -> KnownLimit {
+        let heard = self.heard.map(|heard| KnownLimit::new(heard.per_second, heard.heard_at, now));
+        heard.unwrap_or_else(KnownLimit::unheard).with_cold(self.cold_limit(now))
+    }
+
     fn has_permit(&self, now: Millis) -> bool {
         self.permits > 0 && now < self.permits_until
     }
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -9,6 +9,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use super::cold_start::{ColdStart, ColdState};
+use super::evacuations::Evacuations;
 use super::known_load::KnownLoad;
 use super::refusal_backoff::RefusalBackoff;
 use super::target_limit::TargetLimit;
@@ -67,6 +69,8 @@
     pub leaving: bool,
     /// Wall-clock start in Unix milliseconds; it differs after a restart under the same id.
     pub started_ms: u64,
+    /// Time for which it stays cold, in milliseconds; `None` if it does not say.
+    pub cold_left_ms: Option<u64>,
 }
 
 /// Registered target with the state that this entry observes.
@@ -107,6 +111,8 @@
     refusals: RefusalBackoff,
     /// Limit of requests that it has named.
     pub limit: TargetLimit,
+    /// Until when it is cold.
+    pub(super) cold: ColdState,
 }
 
 impl Target {
@@ -130,6 +136,7 @@
             paused_until: Millis(0),
             refusals: RefusalBackoff::default(),
             limit: TargetLimit::default(),
+            cold: ColdState::default(),
         }
     }
 
@@ -211,6 +218,12 @@
         self.registration.software.as_deref() == Some(software)
     }
 
+    /// Returns whether it is in one of these data centres, which are sorted; `None` stands for all.
+    pub fn is_in(&self, data_centers: Option<&[String]>) -> bool {
+        let data_center = &self.registration.data_center;
+        data_centers.is_none_or(|allowed| allowed.binary_search(data_center).is_ok())
+    }
+
     /// Returns whether it is assumed to cache a prompt part, because this entry sent the part
     /// to it recently.
     pub fn caches_part(&self, part: u64, now: Millis) -> bool {
@@ -244,7 +257,11 @@
 pub struct TargetTable {
     next_key: u64,
     /// Sorted by key.
-    targets: Vec<Target>,
+    pub(super) targets: Vec<Target>,
+    /// Data centres whose targets get nothing new.
+    pub evacuations: Evacuations,
+    /// How the targets of services start, sorted by service.
+    pub(super) cold_starts: Vec<(String, ColdStart)>,
     /// End of the grace time for missing registrations; `None` if no grace time is running.
     grace_until: Option<Millis>,
     store_unavailable: bool,
@@ -281,13 +298,31 @@
         self.targets
             .iter()
             .filter(move |target| target.registration.service == service)
-            .filter(|target| !target.leaving)
+            .filter(|target| self.may_receive(target))
+    }
+
+    /// Returns whether a target gets new requests: it is not leaving, and its data centre is not
+    /// evacuated.
+    pub fn may_receive(&self, target: &Target) -> bool {
+        !target.leaving && !self.evacuations.contains(&target.registration.data_center)
     }
 
     /// Returns the shortest time in milliseconds until a target of a service accepts requests
     /// again, if there are any and all of them have asked for a pause or have reached their limits.
     pub fn shortest_wait_ms(&self, service: &str, now: Millis) -> Option<u64> {
-        self.of_service(service).map(|target| target.closed_for_ms(now)).min().filter(|ms| *ms > 0)
+        self.shortest_wait_in_ms(service, None, now)
+    }
+
+    /// Returns the shortest time as [`TargetTable::shortest_wait_ms`] does, among the targets in
+    /// `data_centers`, which are sorted; `None` stands for all.
+    pub fn shortest_wait_in_ms(
+        &self,
+        service: &str,
+        data_centers: Option<&[String]>,
+        now: Millis,
+    ) -> Option<u64> {
+        let targets = self.of_service(service).filter(|target| target.is_in(data_centers));
+        targets.map(|target| target.closed_for_ms(now)).min().filter(|ms| *ms > 0)
     }
 
     /// Adds or updates a target and returns whether its registration changed.
@@ -307,7 +342,9 @@
             self.add(registration);
             return true;
         }
-        let is_changed = target.registration != registration;
+        let cold_left_ms = target.registration.cold_left_ms;
+        let is_changed =
+            target.registration != Registration { cold_left_ms, ..registration.clone() };
         target.leaving |= registration.leaving;
         target.registration = registration;
         is_changed
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -28,14 +28,19 @@
         max_attempts: 2,
         priority: None,
         public: false,
+        allowed_regions: Vec::new(),
     }
 }
 
 fn catalog(routes: Vec<Route>) -> Catalog {
-    let workspaces =
-        vec![Workspace { name: "vienna".to_owned(), prepaid: Some(10), priority: None }];
+    let workspaces = vec![Workspace {
+        name: "vienna".to_owned(),
+        prepaid: Some(10),
+        priority: None,
+        allowed_regions: Vec::new(),
+    }];
     let keys = vec![CallerKey { key: "k1".to_owned(), workspace: 0 }];
-    let services = vec![Service { name: "filing".to_owned(), engine: None }];
+    let services = vec![Service { name: "filing".to_owned(), engine: None, cold_start: None }];
     Catalog::new(3, routes, services, workspaces, keys, CallerLimits::default())
 }
 
@@ -175,6 +180,7 @@
         software: Some("v1".to_owned()),
         leaving: false,
         started_ms: 1,
+        cold_left_ms: None,
     }
 }
 
@@ -261,6 +267,7 @@
     SelectionCriteria {
         service: "models",
         software: None,
+        allowed_data_centers: None,
         data_center: "leics",
         prompt,
         random,
--- a/lib/tests/test_urgency.rs
+++ b/lib/tests/test_urgency.rs
@@ -17,11 +17,12 @@
         max_attempts: 2,
         priority,
         public: false,
+        allowed_regions: Vec::new(),
     }
 }
 
 fn workspace(priority: Option<u8>) -> Workspace {
-    Workspace { name: "w".to_owned(), prepaid: None, priority }
+    Workspace { name: "w".to_owned(), prepaid: None, priority, allowed_regions: Vec::new() }
 }
 
 macro_rules! priority_cases {
