--- a/daemon/tests/test_direct_logs.rs
+++ b/daemon/tests/test_direct_logs.rs
@@ -144,6 +144,7 @@
         max_attempts: 1,
         priority: None,
         public: true,
+        allowed_regions: Vec::new(),
     };
     for at in 0..MAX_ROUTES + 50 {
         let route = Route { name: format!("r{at:04}"), ..route.clone() };
--- a/daemon/tests/test_settings.rs
+++ b/daemon/tests/test_settings.rs
@@ -4,6 +4,7 @@
 
 use rosemarymoor_daemon::direct::settings::DirectSettings;
 use rosemarymoor_daemon::settings::Settings;
+use rosemarymoor_lib::dispatch::regions::RegionMap;
 use rosemarymoor_lib::fleet_key::FleetKey;
 use rosemarymoor_lib::host_list::Role;
 use rosemarymoor_lib::ini::IniDocument;
@@ -101,6 +102,16 @@
     assert_eq!(settings.grace, Duration::from_secs(8));
 }
 
+#[test]
+fn regions_of_data_centres_are_read() {
+    assert_eq!(open_direct(VALID_DIRECT).unwrap().regions, RegionMap::default());
+    let regions =
+        open_direct(&format!("{VALID_DIRECT}[regions]\nb = east\na = west\n")).unwrap().regions;
+    let allowed = regions.allowed_data_centers(&[&["west".to_owned()]]);
+    assert_eq!(allowed, Some(vec!["a".to_owned()]));
+    assert!(open_direct(&format!("{VALID_DIRECT}[regions]\n")).is_ok());
+}
+
 /// Defines a test for each faulty change of [`VALID_DIRECT`] and the message expected for it.
 macro_rules! refused_direct {
     ($($name:ident: $from:literal => $to:literal, $message:literal;)*) => {$(
@@ -117,5 +128,6 @@
     a_huge_time_limit: "grace_s = 8" => "grace_s = 1e30", "a.ini:11: `grace_s = 1e30` is not valid\n  hint: give a number of seconds, at most 86400";
     an_infinite_time_limit: "grace_s = 8" => "grace_s = inf", "a.ini:11: `grace_s = inf` is not valid";
     a_negative_time_limit: "grace_s = 8" => "grace_s = -1", "a.ini:11: `grace_s = -1` is not valid";
+    a_data_centre_without_a_region: "[retries]" => "[regions]\nwien-a =\n[retries]", "a.ini:13: `wien-a = ` is not valid";
     a_huge_window: "window_s = 10" => "window_s = 1e30", "a.ini:13: `window_s = 1e30` is not valid";
 }
