--- a/daemon/tests/test_direct_places.rs
+++ b/daemon/tests/test_direct_places.rs
@@ -305,7 +305,7 @@
         $(#[tokio::test]
         async fn $case() {
             let (here, there) = (target(ok).await, target(ok).await);
-            let mut fleet = fleet(&[(&here, "leics"), (&there, "paris")]).await;
+            let fleet = fleet(&[(&here, "leics"), (&there, "paris")]).await;
             fleet.write_entry_settings(|text| format!("{text}{}", $regions)).unwrap();
             fleet.entry.signal(Signal::HUP);
             let mut limited = manifest(2, PREPAID);
