--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -94,6 +94,8 @@
             continue;
         }
         match trials::acquire(entry, call, key, attempts.latest.as_ref()).await {
+            // It may have left or been evacuated while the request waited.
+            Ok(Some(_)) if !may_receive(entry, key) => excluded.push(key),
             Ok(Some(latest)) => {
                 attempts.latest = Some(latest);
                 attempts.targets.push(key);
@@ -110,6 +112,12 @@
     None
 }
 
+/// Returns whether a target is still listed and gets new requests.
+fn may_receive(entry: &Entry, target: TargetKey) -> bool {
+    let table = entry.targets();
+    table.get(target).is_some_and(|target| table.may_receive(target))
+}
+
 /// Records a retry if the retry budget allows it.
 fn try_retry(entry: &Entry, call: &Call) -> bool {
     let entry_count = entry.peers.entry_count();
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -30,6 +30,8 @@
     pub suspects: Vec<Suspect>,
     pub route: Route,
     pub service: String,
+    /// Data centres that may serve the request, sorted; `None` if any may.
+    pub allowed_data_centers: Option<Vec<String>>,
     /// What began the stream; `None` before its first event, and if that is not known.
     pub origin: Option<StreamOrigin>,
     /// Name of the workspace; `None` for a request to a public route without a known key.
@@ -85,6 +87,7 @@
         SelectionCriteria {
             service: &self.service,
             software: self.origin.as_ref().map(|origin| origin.software.as_str()),
+            allowed_data_centers: self.allowed_data_centers.as_deref(),
             data_center: &self.entry.data_center,
             prompt: &self.head.prompt,
             tokens: self.head.tokens.map_or(0, |tokens| tokens.total()),
--- a/daemon/src/direct/entry_metrics.rs
+++ b/daemon/src/direct/entry_metrics.rs
@@ -10,7 +10,7 @@
 /// Age up to which a target counts as reported, in milliseconds.
 const REPORT_MAX_AGE_MS: u64 = 2_000;
 
-/// Registers gauges of an entry's state: catalog, targets, entries, age of the last update,
+/// Registers gauges of an entry's state: catalog, targets, evacuations, entries, age of the last update,
 /// readiness and load.
 pub fn observe(meter: &Meter, entry: &Arc<Entry>) {
     let gauge = |name: &'static str, value: fn(&Entry) -> u64| {
@@ -28,6 +28,7 @@
         entry.catalog.load().as_ref().map_or(0, |catalog| catalog.version)
     });
     gauge("targets_listed", |entry| entry.targets().iter().count() as u64);
+    gauge("data_centers_evacuated", |entry| entry.targets().evacuations.count() as u64);
     gauge("entries_listed", |entry| entry.peers.entry_count());
     gauge("news_age_ms", Entry::update_age_ms);
     gauge("targets_reported", |entry| {
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -33,6 +33,8 @@
     pub service: &'a str,
     /// Software version that the target must have; `None` if any will do.
     pub software: Option<&'a str>,
+    /// Data centres that the target may be in, sorted; `None` if any will do.
+    pub allowed_data_centers: Option<&'a [String]>,
     /// Data centre of this entry.
     pub data_center: &'a str,
     /// Parts of the prompt in their order; empty for calls without a prompt.
@@ -73,6 +75,7 @@
         !attempted.contains(&target.key)
             && target.closed_for_ms(now) == 0
             && (!criteria.without_asking || target.limit.is_ready(now))
+            && target.is_in(criteria.allowed_data_centers)
             && criteria.software.is_none_or(|software| target.has_software(software))
     };
     let mut ranked = rank_targets(table, &criteria);
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -9,6 +9,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use super::cold_start::{ColdStart, ColdState};
+use super::evacuations::Evacuations;
 use super::known_load::KnownLoad;
 use super::prefill_rate::{Pace, ServicePace, TargetSpeed};
 use super::refusal_backoff::RefusalBackoff;
@@ -68,6 +70,8 @@
     pub leaving: bool,
     /// Wall-clock start in Unix milliseconds; it differs after a restart under the same id.
     pub started_ms: u64,
+    /// Time for which it stays cold, in milliseconds; `None` if it does not say.
+    pub cold_left_ms: Option<u64>,
 }
 
 /// Registered target with the state that this entry observes.
@@ -110,6 +114,8 @@
     refusals: RefusalBackoff,
     /// Limit of requests that it has named.
     pub limit: TargetLimit,
+    /// Until when it is cold.
+    pub(super) cold: ColdState,
 }
 
 impl Target {
@@ -134,6 +140,7 @@
             paused_until: Millis(0),
             refusals: RefusalBackoff::default(),
             limit: TargetLimit::default(),
+            cold: ColdState::default(),
         }
     }
 
@@ -215,6 +222,12 @@
         self.registration.software.as_deref() == Some(software)
     }
 
+    /// Returns whether it is in one of these data centres, which are sorted; `None` stands for all.
+    pub fn is_in(&self, data_centers: Option<&[String]>) -> bool {
+        let data_center = &self.registration.data_center;
+        data_centers.is_none_or(|allowed| allowed.binary_search(data_center).is_ok())
+    }
+
     /// Returns whether it is assumed to cache a prompt part, because this entry sent the part
     /// to it recently.
     pub fn caches_part(&self, part: u64, now: Millis) -> bool {
@@ -256,9 +269,13 @@
 pub struct TargetTable {
     next_key: u64,
     /// Sorted by key.
-    targets: Vec<Target>,
+    pub(super) targets: Vec<Target>,
     /// What was learned of each service's engines; sorted by service.
     paces: Vec<(String, ServicePace)>,
+    /// Data centres whose targets get nothing new.
+    pub evacuations: Evacuations,
+    /// How the targets of services start, sorted by service.
+    pub(super) cold_starts: Vec<(String, ColdStart)>,
     /// End of the grace time for missing registrations; `None` if no grace time is running.
     grace_until: Option<Millis>,
     store_unavailable: bool,
@@ -300,7 +317,13 @@
         self.targets
             .iter()
             .filter(move |target| target.registration.service == service)
-            .filter(|target| !target.leaving)
+            .filter(|target| self.may_receive(target))
+    }
+
+    /// Returns whether a target gets new requests: it is not leaving, and its data centre is not
+    /// evacuated.
+    pub fn may_receive(&self, target: &Target) -> bool {
+        !target.leaving && !self.evacuations.contains(&target.registration.data_center)
     }
 
     /// Returns the pace of a service's engines, as far as their answers showed it.
@@ -330,7 +353,19 @@
     /// Returns the shortest time in milliseconds until a target of a service accepts requests
     /// again, if there are any and all of them have asked for a pause or have reached their limits.
     pub fn shortest_wait_ms(&self, service: &str, now: Millis) -> Option<u64> {
-        self.of_service(service).map(|target| target.closed_for_ms(now)).min().filter(|ms| *ms > 0)
+        self.shortest_wait_in_ms(service, None, now)
+    }
+
+    /// Returns the shortest time as [`TargetTable::shortest_wait_ms`] does, among the targets in
+    /// `data_centers`, which are sorted; `None` stands for all.
+    pub fn shortest_wait_in_ms(
+        &self,
+        service: &str,
+        data_centers: Option<&[String]>,
+        now: Millis,
+    ) -> Option<u64> {
+        let targets = self.of_service(service).filter(|target| target.is_in(data_centers));
+        targets.map(|target| target.closed_for_ms(now)).min().filter(|ms| *ms > 0)
     }
 
     /// Adds or updates a target and returns whether its registration changed.
@@ -350,7 +385,9 @@
             self.add(registration);
             return true;
         }
-        let is_changed = target.registration != registration;
+        let cold_left_ms = target.registration.cold_left_ms;
+        let is_changed =
+            target.registration != Registration { cold_left_ms, ..registration.clone() };
         target.leaving |= registration.leaving;
         target.registration = registration;
         is_changed
--- a/lib/tests/choice_world/mod.rs
+++ b/lib/tests/choice_world/mod.rs
@@ -65,6 +65,7 @@
         slots: 64,
         software: None,
         leaving: false,
+        cold_left_ms: None,
         started_ms: 1,
     }
 }
@@ -87,6 +88,7 @@
     SelectionCriteria {
         service: "models",
         software: None,
+        allowed_data_centers: None,
         data_center: "leics",
         prompt,
         tokens: all_tokens(prompt),
--- a/lib/tests/test_load_board.rs
+++ b/lib/tests/test_load_board.rs
@@ -229,6 +229,7 @@
             slots: 64,
             software: None,
             leaving: false,
+            cold_left_ms: None,
             started_ms: 7,
         });
     }
