direct: a target that registers as cold before the configuration is logged

Cause: test_direct_places failed once (entries_without_issuers…, no target_cold in the log): the registration was applied before the configuration that has the limit, which then held without a line and a count. Change: set_cold_starts returns the targets whose limit holds only now.

--- a/daemon/src/direct/entry_feeds.rs
+++ b/daemon/src/direct/entry_feeds.rs
@@ -52,7 +52,9 @@
             "event=catalog_in_force version={} before={current_version} routes={routes}",
             decoded.version
         );
-        self.entry.targets().set_cold_starts(cold_starts(&decoded));
+        let now = self.entry.now();
+        let became_cold = self.entry.targets().set_cold_starts(cold_starts(&decoded), now);
+        became_cold.iter().for_each(|target| record_cold(&self.entry, target));
         self.entry.catalog.store(Some(Arc::new(decoded)));
         self.entry.log_readiness();
     }
--- a/lib/src/dispatch/cold_targets.rs
+++ b/lib/src/dispatch/cold_targets.rs
@@ -16,12 +16,21 @@
 
 impl TargetTable {
     /// Sets how the targets of each service start; a service that is missing has no cold targets.
-    pub fn set_cold_starts(&mut self, mut cold_starts: Vec<(String, ColdStart)>) {
+    /// Returns the targets whose limit holds only now, as they registered before.
+    pub fn set_cold_starts(
+        &mut self,
+        mut cold_starts: Vec<(String, ColdStart)>,
+        now: Millis,
+    ) -> Vec<ColdTarget> {
         cold_starts.sort_by(|a, b| a.0.cmp(&b.0));
         self.cold_starts = cold_starts;
+        let mut became = Vec::new();
         for target in &mut self.targets {
+            let was_cold = target.limit.is_cold(now);
             update_limit(&self.cold_starts, target);
+            became.extend(became_cold(target, was_cold, ColdReason::Registered, now));
         }
+        became
     }
 
     /// Applies what the registration of a target says of its cold start; returns the target if it
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -37,7 +37,7 @@
     for (id, data_center) in [("a0", "a"), ("a1", "a"), ("b0", "b")] {
         table.register(registration(id, data_center));
     }
-    table.set_cold_starts(vec![("models".to_owned(), COLD)]);
+    table.set_cold_starts(vec![("models".to_owned(), COLD)], NOW);
     table
 }
 
@@ -190,10 +190,11 @@
 fn services_without_a_cold_start_have_no_cold_targets() {
     let mut table = table();
     table.report_cold("a0", report(Some(1_000), 1), true, NOW);
-    table.set_cold_starts(Vec::new());
+    table.set_cold_starts(Vec::new(), NOW);
     assert!(!is_cold(&table, "a0", NOW));
-    table.set_cold_starts(vec![("models".to_owned(), COLD)]);
-    assert!(is_cold(&table, "a0", NOW), "the configuration may come after the registrations");
+    let became = table.set_cold_starts(vec![("models".to_owned(), COLD)], NOW);
+    assert_eq!(became.len(), 1, "the configuration may come after the registrations");
+    assert!(is_cold(&table, "a0", NOW));
 }
 
 #[test]
@@ -202,7 +203,7 @@
     for number in 0..20 {
         table.register(registration(&format!("t{number}"), "a"));
     }
-    table.set_cold_starts(vec![("models".to_owned(), COLD)]);
+    table.set_cold_starts(vec![("models".to_owned(), COLD)], NOW);
     for number in 0..19 {
         table.report_cold(&format!("t{number}"), report(Some(3_000), 1), true, NOW);
     }
