bench: percentiles grow with their values

Cause: a histogram of automatic size clamped each value to its first range, so that a percentile was 2 at most.

Change: values are recorded, which lets it grow.

--- a/bench/src/percentile.rs
+++ b/bench/src/percentile.rs
@@ -9,6 +9,8 @@
 pub fn percentile(values: impl IntoIterator<Item = u64>, percent: u32) -> u64 {
     let mut histogram = Histogram::<u64>::new(SIGNIFICANT_DIGITS)
         .expect("the histogram supports three significant digits");
-    values.into_iter().for_each(|value| histogram.saturating_record(value));
+    for value in values {
+        histogram.record(value).expect("the histogram grows with its values");
+    }
     histogram.value_at_percentile(f64::from(percent))
 }
