--- a/bench/src/measures.rs
+++ b/bench/src/measures.rs
@@ -3,6 +3,7 @@
 
 mod actions;
 mod budgets;
+mod choice;
 mod config;
 mod demo;
 mod mix;
@@ -34,6 +35,7 @@
         "slopes" => slopes::run(options).await,
         "streams" => streams::run(options).await,
         "soak" => soak::run(options).await,
+        "choice" => Ok(choice::run()),
         "budgets" => budgets::run(options).await,
         other => Err(io::Error::other(format!("unknown measure `{other}`"))),
     }
--- a/bench/src/options.rs
+++ b/bench/src/options.rs
@@ -33,6 +33,7 @@
     ("config", &["none", "node-kill", "store-outage", "race", "lost-answers"]),
     ("slopes", &["none"]),
     ("soak", &["none"]),
+    ("choice", &["none"]),
 ];
 
 /// Runs a measure on a fleet of local processes and prints its figures as JSON.
@@ -42,7 +43,7 @@
     help: bool,
     #[options(
         free,
-        help = "measure: demo, budgets, actions, streams, routing, config, slopes or soak"
+        help = "measure: demo, budgets, actions, streams, routing, config, slopes, soak or choice"
     )]
     pub measure: String,
     #[options(no_short, meta = "N", default = "1", help = "seed of the load and the faults")]
