--- a/lib/src/dispatch/cache_belief.rs
+++ b/lib/src/dispatch/cache_belief.rs
@@ -22,7 +22,7 @@
 const FIRST_BELIEF: f64 = 0.9;
 
 /// Factor of that probability from one target in the order to the next.
-const BELIEF_PER_RANK: f64 = 0.4;
+const BELIEF_PER_RANK: f64 = 0.7;
 
 /// Probability that another entry sent a part to the first target in its order too lately for the
 /// target's list to show it.
--- a/lib/src/dispatch/placement_cost.rs
+++ b/lib/src/dispatch/placement_cost.rs
@@ -18,7 +18,7 @@
 use crate::time::Millis;
 
 /// Times that a prefill counts for the requests which it delays.
-const OTHERS_SHARE: f64 = 1.0;
+const OTHERS_SHARE: f64 = 2.0;
 
 /// Age in milliseconds up to which a reported prefill rate counts.
 const RATE_MAX_AGE_MS: u64 = 10_000;
