--- a/lib/src/dispatch/placement_cost.rs
+++ b/lib/src/dispatch/placement_cost.rs
@@ -1,11 +1,11 @@
 //! Estimates what a request costs at a target, in milliseconds.
 //!
 //! The cost of a model request is the time to its first event and what it takes from others. A
-//! prefill delays the requests that arrive while it runs: where targets are busy half of the time
-//! that is one request on average, so that a prefill counts once more for the others. This share is
+//! prefill delays the requests that arrive while it runs: where targets are busy two thirds of the
+//! time those are two on average, so that a prefill counts twice more for the others. This share is
 //! taken at the service's mean rate, since it is capacity of the service that is used up, wherever
-//! the prefill runs. Work that waits at the target is known from this entry's own requests and from news of
-//! the others'; without news the other entries are taken to send what this one sends.
+//! the prefill runs. Work that waits at the target is known from this entry's own requests and from
+//! news of the others'; without news the other entries are taken to send what this one sends.
 //!
 //! A call without a prompt costs the calls that run at the target.
 
