direct: a stream stays at a target that is merely busy

An unanswered idempotent stream left its target after twice the objective, also if it only waited there: it lost its place, its prompt was prefilled again, and with the retry budget used up it was ended with 4001 although its answer was on the way.

It now leaves a target that sends nothing of its begun streams either, or that gave no sign of life; one that goes on with other answers, or was predicted to be busy, it leaves only shortly before its caller does, if another target is predicted to be in time. It never leaves without a place to go to.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -7,6 +7,7 @@
 
 pub mod attempt;
 pub mod attempts;
+pub mod begun_stream_guard;
 pub mod begun_streams;
 pub mod budget_client;
 pub mod budget_server;
@@ -32,6 +33,7 @@
 pub mod poison_publisher;
 pub mod poison_reports;
 pub mod refusal;
+pub mod rerun;
 pub mod resumption;
 pub mod send_permits;
 pub mod settings;
--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -22,6 +22,7 @@
     PromptPart, TargetHead, strip_connection_headers, target_headers,
 };
 
+use super::begun_stream_guard::BegunStreamGuard;
 use super::call::Call;
 use super::entry::Entry;
 use super::target_limits;
@@ -133,6 +134,11 @@
         self.prefill_done();
     }
 
+    /// Records that a stream has begun at the target; dropping the guard ends it there.
+    pub fn begin_stream(&self) -> BegunStreamGuard {
+        BegunStreamGuard::open(&self.entry, self.target)
+    }
+
     /// Returns the software version that answers the request; `None` if the target named none, or
     /// has started anew under its identifier since the request was sent.
     pub fn certain_software(&self) -> Option<&str> {
--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -108,6 +108,19 @@
     None
 }
 
+/// Returns the target to which a request that is not answered would go next, if it may go there.
+pub fn elsewhere(entry: &Entry, call: &Call, attempts: &Attempts) -> Option<TargetKey> {
+    let is_last = attempts.may_have_run + 1 >= call.route.max_attempts;
+    if !call.route.kind.is_idempotent() || is_last || call.time_left() < MIN_TIME_LEFT {
+        return None;
+    }
+    let entry_count = entry.peers.entry_count();
+    if !entry.retries().allows_retry(&call.service, entry_count, entry.now()) {
+        return None;
+    }
+    choose(entry, call, &attempts.targets, false)
+}
+
 /// Records a retry if the retry budget allows it.
 fn try_retry(entry: &Entry, call: &Call) -> bool {
     let entry_count = entry.peers.entry_count();
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -15,6 +15,7 @@
 use super::call::Call;
 use super::entry::Entry;
 use super::refusal;
+use super::rerun::Wait;
 use super::stream;
 use super::trials::TrialDenied;
 use crate::http_server::{AnswerBody, full_body};
@@ -46,7 +47,12 @@
     let mut failed_answer: Option<CompleteAnswer> = None;
     while let Some(target) = next_target(entry, &call, &mut attempts).await {
         let timeout = attempt_timeout(&call, &attempts);
-        let sent = attempt::send(entry, &call, target, None, timeout).await;
+        let wait = Wait::open(entry, &call, target);
+        let sending = attempt::send(entry, &call, target, None, timeout);
+        let sent = match may_stay(&call) {
+            true => wait.until_answered(entry, &call, &attempts, sending).await,
+            false => sending.await,
+        };
         let (started, kind) = match sent {
             Ok(started) => started,
             Err(err) => {
@@ -55,7 +61,12 @@
             }
         };
         if kind == AnswerKind::Success && call.route.kind.is_stream() {
-            match stream::read_first_event(started, &call, timeout).await {
+            let reading = stream::read_first_event(started, &call, timeout);
+            let read = match may_stay(&call) {
+                true => wait.until_answered(entry, &call, &attempts, reading).await,
+                false => reading.await,
+            };
+            match read {
                 Ok(started_stream) => {
                     entry.metrics.record_first_event(call.arrived_at.elapsed());
                     return stream::response(entry, call, attempts, started_stream);
@@ -100,13 +111,19 @@
     let time_left = call.time_left();
     let may_rerun =
         call.route.kind.is_idempotent() && attempts.may_have_run + 1 < call.route.max_attempts;
-    if may_rerun {
+    if may_rerun && !may_stay(call) {
         time_left.min(call.route.latency_objective.mul_f64(RERUN_AFTER_OBJECTIVES))
     } else {
         time_left
     }
 }
 
+/// Returns whether a request may stay at a target that does not answer: engines queue what they
+/// cannot run yet.
+fn may_stay(call: &Call) -> bool {
+    call.route.kind.is_stream() && !call.head.prompt.is_empty()
+}
+
 fn answer_response(
     call: &Call,
     attempts: &Attempts,
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwapOption;
 use rosemarymoor_lib::dispatch::catalog::Catalog;
+use rosemarymoor_lib::dispatch::heard_targets::HeardTargets;
 use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
 use rosemarymoor_lib::dispatch::targets::TargetTable;
@@ -28,6 +29,7 @@
     /// Catalog in force; `None` until the first one has been read.
     pub catalog: ArcSwapOption<Catalog>,
     pub(super) targets: Mutex<TargetTable>,
+    pub(super) heard: Mutex<HeardTargets>,
     pub(super) retries: Mutex<RetryBudget>,
     pub(super) budget_retry_after: Mutex<RetryAfter>,
     pub pool: HttpPool,
@@ -58,6 +60,11 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what has lately been heard of the targets.
+    pub fn heard(&self) -> MutexGuard<'_, HeardTargets> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the budget of retries that this entry may send.
     pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -66,6 +66,7 @@
         data_center: settings.data_center.clone(),
         catalog: ArcSwapOption::empty(),
         targets: Mutex::new(TargetTable::default()),
+        heard: Mutex::default(),
         retries: Mutex::new(RetryBudget::open(settings.retries)),
         budget_retry_after: Mutex::new(RetryAfter::default()),
         pool: cx.pool.clone(),
--- a/daemon/src/direct/event_reader.rs
+++ b/daemon/src/direct/event_reader.rs
@@ -12,6 +12,7 @@
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 
 use super::attempt::{AttemptError, StartedAnswer};
+use super::begun_stream_guard::BegunStreamGuard;
 use crate::answer_memory::MemoryShare;
 use crate::http_pool::BodyEnd;
 
@@ -23,8 +24,8 @@
     splitter: EventSplitter,
     /// Memory of the event that is incomplete.
     memory: MemoryShare,
-    /// Whether any event was read.
-    has_event: bool,
+    /// Set when the first event has been read.
+    begun: Option<BegunStreamGuard>,
 }
 
 impl EventReader {
@@ -36,7 +37,7 @@
             answer,
             required_software: origin.map(|origin| origin.software.clone()),
             splitter: EventSplitter::default(),
-            has_event: false,
+            begun: None,
         }
     }
 
@@ -66,8 +67,12 @@
     ) -> Result<Option<Event>, AttemptError> {
         loop {
             if let Some(event) = self.splitter.next_event() {
-                if !std::mem::replace(&mut self.has_event, true) {
-                    self.check_software(request)?;
+                match &self.begun {
+                    Some(begun) => begun.record_event(),
+                    None => {
+                        self.begun = Some(self.answer.in_flight.begin_stream());
+                        self.check_software(request)?;
+                    }
                 }
                 return Ok(Some(event));
             }
@@ -115,7 +120,8 @@
     /// Returns an error if the body ended where the stream cannot have ended.
     fn end(&self, request: &str) -> Result<(), AttemptError> {
         let unfinished = self.splitter.partial_bytes();
-        let is_unknown = !self.has_event && self.answer.exchange.body_end() == BodyEnd::Connection;
+        let is_unknown =
+            self.begun.is_none() && self.answer.exchange.body_end() == BodyEnd::Connection;
         if unfinished == 0 && !is_unknown {
             return Ok(());
         }
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -41,6 +41,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    reruns: Counter<u64>,
     unfinished_events: Counter<u64>,
     taken_up: Counter<u64>,
     target_notices: Counter<u64>,
@@ -67,6 +68,7 @@
             requests: counter("requests"),
             refusals: counter("refusals"),
             attempts: counter("tries"),
+            reruns: counter("reruns"),
             unfinished_events: counter("unfinished_events"),
             taken_up: counter("streams_taken_up"),
             target_notices: counter("target_notices"),
@@ -115,6 +117,11 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request that left a target which had not begun to answer, by the reason.
+    pub fn count_rerun(&self, reason: &'static str) {
+        self.reruns.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a stream that ended inside an event, by what marked the end of its body.
     pub fn count_unfinished_event(&self, body_end: &'static str) {
         self.unfinished_events.add(1, &[KeyValue::new("body_end", body_end)]);
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -4,7 +4,9 @@
 //! The modules do no I/O: they work on tables, events and the time passed in.
 //! [`catalog`] holds the routes, services and caller keys, [`targets`] the
 //! registered targets and their observed state. [`choice`] selects a target, with
-//! the rendezvous order of [`rank`]; [`retry_budget`] limits retries;
+//! the rendezvous order of [`rank`]; [`retry_budget`] limits retries, and
+//! [`rerun`] decides when a request leaves a target that does not answer, by the signs of life in
+//! [`heard_targets`] and the time that [`first_event`] predicts;
 //! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests and parts
 //! of prompts that crash targets, with [`recent_suspects`] for what has completed; [`retry_after`]
 //! computes the delay that refused callers are given; [`urgency`] orders requests at a target, and
@@ -18,12 +20,15 @@
 mod crash_row;
 pub mod crash_tracker;
 pub mod event_stream;
+pub mod first_event;
+pub mod heard_targets;
 pub mod known_limit;
 pub mod known_load;
 pub mod load_shedder;
 pub mod rank;
 pub mod recent_suspects;
 pub mod refusal_backoff;
+pub mod rerun;
 pub mod retry_after;
 pub mod retry_budget;
 pub mod send_permits;
--- a/lib/src/dispatch/retry_budget.rs
+++ b/lib/src/dispatch/retry_budget.rs
@@ -63,17 +63,22 @@
     /// Records a retry and returns true if the budget allows it; `entry_count` is the number of
     /// entries in the fleet.
     pub fn try_retry(&mut self, service: &str, entry_count: u64, now: Millis) -> bool {
+        if !self.allows_retry(service, entry_count, now) {
+            return false;
+        }
+        self.window(service).retries.push(now);
+        true
+    }
+
+    /// Returns whether the budget allows one more retry, without recording it.
+    pub fn allows_retry(&mut self, service: &str, entry_count: u64, now: Millis) -> bool {
         let limits = self.limits;
         let window = self.window(service);
         window.expire(now, limits.window_ms);
         let proportional = window.requests.len() as f64 * limits.ratio;
         let constant = limits.constant / entry_count.max(1);
         let allowed = (proportional + constant as f64) * USABLE_PERCENT as f64 / 100.0;
-        if window.retries.len() as f64 + 1.0 > allowed {
-            return false;
-        }
-        window.retries.push(now);
-        true
+        window.retries.len() as f64 + 1.0 <= allowed
     }
 
     fn window(&mut self, service: &str) -> &mut ServiceWindow {
