dispatch: order and refusal when there is too little room, as pure decisions

What is delayed or turned away is what costs callers least. room decides whether a request is sent, yields to those that can still be in time, waits at the entry or is refused; wait_queue holds those that wait; shed_order spreads the entry's own refusals by priority, with a floor for everyone, and puts the excess of a workspace (workspace_rates) and requests that come again too early (early_repeats) last.

The tests play a jump, a hot workspace, callers that repeat at once and waves in simulated time against a random share and against an engine's queue in which late requests do not yield.

--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -9,7 +9,10 @@
 //! [`heard_targets`] and the time that [`first_event`] predicts;
 //! [`refusal_backoff`] spares targets that turn requests away; [`crash_tracker`] finds requests and parts
 //! of prompts that crash targets, with [`recent_suspects`] for what has completed; [`retry_after`]
-//! computes the delay that refused callers are given; [`urgency`] orders requests at a target, and
+//! computes the delay that refused callers are given; [`urgency`] orders requests at a target, [`room`] decides what
+//! becomes of them when there is too little room, with [`wait_queue`] for those that wait at the entry and
+//! [`shed_order`] for the order in which an entry that cannot keep up refuses them, by the traffic in
+//! [`workspace_rates`] and [`early_repeats`], and
 //! [`known_load`] keeps what the fleet knows of a target's load; [`target_limit`] knows
 //! how many requests a target takes, and [`send_permits`] issues the permits to send them; [`event_stream`] splits an
 //! answer into server-sent events, and [`stream_origins`] knows which software version
@@ -19,6 +22,7 @@
 pub mod choice;
 mod crash_row;
 pub mod crash_tracker;
+pub mod early_repeats;
 pub mod event_stream;
 pub mod first_event;
 pub mod heard_targets;
@@ -31,10 +35,13 @@
 pub mod rerun;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod room;
 pub mod send_permits;
-
+pub mod shed_order;
 pub mod stream_origins;
 pub mod target_limit;
 pub mod target_process;
 pub mod targets;
 pub mod urgency;
+pub mod wait_queue;
+pub mod workspace_rates;
--- a/lib/src/dispatch/load_shedder.rs
+++ b/lib/src/dispatch/load_shedder.rs
@@ -7,6 +7,7 @@
 //! The load that this answers is a burst of a few times the usual requests for some seconds; a
 //! refused caller retries over a new connection, which leads to another entry.
 
+use super::shed_order::{ShedOrder, Standing};
 use crate::time::Millis;
 
 /// Lag of timers from which on the refused share grows, in milliseconds.
@@ -39,6 +40,7 @@
     lag_ms: f64,
     refused_share: f64,
     unready_until: Millis,
+    order: ShedOrder,
 }
 
 impl LoadShedder {
@@ -68,6 +70,13 @@
         ((random % SCALE) as f64) < self.refused_share * SCALE as f64
     }
 
+    /// Returns whether a new request with a standing is refused: of the share that is refused, the last
+    /// in the order bear most.
+    pub fn is_refused_in_order(&mut self, standing: &Standing, random: u64) -> bool {
+        self.order.record(standing);
+        self.order.is_refused(standing, self.refused_share, random)
+    }
+
     /// Returns whether new connections should go to other entries.
     pub fn is_unready(&self, now: Millis) -> bool {
         now < self.unready_until
--- a/lib/src/dispatch/urgency.rs
+++ b/lib/src/dispatch/urgency.rs
@@ -13,6 +13,8 @@
 pub enum Beginning {
     /// New request.
     New,
+    /// New request that can only be late: it yields to those that can still be in time.
+    Late,
     /// Stream of which the caller already has a part.
     TakenUp,
 }
@@ -27,6 +29,7 @@
 pub fn urgency_of(priority: u8, beginning: Beginning) -> u8 {
     match beginning {
         Beginning::New => priority.saturating_add(1).min(LOWEST),
+        Beginning::Late => priority.saturating_add(2).min(LOWEST),
         Beginning::TakenUp => priority.min(LOWEST),
     }
 }
