--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -298,7 +298,11 @@
 fn urgency(call: &Call, last_event: Option<u64>) -> Option<u8> {
     let priority = call.priority.filter(|_| call.route.kind.is_stream())?;
     let is_taken_up = last_event.is_some() || call.head.resumption.is_some();
-    let beginning = if is_taken_up { Beginning::TakenUp } else { Beginning::New };
+    let beginning = match is_taken_up {
+        true => Beginning::TakenUp,
+        false if call.yields => Beginning::Late,
+        false => Beginning::New,
+    };
     Some(urgency_of(priority, beginning))
 }
 
--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -118,6 +118,11 @@
     if !entry.retries().allows_retry(&call.service, entry_count, entry.now()) {
         return None;
     }
+    best_target(entry, call, attempts)
+}
+
+/// Returns the target to which the next attempt would go, if any takes a request now.
+pub fn best_target(entry: &Entry, call: &Call, attempts: &Attempts) -> Option<TargetKey> {
     choose(entry, call, &attempts.targets, false)
 }
 
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Uri};
 use rosemarymoor_lib::dispatch::catalog::Route;
 use rosemarymoor_lib::dispatch::crash_tracker::{Completion, Suspect};
+use rosemarymoor_lib::dispatch::shed_order;
 use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
 use rosemarymoor_platform::request::CallerHead;
 
@@ -34,6 +35,8 @@
     pub workspace: Option<String>,
     /// Priority by the configuration, 0 is the highest; `None` if it names none.
     pub priority: Option<u8>,
+    /// Whether it yields to requests that can still be in time.
+    pub yields: bool,
     pub catalog_version: u64,
     pub arrived_at: Instant,
     /// Time by which the answer has to end, by the caller's or the route's limit.
@@ -77,6 +80,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the work of the request in tokens of the prompt.
+    pub fn work(&self) -> u64 {
+        work_of(&self.head)
+    }
+
     /// Returns the last part of the prompt that other prompts may share: the one before
     /// the last, or the only one.
     pub fn shared_prompt(&self) -> Option<u64> {
@@ -97,6 +105,12 @@
     }
 }
 
+/// Returns the work of a request in tokens of the prompt; 0 without a token bound.
+pub fn work_of(head: &CallerHead) -> u64 {
+    let Some(tokens) = head.tokens else { return 0 };
+    shed_order::work(tokens.input, tokens.output, head.length_hint)
+}
+
 impl Drop for Call {
     fn drop(&mut self) {
         if !self.ended {
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -16,6 +16,7 @@
 use super::entry::Entry;
 use super::refusal;
 use super::rerun::Wait;
+use super::room;
 use super::stream;
 use super::trials::TrialDenied;
 use crate::http_server::{AnswerBody, full_body};
@@ -43,6 +44,10 @@
 
 /// Delivers a request and answers its caller.
 pub async fn deliver(entry: &Arc<Entry>, mut call: Call) -> Response<AnswerBody> {
+    if let Err(refusal) = room::find(entry, &mut call).await {
+        call.record_end("refused");
+        return refuse(entry, &call, &Attempts::default(), &refusal);
+    }
     let mut attempts = Attempts::default();
     let mut failed_answer: Option<CompleteAnswer> = None;
     while let Some(target) = next_target(entry, &call, &mut attempts).await {
@@ -102,7 +107,7 @@
         return answer_response(&call, &attempts, answer);
     }
     call.record_end("refused");
-    refuse(entry, &call, &attempts)
+    refuse(entry, &call, &attempts, &refusal_for(entry, &call, &attempts))
 }
 
 /// Returns the timeout of one attempt: all remaining time, unless the request may then
@@ -144,8 +149,12 @@
     resp
 }
 
-fn refuse(entry: &Entry, call: &Call, attempts: &Attempts) -> Response<AnswerBody> {
-    let refusal = refusal_for(entry, call, attempts);
+fn refuse(
+    entry: &Entry,
+    call: &Call,
+    attempts: &Attempts,
+    refusal: &Refusal,
+) -> Response<AnswerBody> {
     entry.metrics.count_refusal(refusal.code.number());
     log::info!(
         target: FAILURE_LOG,
@@ -157,7 +166,7 @@
         call.arrived_at.elapsed().as_millis(),
         attempts.last_error
     );
-    refusal::response(&refusal)
+    refusal::response(refusal)
 }
 
 fn refusal_for(entry: &Entry, call: &Call, attempts: &Attempts) -> Refusal {
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -18,6 +18,8 @@
 use super::peers::Peers;
 use super::poison_reports::PoisonReports;
 use super::send_permits::PermitClient;
+use super::traffic::Traffic;
+use super::waiting::Waiting;
 use crate::answer_memory::AnswerMemory;
 use crate::http_pool::HttpPool;
 
@@ -43,6 +45,10 @@
     /// What crashes targets.
     pub poison: PoisonReports,
     pub load: LoadMonitor,
+    /// Recent traffic, for the order in which an overloaded entry refuses requests.
+    pub(super) traffic: Mutex<Traffic>,
+    /// Requests that wait until a target takes them.
+    pub waiting: Waiting,
     pub clock: MonotonicClock,
     pub(super) stopping: AtomicBool,
     /// Whether the list of targets has been read once.
@@ -65,6 +71,11 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the recent traffic.
+    pub fn traffic(&self) -> MutexGuard<'_, Traffic> {
+        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the budget of retries that this entry may send.
     pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
--- a/daemon/src/direct/entry_metrics.rs
+++ b/daemon/src/direct/entry_metrics.rs
@@ -26,6 +26,7 @@
     gauge("targets_listed", |entry| entry.targets().iter().count() as u64);
     gauge("entries_listed", |entry| entry.peers.entry_count());
     gauge("news_age_ms", Entry::update_age_ms);
+    gauge("requests_waiting", |entry| entry.waiting.count() as u64);
     gauge("is_ready", |entry| u64::from(entry.is_ready()));
     gauge("timer_lag_ms", |entry| entry.load.shedder().lag_ms() as u64);
     gauge("refused_share_percent", |entry| (entry.load.shedder().refused_share() * 100.0) as u64);
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -26,6 +26,7 @@
 use super::send_permits::PermitClient;
 use super::settings::DirectSettings;
 use super::store_path::{DirectPath, RelayedPath};
+use super::waiting::Waiting;
 use super::{entry_feeds, entry_metrics, listener};
 use crate::answer_memory::AnswerMemory;
 use crate::http_server::HttpServer;
@@ -77,6 +78,8 @@
         peers: cx.peers.clone(),
         poison: PoisonReports::open(PoisonedRequests::open(cx.clock), client, cx.clock),
         load,
+        traffic: Mutex::default(),
+        waiting: Waiting::default(),
         clock: cx.clock,
         stopping: AtomicBool::new(false),
         has_targets: AtomicBool::new(false),
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -21,6 +21,7 @@
 use super::call::Call;
 use super::deliver;
 use super::entry::Entry;
+use super::overload;
 use super::refusal;
 use super::resumption;
 use crate::http_server::AnswerBody;
@@ -41,13 +42,6 @@
 /// Retry delay reported while the entry is not configured or a route has no service.
 const NOT_CONFIGURED_RETRY_AFTER_MS: u64 = 400;
 
-/// Shortest retry delay reported by an overloaded entry: a retry over a new connection leads to
-/// another one.
-const OVERLOADED_RETRY_AFTER_MS: u64 = 150;
-
-/// Upper bound of the jitter added to [`OVERLOADED_RETRY_AFTER_MS`].
-const RETRY_JITTER_MS: u64 = 250;
-
 /// Identity in the log of a request whose head cannot be read.
 const NO_IDENTITY: &str = "none";
 
@@ -104,10 +98,7 @@
     let route = route.ok_or_else(|| Refusal::new(ResultCode::UnknownRoute, "no route"))?.clone();
     let workspace = workspace(&catalog, &route, &head)?.cloned();
     let random = rank::key_of(&head.attempt_id);
-    if entry.load.shedder().is_refused(random) {
-        let refusal = Refusal::new(ResultCode::Overloaded, "the entry cannot keep up");
-        return Err(refusal.retry_after(OVERLOADED_RETRY_AFTER_MS + random % RETRY_JITTER_MS));
-    }
+    overload::check(entry, &head, &parts.uri, &route, workspace.as_ref())?;
     let load = entry.load.track_request();
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived_at + time_limit;
@@ -157,6 +148,7 @@
         service,
         origin,
         priority: priority_of(&route, workspace.as_ref()),
+        yields: false,
         workspace: workspace.map(|workspace| workspace.name),
         catalog_version: catalog.version,
         route,
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -42,6 +42,8 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     reruns: Counter<u64>,
+    room_decisions: Counter<u64>,
+    shed: Counter<u64>,
     unfinished_events: Counter<u64>,
     taken_up: Counter<u64>,
     target_notices: Counter<u64>,
@@ -69,6 +71,8 @@
             refusals: counter("refusals"),
             attempts: counter("tries"),
             reruns: counter("reruns"),
+            room_decisions: counter("room_decisions"),
+            shed: counter("shed"),
             unfinished_events: counter("unfinished_events"),
             taken_up: counter("streams_taken_up"),
             target_notices: counter("target_notices"),
@@ -122,6 +126,17 @@
         self.reruns.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts what became of a request that found too little room: `yields`, `opened`, `too_long`,
+    /// `displaced` or `refused`.
+    pub fn count_room_decision(&self, outcome: &'static str) {
+        self.room_decisions.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a request that an overloaded entry refused, by its class in the order.
+    pub fn count_shed(&self, class: u8) {
+        self.shed.add(1, &[KeyValue::new("class", i64::from(class))]);
+    }
+
     /// Counts a stream that ended inside an event, by what marked the end of its body.
     pub fn count_unfinished_event(&self, body_end: &'static str) {
         self.unfinished_events.add(1, &[KeyValue::new("body_end", body_end)]);
--- a/daemon/src/direct/rerun.rs
+++ b/daemon/src/direct/rerun.rs
@@ -4,7 +4,6 @@
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
-use rosemarymoor_lib::dispatch::first_event;
 use rosemarymoor_lib::dispatch::rerun::{self, Reason, Unanswered, Verdict};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 
@@ -12,6 +11,7 @@
 use super::attempts::{Attempts, elsewhere};
 use super::call::Call;
 use super::entry::Entry;
+use super::prediction::predict;
 
 /// Request that was just sent to a target.
 pub struct Wait {
@@ -23,7 +23,7 @@
 impl Wait {
     /// Notes what is predicted for a request that is about to be sent.
     pub fn open(entry: &Entry, call: &Call, target: TargetKey) -> Wait {
-        let predicted_ms = predicted_ms(entry, call, target);
+        let predicted_ms = predict(entry, call, target).map(|prediction| prediction.first_event_ms);
         Wait { target, sent_at: Instant::now(), predicted_ms }
     }
 
@@ -63,6 +63,7 @@
         let heard_ms_ago = heard.map(|heard| now.since(heard.at));
         let reported_ms_ago = reported_ms_ago(entry, self.target);
         let other = elsewhere(entry, call, attempts);
+        let prediction = other.and_then(|other| predict(entry, call, other));
         Unanswered {
             waited_ms: self.sent_at.elapsed().as_millis() as u64,
             age_ms: call.arrived_at.elapsed().as_millis() as u64,
@@ -70,7 +71,7 @@
             heard_ms_ago: heard_ms_ago.into_iter().chain(reported_ms_ago).min(),
             begun_streams: heard.map_or(0, |heard| heard.begun_streams),
             predicted_ms: self.predicted_ms,
-            elsewhere_ms: other.and_then(|other| predicted_ms(entry, call, other)),
+            elsewhere_ms: prediction.map(|prediction| prediction.first_event_ms),
         }
     }
 
@@ -96,11 +97,3 @@
     let report = table.get(target)?.known.report?;
     (report.value.running > 0).then(|| now.since(report.at))
 }
-
-/// Predicts the time to the first event at a target; `None` if it is no longer listed.
-fn predicted_ms(entry: &Entry, call: &Call, target: TargetKey) -> Option<f64> {
-    let prompt: Vec<_> = call.head.prompt.iter().map(|part| (part.id, part.tokens)).collect();
-    let table = entry.targets();
-    let target = table.get(target)?;
-    Some(first_event::predict(target, &prompt, entry.now()).first_event_ms)
-}
--- a/lib/src/dispatch/shed_order.rs
+++ b/lib/src/dispatch/shed_order.rs
@@ -29,6 +29,18 @@
 /// Weight of the newest request in a class's mean work.
 const WORK_WEIGHT: f64 = 0.05;
 
+/// Work of an output token in tokens of the prompt.
+const OUTPUT_WEIGHT: u64 = 10;
+
+/// Returns the work of a request in tokens of the prompt.
+///
+/// The caller's estimate of the output, which is often far off, counts as far as the bound of the output
+/// allows; without one half of the bound does.
+pub fn work(input: u64, max_output: u64, length_hint: Option<u64>) -> u64 {
+    let output = length_hint.unwrap_or(max_output / 2).min(max_output);
+    input.saturating_add(output.saturating_mul(OUTPUT_WEIGHT))
+}
+
 /// What the order of a request depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Standing {
