--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -12,7 +12,6 @@
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::crash_tracker::{Decision, Suspect, suspects_of};
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::dispatch::urgency::priority_of;
 use rosemarymoor_lib::id::{BudgetId, digest128};
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
 use rosemarymoor_platform::request::{self, CallerHead, HeadError};
@@ -98,7 +97,8 @@
     let route = route.ok_or_else(|| Refusal::new(ResultCode::UnknownRoute, "no route"))?.clone();
     let workspace = workspace(&catalog, &route, &head)?.cloned();
     let random = rank::key_of(&head.attempt_id);
-    overload::check(entry, &head, &parts.uri, &route, workspace.as_ref())?;
+    let rank = catalog.rank(&route, workspace.as_ref());
+    overload::check(entry, &head, &parts.uri, rank, workspace.as_ref())?;
     let load = entry.load.track_request();
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived_at + time_limit;
@@ -130,7 +130,8 @@
         None => None,
     };
     log::info!(
-        "event=admitted request={} route={} service={service} workspace={} version={} deadline_ms={} body_bytes={}",
+        "event=admitted request={} route={} rank={rank:?} service={service} workspace={} version={} deadline_ms={} \
+         body_bytes={}",
         head.attempt_id,
         route.name,
         workspace.as_ref().map_or("none", |workspace| workspace.name.as_str()),
@@ -147,7 +148,7 @@
         suspects,
         service,
         origin,
-        priority: priority_of(&route, workspace.as_ref()),
+        rank,
         yields: false,
         workspace: workspace.map(|workspace| workspace.name),
         catalog_version: catalog.version,
--- a/daemon/src/direct/prediction.rs
+++ b/daemon/src/direct/prediction.rs
@@ -1,9 +1,8 @@
 //! Predicts what a target would do with a request, and how far that can be relied on.
 
-use rosemarymoor_lib::dispatch::first_event;
-use rosemarymoor_lib::dispatch::targets::TargetKey;
+use rosemarymoor_lib::dispatch::choice::Choice;
+use rosemarymoor_lib::dispatch::placement_cost;
 
-use super::call::Call;
 use super::entry::Entry;
 
 /// Age up to which a target's report of its load is fresh, in milliseconds.
@@ -24,17 +23,17 @@
     pub has_queue: bool,
 }
 
-/// Predicts the answer of a target; `None` if it is no longer listed.
-pub fn predict(entry: &Entry, call: &Call, target: TargetKey) -> Option<Prediction> {
+/// Predicts the answer of a chosen target; `None` if it is no longer listed.
+pub fn prediction_of(entry: &Entry, choice: &Choice) -> Option<Prediction> {
     let now = entry.now();
-    let prompt: Vec<_> = call.head.prompt.iter().map(|part| (part.id, part.tokens)).collect();
     let table = entry.targets();
-    let target = table.get(target)?;
+    let target = table.get(choice.key)?;
     let report = target.known.report.as_ref();
     let report = report.and_then(|report| report.fresh(MAX_REPORT_AGE_MS, now));
+    let has_news = report.is_some() || placement_cost::others(target, now).is_some();
     Some(Prediction {
-        first_event_ms: first_event::predict(target, &prompt, now).first_event_ms,
-        is_solid: report.is_some() || target.delay_ms(now) >= CLEAR_DELAY_MS,
+        first_event_ms: choice.first_event_ms,
+        is_solid: has_news || target.delay_ms(now) >= CLEAR_DELAY_MS,
         has_queue: report.is_some_and(|report| report.waiting > 0),
     })
 }
--- a/daemon/src/direct/rerun.rs
+++ b/daemon/src/direct/rerun.rs
@@ -4,6 +4,7 @@
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
+use rosemarymoor_lib::dispatch::choice;
 use rosemarymoor_lib::dispatch::rerun::{self, Reason, Unanswered, Verdict};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
 
@@ -11,7 +12,6 @@
 use super::attempts::{Attempts, elsewhere};
 use super::call::Call;
 use super::entry::Entry;
-use super::prediction::predict;
 
 /// Request that was just sent to a target.
 pub struct Wait {
@@ -23,7 +23,9 @@
 impl Wait {
     /// Notes what is predicted for a request that is about to be sent.
     pub fn open(entry: &Entry, call: &Call, target: TargetKey) -> Wait {
-        let predicted_ms = predict(entry, call, target).map(|prediction| prediction.first_event_ms);
+        let criteria = call.selection_criteria(false);
+        let cost = choice::cost_at(&entry.targets(), target, criteria, entry.now());
+        let predicted_ms = cost.map(|cost| cost.first_event_ms());
         Wait { target, sent_at: Instant::now(), predicted_ms }
     }
 
@@ -63,7 +65,6 @@
         let heard_ms_ago = heard.map(|heard| now.since(heard.at));
         let reported_ms_ago = reported_ms_ago(entry, self.target);
         let other = elsewhere(entry, call, attempts);
-        let prediction = other.and_then(|other| predict(entry, call, other));
         Unanswered {
             waited_ms: self.sent_at.elapsed().as_millis() as u64,
             age_ms: call.arrived_at.elapsed().as_millis() as u64,
@@ -71,7 +72,7 @@
             heard_ms_ago: heard_ms_ago.into_iter().chain(reported_ms_ago).min(),
             begun_streams: heard.map_or(0, |heard| heard.begun_streams),
             predicted_ms: self.predicted_ms,
-            elsewhere_ms: prediction.map(|prediction| prediction.first_event_ms),
+            elsewhere_ms: other.map(|other| other.first_event_ms),
         }
     }
 
--- a/daemon/src/direct/room.rs
+++ b/daemon/src/direct/room.rs
@@ -9,7 +9,7 @@
 use super::attempts::{Attempts, best_target};
 use super::call::Call;
 use super::entry::Entry;
-use super::prediction::predict;
+use super::prediction::prediction_of;
 use super::turn::{self, WaitEnd};
 
 /// Waits for room if all targets are closed, and notes whether the request yields to others.
@@ -18,7 +18,7 @@
 ///
 /// Returns the refusal of a request for which there will be no room in time.
 pub async fn find(entry: &Entry, call: &mut Call) -> Result<(), Refusal> {
-    while call.priority.is_some() {
+    while call.rank.is_some() {
         let found = look(entry, call);
         match room::decide(&demand(call), &found) {
             Decision::Send { yields } => {
@@ -63,7 +63,7 @@
         return Room::Unknown;
     }
     let best = best_target(entry, call, &Attempts::default());
-    match best.and_then(|best| predict(entry, call, best)) {
+    match best.and_then(|best| prediction_of(entry, &best)) {
         Some(prediction) => Room::Open {
             first_event_ms: prediction.first_event_ms,
             is_solid: prediction.is_solid,
@@ -83,10 +83,10 @@
 fn record(entry: &Entry, call: &Call, outcome: &'static str, found: &Room) {
     entry.metrics.count_room_decision(outcome);
     log::info!(
-        "event=room request={} service={} priority={:?} outcome={outcome} after_ms={} found={found:?}",
+        "event=room request={} service={} rank={:?} outcome={outcome} after_ms={} found={found:?}",
         call.head.attempt_id,
         call.service,
-        call.priority,
+        call.rank,
         call.arrived_at.elapsed().as_millis()
     );
 }
--- a/daemon/src/direct/turn.rs
+++ b/daemon/src/direct/turn.rs
@@ -53,7 +53,7 @@
     let now = entry.now();
     let time_left_ms = call.time_left().as_millis() as u64;
     let place = Place {
-        class: call.priority.unwrap_or(u8::MAX),
+        class: call.rank.unwrap_or(u8::MAX),
         useful_until: now.plus(time_left_ms.min(call.route.latency_objective.as_millis() as u64)),
         work: call.work(),
         ticket: rank::key_of(&call.head.attempt_id),
