--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -21,6 +21,7 @@
 use rosemarymoor_platform::answer::{self, AnswerKind, TargetNotice};
 use rosemarymoor_platform::request::{TargetHead, strip_connection_headers, target_headers};
 
+use super::begun_stream_guard::BegunStreamGuard;
 use super::call::Call;
 use super::entry::Entry;
 use super::target_limits;
@@ -133,6 +134,11 @@
         self.prefill_done();
     }
 
+    /// Records that a stream has begun at the target; dropping the guard ends it there.
+    pub fn begin_stream(&self) -> BegunStreamGuard {
+        BegunStreamGuard::open(&self.entry, self.target)
+    }
+
     /// Returns the expected time to the first answer. A wait counts only if news showed it: other
     /// waits are the target's delay.
     fn expected_ms(&self) -> f64 {
@@ -305,7 +311,11 @@
 fn urgency(call: &Call, last_event: Option<u64>) -> Option<u8> {
     let rank = call.rank.filter(|_| call.route.kind.is_stream())?;
     let is_taken_up = last_event.is_some() || call.head.resumption.is_some();
-    let beginning = if is_taken_up { Beginning::TakenUp } else { Beginning::New };
+    let beginning = match is_taken_up {
+        true => Beginning::TakenUp,
+        false if call.yields => Beginning::Late,
+        false => Beginning::New,
+    };
     Some(urgency_of(rank, beginning))
 }
 
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -10,6 +10,7 @@
 use rosemarymoor_lib::dispatch::choice::SelectionCriteria;
 use rosemarymoor_lib::dispatch::crash_tracker::{Completion, Suspect};
 use rosemarymoor_lib::dispatch::rank;
+use rosemarymoor_lib::dispatch::shed_order;
 use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
 use rosemarymoor_platform::request::CallerHead;
 
@@ -38,6 +39,8 @@
     pub workspace: Option<String>,
     /// Rank by the configuration's priorities, 0 is the highest; `None` if it names none.
     pub rank: Option<u8>,
+    /// Whether it yields to requests that can still be in time.
+    pub yields: bool,
     pub catalog_version: u64,
     pub arrived_at: Instant,
     /// Time by which the answer has to end, by the caller's or the route's limit.
@@ -81,6 +84,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the work of the request in tokens of the prompt.
+    pub fn work(&self) -> u64 {
+        work_of(&self.head)
+    }
+
     /// Returns what its target is selected by; with `without_asking` targets are left out for which
     /// a permit would have to be asked for.
     pub fn selection_criteria(&self, without_asking: bool) -> SelectionCriteria<'_> {
@@ -109,6 +117,12 @@
     }
 }
 
+/// Returns the work of a request in tokens of the prompt; 0 without a token bound.
+pub fn work_of(head: &CallerHead) -> u64 {
+    let Some(tokens) = head.tokens else { return 0 };
+    shed_order::work(tokens.input, tokens.output, head.length_hint)
+}
+
 impl Drop for Call {
     fn drop(&mut self) {
         if !self.ended {
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -15,6 +15,8 @@
 use super::call::Call;
 use super::entry::Entry;
 use super::refusal;
+use super::rerun::Wait;
+use super::room;
 use super::stream;
 use super::trials::TrialDenied;
 use crate::http_server::{AnswerBody, full_body};
@@ -42,11 +44,20 @@
 
 /// Delivers a request and answers its caller.
 pub async fn deliver(entry: &Arc<Entry>, mut call: Call) -> Response<AnswerBody> {
+    if let Err(refusal) = room::find(entry, &mut call).await {
+        call.record_end("refused");
+        return refuse(entry, &call, &Attempts::default(), &refusal);
+    }
     let mut attempts = Attempts::default();
     let mut failed_answer: Option<CompleteAnswer> = None;
     while let Some(target) = next_target(entry, &call, &mut attempts).await {
         let timeout = attempt_timeout(&call, &attempts);
-        let sent = attempt::send(entry, &call, target, None, timeout).await;
+        let wait = Wait::open(entry, &call, target);
+        let sending = attempt::send(entry, &call, target, None, timeout);
+        let sent = match may_stay(&call) {
+            true => wait.until_answered(entry, &call, &attempts, sending).await,
+            false => sending.await,
+        };
         let (started, kind) = match sent {
             Ok(started) => started,
             Err(err) => {
@@ -55,7 +66,12 @@
             }
         };
         if kind == AnswerKind::Success && call.route.kind.is_stream() {
-            match stream::read_first_event(started, &call, timeout).await {
+            let reading = stream::read_first_event(started, &call, timeout);
+            let read = match may_stay(&call) {
+                true => wait.until_answered(entry, &call, &attempts, reading).await,
+                false => reading.await,
+            };
+            match read {
                 Ok(started_stream) => {
                     entry.metrics.record_first_event(call.arrived_at.elapsed());
                     return stream::response(entry, call, attempts, started_stream);
@@ -91,7 +107,7 @@
         return answer_response(&call, &attempts, answer);
     }
     call.record_end("refused");
-    refuse(entry, &call, &attempts)
+    refuse(entry, &call, &attempts, &refusal_for(entry, &call, &attempts))
 }
 
 /// Returns the timeout of one attempt: all remaining time, unless the request may then
@@ -100,13 +116,19 @@
     let time_left = call.time_left();
     let may_rerun =
         call.route.kind.is_idempotent() && attempts.may_have_run + 1 < call.route.max_attempts;
-    if may_rerun {
+    if may_rerun && !may_stay(call) {
         time_left.min(call.route.latency_objective.mul_f64(RERUN_AFTER_OBJECTIVES))
     } else {
         time_left
     }
 }
 
+/// Returns whether a request may stay at a target that does not answer: engines queue what they
+/// cannot run yet.
+fn may_stay(call: &Call) -> bool {
+    call.route.kind.is_stream() && !call.head.prompt.is_empty()
+}
+
 fn answer_response(
     call: &Call,
     attempts: &Attempts,
@@ -127,8 +149,12 @@
     resp
 }
 
-fn refuse(entry: &Entry, call: &Call, attempts: &Attempts) -> Response<AnswerBody> {
-    let refusal = refusal_for(entry, call, attempts);
+fn refuse(
+    entry: &Entry,
+    call: &Call,
+    attempts: &Attempts,
+    refusal: &Refusal,
+) -> Response<AnswerBody> {
     entry.metrics.count_refusal(refusal.code.number());
     log::info!(
         target: FAILURE_LOG,
@@ -140,7 +166,7 @@
         call.arrived_at.elapsed().as_millis(),
         attempts.last_error
     );
-    refusal::response(&refusal)
+    refusal::response(refusal)
 }
 
 fn refusal_for(entry: &Entry, call: &Call, attempts: &Attempts) -> Refusal {
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use rosemarymoor_lib::dispatch::catalog::Catalog;
+use rosemarymoor_lib::dispatch::heard_targets::HeardTargets;
 use rosemarymoor_lib::dispatch::regions::RegionMap;
 use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
@@ -18,6 +19,8 @@
 use super::peers::Peers;
 use super::poison_reports::PoisonReports;
 use super::send_permits::PermitClient;
+use super::traffic::Traffic;
+use super::waiting::Waiting;
 use crate::answer_memory::AnswerMemory;
 use crate::http_pool::HttpPool;
 
@@ -31,6 +34,7 @@
     /// Catalog in force; `None` until the first one has been read.
     pub catalog: ArcSwapOption<Catalog>,
     pub(super) targets: Mutex<TargetTable>,
+    pub(super) heard: Mutex<HeardTargets>,
     pub(super) retries: Mutex<RetryBudget>,
     pub(super) budget_retry_after: Mutex<RetryAfter>,
     pub pool: HttpPool,
@@ -44,6 +48,10 @@
     /// What crashes targets.
     pub poison: PoisonReports,
     pub load: LoadMonitor,
+    /// Recent traffic, for the order in which an overloaded entry refuses requests.
+    pub(super) traffic: Mutex<Traffic>,
+    /// Requests that wait until a target takes them.
+    pub waiting: Waiting,
     pub clock: MonotonicClock,
     pub(super) stopping: AtomicBool,
     /// Whether the list of targets has been read once.
@@ -64,6 +72,16 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what has lately been heard of the targets.
+    pub fn heard(&self) -> MutexGuard<'_, HeardTargets> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the recent traffic.
+    pub fn traffic(&self) -> MutexGuard<'_, Traffic> {
+        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the budget of retries that this entry may send.
     pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
--- a/daemon/src/direct/entry_metrics.rs
+++ b/daemon/src/direct/entry_metrics.rs
@@ -39,6 +39,7 @@
         entry.targets().iter().filter(is_reported).count() as u64
     });
     gauge("load_news_age_ms", Entry::load_news_age_ms);
+    gauge("requests_waiting", |entry| entry.waiting.count() as u64);
     gauge("is_ready", |entry| u64::from(entry.is_ready()));
     gauge("timer_lag_ms", |entry| entry.load.shedder().lag_ms() as u64);
     gauge("refused_share_percent", |entry| (entry.load.shedder().refused_share() * 100.0) as u64);
--- a/lib/src/dispatch/urgency.rs
+++ b/lib/src/dispatch/urgency.rs
@@ -20,6 +20,8 @@
 pub enum Beginning {
     /// New request.
     New,
+    /// New request that can only be late: it yields to those that can still be in time.
+    Late,
     /// Stream of which the caller already has a part.
     TakenUp,
 }
@@ -72,6 +74,7 @@
 pub fn urgency_of(rank: u8, beginning: Beginning) -> u8 {
     match beginning {
         Beginning::New => rank.saturating_add(1).min(LOWEST),
+        Beginning::Late => rank.saturating_add(2).min(LOWEST),
         Beginning::TakenUp => rank.min(LOWEST),
     }
 }
