crash tracker: a suspect is tried at a target where it was in no crash

Cause: a prompt's affinity sends a bad part from all entries to the same few targets. Targets that reset the connection and stay are the same process for good: each counted once, and every later request there was added to that crash. With eight entries its mean number of requests stayed above three, so that the part was taken for common, for which six crashes are needed; the trials went to the same targets again, which could not count either. One to four entries were spread by their own failure rates in time.

Change: the rule is the same at every number of entries. A target counts once, whether it ends or stays, so that a broken target alone puts no part under refusal. What was sent to it after its crash is no request of that crash, and a trial goes to a target where the suspect was in no crash, unless no other one is left for the request, which the entry says (TrialRequest::is_last_target; older builds leave it out).

--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -13,7 +13,7 @@
 use super::call::Call;
 use super::entry::Entry;
 use super::target_limits;
-use super::trials::{self, SentAttempt, TrialDenied};
+use super::trials::{self, Candidate, SentAttempt, TrialDenied};
 
 /// Largest number of attempts that certainly did not run after which one more is made.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
@@ -84,21 +84,28 @@
     if is_retry && choose(entry, call, &excluded, false).is_some() && !try_retry(entry, call) {
         return None;
     }
+    let mut sent_away_from = None;
     for asked in 0..MAX_PERMIT_REQUESTS {
         let without_asking = asked >= PERMIT_REQUESTS_BEFORE_OTHERS;
-        let chosen = choose(entry, call, &excluded, without_asking)
-            .or_else(|| choose(entry, call, &excluded, false))?;
+        let other = choose(entry, call, &excluded, without_asking)
+            .or_else(|| choose(entry, call, &excluded, false));
+        let chosen = other.or(sent_away_from)?;
         if !target_limits::acquire(entry, chosen).await {
             continue;
         }
-        match trials::acquire(entry, call, chosen, attempts.latest.as_ref()).await {
+        let candidate = Candidate { target: chosen, is_last: other.is_none() };
+        match trials::acquire(entry, call, candidate, attempts.latest.as_ref()).await {
             Ok(Some(latest)) => {
                 attempts.latest = Some(latest);
                 attempts.targets.push(chosen);
                 log_placement(entry, call, chosen, attempts.targets.len());
                 return Some(chosen);
             }
-            Ok(None) => excluded.push(chosen),
+            Ok(None) if candidate.is_last => return None,
+            Ok(None) => {
+                excluded.push(chosen);
+                sent_away_from = sent_away_from.or(Some(chosen));
+            }
             Err(denied) => {
                 attempts.denied = Some(denied);
                 return None;
--- a/daemon/src/direct/poison.rs
+++ b/daemon/src/direct/poison.rs
@@ -103,7 +103,7 @@
 
     /// Decides on a request that asks to run as a trial.
     pub fn try_at(&self, req: &TrialRequest) -> Decision {
-        self.tracker().try_at(&req.suspects, &req.target, req.request, self.clock.now())
+        self.tracker().try_request(req, self.clock.now())
     }
 
     /// Returns the request for a trial at another process, after a crash of the attempt before.
@@ -113,10 +113,11 @@
         target: &str,
         request: u64,
         crash: Option<Crash>,
+        is_last_target: bool,
     ) -> TrialRequest {
         let suspicions = self.tracker().suspicions(suspects);
         let (suspects, target) = (suspects.to_vec(), target.to_owned());
-        TrialRequest { suspects, suspicions, crash, target, request }
+        TrialRequest { suspects, suspicions, crash, target, request, is_last_target }
     }
 
     /// Returns what is known against a request, as far as it fits into an answer.
--- a/daemon/src/direct/trials.rs
+++ b/daemon/src/direct/trials.rs
@@ -41,6 +41,14 @@
     Busy,
 }
 
+/// Target at which a request is to be tried.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    pub target: TargetKey,
+    /// Whether no other one is left.
+    pub is_last: bool,
+}
+
 /// Returns the attempt to be sent to a target; `None` if another target has to be chosen.
 ///
 /// # Errors
@@ -49,18 +57,19 @@
 pub async fn acquire(
     entry: &Entry,
     call: &Call,
-    target: TargetKey,
+    candidate: Candidate,
     previous: Option<&SentAttempt>,
 ) -> Result<Option<SentAttempt>, TrialDenied> {
-    let Some(process) = process_of(entry, target) else { return Ok(None) };
+    let Some(process) = process_of(entry, candidate.target) else { return Ok(None) };
+    let is_last = candidate.is_last;
     // The only other end of a request that has run would be a broken answer.
     let max_wait = if previous.is_some() { MAX_RETRY_WAIT } else { MAX_WAIT };
     let give_up_at = (Instant::now() + max_wait).min(call.deadline);
     let crash = previous.and_then(|previous| previous.crash.clone());
-    let mut decision = decide(entry, call, &process, crash.as_ref()).await;
+    let mut decision = decide(entry, call, &process, is_last, crash.as_ref()).await;
     while decision == Decision::Wait && Instant::now() < give_up_at {
         tokio::time::sleep(TRIAL_POLL_INTERVAL).await;
-        decision = decide(entry, call, &process, crash.as_ref()).await;
+        decision = decide(entry, call, &process, is_last, crash.as_ref()).await;
     }
     match decision {
         Decision::Run | Decision::AskTrial => {
@@ -77,13 +86,20 @@
 
 /// Decides on an attempt at a target's process. After a crash the budget servers are asked in any case,
 /// as they know of it first.
-async fn decide(entry: &Entry, call: &Call, process: &str, crash: Option<&Crash>) -> Decision {
-    let decision = entry.poison.own().decide(&call.suspects);
+async fn decide(
+    entry: &Entry,
+    call: &Call,
+    process: &str,
+    is_last: bool,
+    crash: Option<&Crash>,
+) -> Decision {
+    let own = entry.poison.own();
+    let decision = own.decide(&call.suspects);
     if decision == Decision::Refuse || (decision == Decision::Run && crash.is_none()) {
         return decision;
     }
     let request = rank::key_of(&call.head.attempt_id);
-    let req = entry.poison.own().trial_request(&call.suspects, process, request, crash.cloned());
+    let req = own.trial_request(&call.suspects, process, request, crash.cloned(), is_last);
     let decision = entry.poison.try_at(&call.service, &req).await;
     entry.metrics.count_trial(match decision {
         Decision::Run | Decision::AskTrial => "run",
--- a/daemon/tests/test_direct_crashes.rs
+++ b/daemon/tests/test_direct_crashes.rs
@@ -18,6 +18,9 @@
 /// Time for which a crashed target is down.
 const DOWN: Duration = Duration::from_millis(400);
 
+/// Time after which a target resets a connection without a crash.
+const RESET_AFTER: Duration = Duration::from_millis(50);
+
 /// Time between two events of an answer.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -30,6 +33,11 @@
 /// Requests with the bad part of one case.
 const BAD_REQUESTS: usize = 100;
 
+/// Time between two bad requests that come rarely, their number, and the sound ones beside each.
+const RARE_INTERVAL: Duration = Duration::from_millis(170);
+const RARE_REQUESTS: usize = 64;
+const SOUND_BESIDE: usize = 3;
+
 /// Crashes after which the part has to be refused everywhere, and the time that this may take.
 const MAX_CRASHES: usize = 5;
 const CONTACT_TIME: Duration = Duration::from_millis(1_500);
@@ -58,6 +66,8 @@
     AfterHead,
     InsideEvent,
     UntilClose,
+    /// Before the head, with a reset of its own connection only; the target goes on serving others.
+    Reset,
 }
 
 fn prompt_request(path: &str, id: &str, prompt: &str) -> CallerRequest {
@@ -91,6 +101,13 @@
     prompt_request(&format!("{path}{id}"), &id, &parts.join(","))
 }
 
+/// Returns a request with the bad part that is like all others of its kind but for the last part.
+fn alike(path: &str, number: usize) -> CallerRequest {
+    let id = format!("bad-{number}");
+    let prompt = format!("c0ffee:400,{BAD_PART},d0c1:100,e{number:x}:100");
+    prompt_request(&format!("{path}{id}"), &id, &prompt)
+}
+
 /// Returns a part that no other request has.
 fn own_part(id: &str) -> u64 {
     id.bytes().fold(0xa000_0000, |sum, byte| sum * 31 % 0xffff_ffff + u64::from(byte))
@@ -106,14 +123,17 @@
     if !is_bad(received) {
         return events(received, after, 5, EVENT_INTERVAL);
     }
+    if matches!(how, Break::Reset) {
+        return vec![Step::Wait(RESET_AFTER), Step::Reset];
+    }
     let mut steps = match how {
         Break::UntilClose => events_until_close(received, after, 5, EVENT_INTERVAL),
-        Break::BeforeHead | Break::AfterHead | Break::InsideEvent => {
+        Break::BeforeHead | Break::AfterHead | Break::InsideEvent | Break::Reset => {
             events(received, after, 5, EVENT_INTERVAL)
         }
     };
     steps.truncate(match how {
-        Break::BeforeHead => 0,
+        Break::BeforeHead | Break::Reset => 0,
         Break::AfterHead => 1,
         Break::InsideEvent | Break::UntilClose => 4,
     });
@@ -188,6 +208,32 @@
     assert_served(&sound);
 }
 
+/// Sends bad requests that all entries send to the same targets, to the entries in turn, beside a few
+/// sound ones. The targets reset the connection and stay. Asserts that few reach targets, and no sound
+/// one is refused.
+async fn check_targets_that_stay(entries: usize, path: &str) {
+    let targets = targets(Break::Reset).await;
+    let group = FleetGroup::open(BINARY, entries, 2, &targets.iter().collect::<Vec<_>>()).await;
+    let callers = group.callers();
+    let (mut bad_calls, mut sound_calls) = (JoinSet::new(), JoinSet::new());
+    for number in 0..RARE_REQUESTS {
+        let (address, req) = (callers[number % entries], alike(path, number));
+        bad_calls.spawn(async move { (number, send(address, req).await.status) });
+        for beside in 1..=SOUND_BESIDE {
+            let address = callers[(number + beside) % entries];
+            let req = sound(&format!("{beside}-sound{number}"));
+            sound_calls.spawn(send(address, req));
+        }
+        tokio::time::sleep(RARE_INTERVAL).await;
+    }
+    assert_few_reached(&targets);
+    let mut statuses = bad_calls.join_all().await;
+    statuses.sort();
+    let last = &statuses[RARE_REQUESTS / 2..];
+    assert!(last.iter().all(|(_, status)| *status == 422), "not all are refused: {last:?}");
+    assert_served(&sound_calls.join_all().await);
+}
+
 macro_rules! one_part_crashes_targets {
     ($($name:ident: $entries:literal, $path:literal, $place:ident, $how:ident;)*) => {
         $(#[tokio::test]
@@ -206,6 +252,22 @@
     a_part_that_crashes_targets_is_refused_by_eight_entries: 8, "/stream/", Middle, InsideEvent;
 }
 
+macro_rules! one_part_breaks_connections_of_targets_that_stay {
+    ($($name:ident: $entries:literal, $path:literal;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            check_targets_that_stay($entries, $path).await;
+        })*
+    };
+}
+
+one_part_breaks_connections_of_targets_that_stay! {
+    a_part_whose_targets_stay_is_refused_by_one_entry: 1, "/resume/";
+    a_part_whose_targets_stay_is_refused_by_four_entries: 4, "/resume/";
+    a_part_whose_targets_stay_is_refused_by_eight_entries: 8, "/resume/";
+    a_part_whose_targets_stay_is_refused_without_retries: 8, "/stream/";
+}
+
 #[tokio::test]
 async fn a_refusal_outlives_restarts_and_a_store_that_comes_back_from_a_copy() {
     let targets = targets(Break::BeforeHead).await;
--- a/lib/src/dispatch/crash_row.rs
+++ b/lib/src/dispatch/crash_row.rs
@@ -34,10 +34,23 @@
     /// Digest of the target's process.
     process: u64,
     is_counted: bool,
+    /// When it was reported first.
+    reported_at: Millis,
     /// Digests of the requests with the suspect that it ended, as many as count.
     requests: Vec<u32>,
 }
 
+impl RowCrash {
+    /// Adds a request that it ended, unless that was sent later.
+    fn add_request(&mut self, request: u32, sent_at: Millis) {
+        let is_ended = sent_at < self.reported_at.plus(REPORT_DELAY_MS);
+        let is_known = self.requests.contains(&request);
+        if is_ended && !is_known && self.requests.len() < MAX_COUNTED_REQUESTS {
+            self.requests.push(request);
+        }
+    }
+}
+
 /// Running trial of a suspect.
 #[derive(Clone, Copy, Debug)]
 struct Trial {
@@ -93,22 +106,22 @@
     }
 
     /// Adds a crash of a request, which counts unless the request was sent before the crash that was
-    /// counted last.
+    /// counted last. A process counts once: it may be broken itself, and what was sent to it after its
+    /// crash was not ended by that one.
     pub fn add_crash(&mut self, process: u64, request: u32, sent_at: Millis, now: Millis) {
         self.touched_at = now;
         self.trial = None;
         let is_later = self.counted() == 0 || sent_at.plus(REPORT_DELAY_MS) >= self.last_counted_at;
         if let Some(known) = self.crashes.iter_mut().find(|crash| crash.process == process) {
-            if known.requests.len() < MAX_COUNTED_REQUESTS && !known.requests.contains(&request) {
-                known.requests.push(request);
-            }
+            known.add_request(request, sent_at);
             return;
         }
         if self.crashes.len() >= MAX_ROW_CRASHES {
             let Some(at) = self.crashes.iter().position(|crash| !crash.is_counted) else { return };
             self.crashes.remove(at);
         }
-        self.crashes.push(RowCrash { process, is_counted: is_later, requests: vec![request] });
+        let requests = vec![request];
+        self.crashes.push(RowCrash { process, is_counted: is_later, reported_at: now, requests });
         if is_later {
             self.last_counted_at = now;
         }
@@ -176,6 +189,12 @@
         is_freed
     }
 
+    /// Returns whether it is suspected of a crash of this process, so that another trial there would say
+    /// nothing more.
+    pub fn has_crashed(&self, process: u64) -> bool {
+        self.level > Level::Free && self.crashes.iter().any(|crash| crash.process == process)
+    }
+
     /// Returns whether another request is its trial.
     pub fn is_tried_by_other(&self, request: u64, now: Millis) -> bool {
         self.trial.is_some_and(|trial| trial.request != request && now < trial.until)
--- a/lib/src/dispatch/crash_tracker.rs
+++ b/lib/src/dispatch/crash_tracker.rs
@@ -8,7 +8,8 @@
 //! - A crash counts only for requests that were sent after the crash counted before. Targets that
 //!   end at the same moment count once, and so do requests that ran when the first one crashed.
 //! - From [`TRIAL_CRASHES`] on a suspect runs as a trial: one at a time, and not at a target at which
-//!   another suspect is tried, so that the next crash says which of them it was.
+//!   another suspect is tried, so that the next crash says which of them it was, nor at one at which it
+//!   was in a crash: a target that stays counts once, however often it breaks off.
 //!
 //! After [`MAX_CRASHES`] a suspect is refused, once all reports of the last crash are there. Others
 //! that were in all its crashes are its rivals: only requests with all of them are refused, and one
@@ -147,6 +148,9 @@
     pub target: String,
     /// Digest of the request's id: its own trial does not keep it from another target.
     pub request: u64,
+    /// Whether no other target is left for the request. Older builds do not say.
+    #[serde(default)]
+    pub is_last_target: bool,
 }
 
 /// Decision on a request.
@@ -159,7 +163,7 @@
     AskTrial,
     /// A suspect in it is tried just now.
     Wait,
-    /// Another suspect is tried at the chosen target.
+    /// Another suspect is tried at the chosen target, or one in it was in a crash there.
     OtherTarget,
     /// It is refused.
     Refuse,
@@ -321,6 +325,22 @@
         target: &str,
         request: u64,
         now: Millis,
+    ) -> Decision {
+        self.begin_trial(suspects, target, request, false, now)
+    }
+
+    /// Decides as [`CrashTracker::try_at`] does, also at a target that is the last one left.
+    pub fn try_request(&mut self, req: &TrialRequest, now: Millis) -> Decision {
+        self.begin_trial(&req.suspects, &req.target, req.request, req.is_last_target, now)
+    }
+
+    fn begin_trial(
+        &mut self,
+        suspects: &[Suspect],
+        target: &str,
+        request: u64,
+        is_last_target: bool,
+        now: Millis,
     ) -> Decision {
         let decision = self.decide(suspects, now);
         if decision != Decision::AskTrial {
@@ -332,6 +352,9 @@
             if is_in_request && (row.is_tried_by_other(request, now) || row.is_settling(now)) {
                 return Decision::Wait;
             }
+            if is_in_request && !is_last_target && row.has_crashed(process) {
+                return Decision::OtherTarget;
+            }
             if !is_in_request && row.is_tried_at(process, now) {
                 return Decision::OtherTarget;
             }
--- a/lib/tests/test_crash_tracker.rs
+++ b/lib/tests/test_crash_tracker.rs
@@ -2,7 +2,7 @@
 
 use rosemarymoor_lib::dispatch::crash_tracker::{
     Completion, Crash, CrashTracker, Decision, Level, MAX_CRASHES, RETENTION_MS, SETTLING_MS,
-    Suspect, Suspicion, TRIAL_CRASHES, suspects_of,
+    Suspect, Suspicion, TRIAL_CRASHES, TrialRequest, suspects_of,
 };
 use rosemarymoor_lib::time::Millis;
 
@@ -11,6 +11,9 @@
 /// Time between two crashes, long enough that each counts.
 const GAP_MS: u64 = 1_000;
 
+/// Requests with a bad part that may reach targets which stay: eight entries see the first crash each.
+const MAX_REACHING: u64 = 11;
+
 /// Part that is in most prompts.
 const COMMON: u64 = 1;
 const BAD: u64 = 2;
@@ -241,6 +244,62 @@
     assert!(is_refused(&tracker, &request(50, &[BAD]), now));
 }
 
+#[test]
+fn a_bad_part_is_refused_whose_targets_stay_and_get_it_from_many_entries() {
+    let mut tracker = CrashTracker::default();
+    let mut now = NOW;
+    let mut reached = 0;
+    // Entries in turn choose the target at which they have seen no crash yet.
+    for target in 0..8 {
+        for entry in 0..8 {
+            let suspects = request(target * 8 + entry, &[COMMON, BAD]);
+            now = now.plus(GAP_MS);
+            let process = format!("t{target}/1");
+            if tracker.try_at(&suspects, &process, reached, now) != Decision::Run {
+                continue;
+            }
+            reached += 1;
+            tracker.record_crash(&crash(&suspects, target as usize), now.plus(50));
+            tracker.settle(now.plus(50 + SETTLING_MS));
+        }
+    }
+    assert!(is_refused(&tracker, &request(99, &[COMMON, BAD]), now));
+    assert!(reached <= MAX_REACHING, "{reached} reached targets");
+}
+
+#[test]
+fn a_suspect_is_tried_again_where_it_crashed_only_if_no_other_target_is_left() {
+    let mut tracker = CrashTracker::default();
+    let now = crash_in_turn(&mut tracker, &vec![vec![request(1, &[BAD])]; TRIAL_CRASHES]);
+    let suspects = request(3, &[BAD]);
+    assert_eq!(tracker.try_at(&suspects, "t0/1", 1, now), Decision::OtherTarget);
+    let req = TrialRequest {
+        suspects,
+        suspicions: Vec::new(),
+        crash: None,
+        target: "t0/1".to_owned(),
+        request: 1,
+        is_last_target: true,
+    };
+    assert_eq!(tracker.try_request(&req, now), Decision::Run);
+}
+
+#[test]
+fn a_sound_part_that_one_broken_target_gets_is_not_refused() {
+    let mut tracker = CrashTracker::default();
+    let mut now = NOW;
+    for number in 0..20 {
+        now = now.plus(GAP_MS);
+        let suspects = request(number, &[COMMON]);
+        if tracker.try_at(&suspects, "t0/1", number, now) == Decision::Run {
+            tracker.record_crash(&crash(&suspects, 0), now);
+            tracker.settle(now.plus(SETTLING_MS));
+        }
+        let next = request(100 + number, &[COMMON]);
+        assert!(!is_refused(&tracker, &next, now.plus(SETTLING_MS)));
+    }
+}
+
 #[test]
 fn a_report_that_comes_late_shows_the_cause_before_another_is_refused() {
     let mut tracker = CrashTracker::default();
