soak: a process that ended by itself is found with the end of its log

A budget server returns 1 if its metrics or its address cannot be opened; which of them it was is not known, so that nothing is mended yet.

Change: the finding has the last three lines of the process's log.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -234,7 +234,7 @@
     // A process has one fault at a time.
     let Ok(mut process) = member.process.try_lock() else { return Ok(()) };
     if let Some(status) = process.exit_status() {
-        fleet.add_own_exit(&member.name, status);
+        fleet.add_own_exit(&member.name, status, &process.log());
         return restart(member, &mut process);
     }
     if matches!(fault, Fault::Reload) {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -35,6 +35,9 @@
 /// Longest time until an entry applies an accepted configuration.
 const MAX_APPLY_TIME: Duration = Duration::from_secs(3);
 
+/// Number of log lines that say why a process ended by itself.
+const EXIT_LOG_LINES: usize = 3;
+
 /// Pause between two checks of a state that is awaited.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -266,7 +269,7 @@
         for member in self.members() {
             let mut process = member.process.lock().await;
             if let Some(status) = process.exit_status() {
-                self.add_own_exit(&member.name, status);
+                self.add_own_exit(&member.name, status, &process.log());
                 continue;
             }
             process.signal(Signal::TERM);
@@ -274,9 +277,14 @@
         }
     }
 
-    /// Records that a process ended without having been stopped.
-    pub fn add_own_exit(&self, name: &str, status: ExitStatus) {
-        self.record.add_violation(Violation::BadExit, format!("{name} ended by itself: {status}"));
+    /// Records that a process ended without having been stopped, with the end of its log.
+    pub fn add_own_exit(&self, name: &str, status: ExitStatus, log: &str) {
+        let lines: Vec<&str> = log.lines().collect();
+        let last = lines[lines.len().saturating_sub(EXIT_LOG_LINES)..].join(" | ");
+        self.record.add_violation(
+            Violation::BadExit,
+            format!("{name} ended by itself: {status}; its last lines: {last}"),
+        );
     }
 
     /// Records a violation unless a stopped process ended in time with exit code 0.
