--- a/bench/src/measures/choice.rs
+++ b/bench/src/measures/choice.rs
@@ -35,6 +35,7 @@
     let criteria = SelectionCriteria {
         service: "models",
         software: None,
+        allowed_data_centers: None,
         data_center: "leics",
         prompt: &prompt,
         tokens: 20_000,
@@ -78,6 +79,7 @@
         slots: 64,
         software: None,
         leaving: false,
+        cold_left_ms: None,
         started_ms: 1,
     }
 }
--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -14,7 +14,7 @@
 use super::call::Call;
 use super::entry::Entry;
 use super::target_limits;
-use super::trials::{self, SentAttempt, TrialDenied};
+use super::trials::{self, Candidate, SentAttempt, TrialDenied};
 
 /// Largest number of attempts that certainly did not run after which one more is made.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
@@ -85,15 +85,18 @@
     if is_retry && choose(entry, call, &excluded, false).is_some() && !try_retry(entry, call) {
         return None;
     }
+    let mut sent_away_from = None;
     for asked in 0..MAX_PERMIT_REQUESTS {
         let without_asking = asked >= PERMIT_REQUESTS_BEFORE_OTHERS;
-        let chosen = choose(entry, call, &excluded, without_asking)
-            .or_else(|| choose(entry, call, &excluded, false))?;
+        let other = choose(entry, call, &excluded, without_asking)
+            .or_else(|| choose(entry, call, &excluded, false));
+        let chosen = other.or(sent_away_from)?;
         let key = chosen.key;
         if !target_limits::acquire(entry, key).await {
             continue;
         }
-        match trials::acquire(entry, call, key, attempts.latest.as_ref()).await {
+        let candidate = Candidate { target: key, is_last: other.is_none() };
+        match trials::acquire(entry, call, candidate, attempts.latest.as_ref()).await {
             // It may have left or been evacuated while the request waited.
             Ok(Some(_)) if !may_receive(entry, key) => excluded.push(key),
             Ok(Some(latest)) => {
@@ -102,7 +105,11 @@
                 log_placement(entry, call, &chosen, attempts.targets.len());
                 return Some(key);
             }
-            Ok(None) => excluded.push(key),
+            Ok(None) if candidate.is_last => return None,
+            Ok(None) => {
+                excluded.push(key);
+                sent_away_from = sent_away_from.or(Some(chosen));
+            }
             Err(denied) => {
                 attempts.denied = Some(denied);
                 return None;
--- a/lib/src/dispatch/cache_belief.rs
+++ b/lib/src/dispatch/cache_belief.rs
@@ -12,6 +12,9 @@
 /// Age in milliseconds up to which news of a target count.
 pub const NEWS_MAX_AGE_MS: u64 = 1_500;
 
+/// Age in milliseconds up to which a list of cached parts counts; it is confirmed less often.
+const PARTS_MAX_AGE_MS: u64 = 4_000;
+
 /// Time by which a target's list of cached parts may lag, in milliseconds.
 const PARTS_LAG_MS: u64 = 500;
 
@@ -51,14 +54,14 @@
 /// Returns whether the parts in a target's cache are known.
 pub fn has_news(target: &Target, now: Millis) -> bool {
     let parts = target.known.parts.as_ref();
-    parts.is_some_and(|parts| parts.fresh(NEWS_MAX_AGE_MS, now).is_some())
+    parts.is_some_and(|parts| parts.fresh(PARTS_MAX_AGE_MS, now).is_some())
 }
 
 /// Returns the probability that a target holds a part; `order` falls from 1 to 0 along the part's
 /// order.
 fn belief_of(target: &Target, part: u64, order: f64, now: Millis) -> f64 {
     let sent_belief = |is_sent: bool| if is_sent { SENT_BELIEF } else { 0.0 };
-    match target.known.caches(part, NEWS_MAX_AGE_MS, now) {
+    match target.known.caches(part, PARTS_MAX_AGE_MS, now) {
         Some(true) => 1.0,
         Some(false) => {
             let listed_at = target.known.parts.as_ref().map_or(now, |Dated { at, .. }| *at);
