--- a/lib/tests/test_order_under_load.rs
+++ b/lib/tests/test_order_under_load.rs
@@ -132,15 +132,15 @@
     for ms in 0..(CALM_S + LOAD_S) * 1_000 {
         let is_load = ms >= CALM_S * 1_000;
         entry.backlog_ms = (entry.backlog_ms - 1.0).max(0.0);
-        for kind in 0..3 {
-            for workspace in 0..WORKSPACES {
+        for (kind, due) in due.iter_mut().enumerate() {
+            for (workspace, due) in due.iter_mut().enumerate() {
                 let kinds = if is_load { load.kinds[kind] } else { 1.0 };
                 let hot = if is_load && workspace == 0 { load.hot } else { 1.0 };
-                due[kind][workspace] += USUAL[kind] / WORKSPACES as f64 / 1_000.0 * kinds * hot;
-                while due[kind][workspace] >= 1.0 {
-                    due[kind][workspace] -= 1.0;
+                *due += USUAL[kind] / WORKSPACES as f64 / 1_000.0 * kinds * hot;
+                while *due >= 1.0 {
+                    *due -= 1.0;
                     id += 1;
-                    let is_large = entry.random.next() % 10 == 0;
+                    let is_large = entry.random.next().is_multiple_of(10);
                     let work = if is_large { 8_000 } else { 1_000 };
                     let now = Millis(ms);
                     let mut is_served = entry.offer(kind, workspace, work, id, now);
