direct: a request leaves its target only for one that takes it, and ends by its deadline

Cause, by reading: a stream that left a busy target could be sent to one that needs a permit, be denied there and end as broken; a time limit was counted anew after the head of an answer; waits for permits and trials did not look at the deadline; a target put aside for a trial was used without a new check. Change: the other target has to take the request without asking; reads end by the deadline; the loop ends with the time left; the target is checked again.

--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -7,7 +7,7 @@
 use rosemarymoor_lib::dispatch::cache_belief;
 use rosemarymoor_lib::dispatch::choice::{self, Choice};
 use rosemarymoor_lib::dispatch::placement_cost;
-use rosemarymoor_lib::dispatch::targets::TargetKey;
+use rosemarymoor_lib::dispatch::targets::{Target, TargetKey};
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 
 use super::attempt::AttemptError;
@@ -87,10 +87,13 @@
     }
     let mut sent_away_from = None;
     for asked in 0..MAX_PERMIT_REQUESTS {
+        if call.time_left() < MIN_TIME_LEFT {
+            return None;
+        }
         let without_asking = asked >= PERMIT_REQUESTS_BEFORE_OTHERS;
         let other = choose(entry, call, &excluded, without_asking)
             .or_else(|| choose(entry, call, &excluded, false));
-        let chosen = other.or(sent_away_from)?;
+        let chosen = other.or(sent_away_from.filter(|choice| is_open(entry, choice)))?;
         let key = chosen.key;
         if !target_limits::acquire(entry, key).await {
             continue;
@@ -119,13 +122,21 @@
     None
 }
 
+/// Returns whether a target that was chosen before still takes new requests.
+fn is_open(entry: &Entry, choice: &Choice) -> bool {
+    let closed_for_ms = |target: &Target| target.closed_for_ms(entry.now());
+    let is_closed = entry.targets().get(choice.key).is_none_or(|target| closed_for_ms(target) > 0);
+    !is_closed && may_receive(entry, choice.key)
+}
+
 /// Returns whether a target is still listed and gets new requests.
 fn may_receive(entry: &Entry, target: TargetKey) -> bool {
     let table = entry.targets();
     table.get(target).is_some_and(|target| table.may_receive(target))
 }
 
-/// Returns the target to which a request that is not answered would go next, if it may go there.
+/// Returns the target to which a request that is not answered would go next, if it may go there
+/// without asking for a permit, which might be denied.
 pub fn elsewhere(entry: &Entry, call: &Call, attempts: &Attempts) -> Option<Choice> {
     let is_last = attempts.may_have_run + 1 >= call.route.max_attempts;
     if !call.route.kind.is_idempotent() || is_last || call.time_left() < MIN_TIME_LEFT {
@@ -135,7 +146,7 @@
     if !entry.retries().allows_retry(&call.service, entry_count, entry.now()) {
         return None;
     }
-    best_target(entry, call, attempts)
+    choose(entry, call, &attempts.targets, true)
 }
 
 /// Returns the target to which the next attempt would go, if any takes a request now.
@@ -190,8 +201,8 @@
         cost.running_ms,
         cost.penalty_ms,
         chosen.first_event_ms,
-        placement_cost::others(target, now).is_some(),
-        cache_belief::has_news(target, now),
+        placement_cost::work_of_others(target, now).is_some(),
+        cache_belief::knows_cached_parts(target, now),
         entry.update_age_ms()
     );
 }
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -80,7 +80,8 @@
             }
             continue;
         }
-        match attempt::read_complete(started, Instant::now() + timeout).await {
+        let deadline = (Instant::now() + timeout).min(call.deadline);
+        match attempt::read_complete(started, deadline).await {
             Ok(answer) if kind == AnswerKind::Success => {
                 entry.metrics.count_attempt("answered");
                 call.record_sound(&answer.process, answer.body_end);
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -48,7 +48,8 @@
     timeout: Duration,
 ) -> Result<StartedStream, AttemptError> {
     let mut reader = EventReader::open(answer, call.origin.as_ref());
-    let first_event = reader.next(&call.head.attempt_id, Instant::now() + timeout).await?;
+    let deadline = (Instant::now() + timeout).min(call.deadline);
+    let first_event = reader.next(&call.head.attempt_id, deadline).await?;
     reader.answer.in_flight.record_first_answer();
     Ok(StartedStream { reader, first_event })
 }
