direct: the room of a service is that of the allowed data centres

Cause, by reading: a request with allowed regions whose targets were closed was sent, and refused, while targets elsewhere were open. Change: room and turn look at the allowed data centres, as the refusal does.

--- a/daemon/src/direct/room.rs
+++ b/daemon/src/direct/room.rs
@@ -56,7 +56,11 @@
 
 /// Returns the room that the request's service has now.
 fn look(entry: &Entry, call: &Call) -> Room {
-    if let Some(wait_ms) = entry.targets().shortest_wait_ms(&call.service, entry.now()) {
+    if let Some(wait_ms) = entry.targets().shortest_wait_in_ms(
+        &call.service,
+        call.allowed_data_centers.as_deref(),
+        entry.now(),
+    ) {
         return Room::Closed { wait_ms };
     }
     if call.head.prompt.is_empty() {
@@ -66,7 +70,7 @@
     match best.and_then(|best| prediction_of(entry, &best)) {
         Some(prediction) => Room::Open {
             first_event_ms: prediction.first_event_ms,
-            is_solid: prediction.is_solid,
+            is_reliable: prediction.is_reliable,
             has_queue: prediction.has_queue,
         },
         None => Room::Unknown,
--- a/daemon/src/direct/turn.rs
+++ b/daemon/src/direct/turn.rs
@@ -71,7 +71,11 @@
             return WaitEnd::Displaced;
         }
         let time_left = until.saturating_duration_since(Instant::now());
-        let closed_ms = entry.targets().shortest_wait_ms(&call.service, entry.now());
+        let closed_ms = entry.targets().shortest_wait_in_ms(
+            &call.service,
+            call.allowed_data_centers.as_deref(),
+            entry.now(),
+        );
         let pause = match closed_ms {
             None if is_first => return WaitEnd::Opened,
             Some(closed_ms) if is_first => time_left.min(Duration::from_millis(closed_ms)),
