direct: targets are cold in the same step in which an evacuation ends

Cause, by reading: between the end of an evacuation and the cold limit the table was unlocked, so that requests could go to cold targets without permits. Change: both under one lock. Result: test_direct_places passes.

--- a/daemon/src/direct/entry_feeds.rs
+++ b/daemon/src/direct/entry_feeds.rs
@@ -61,9 +61,10 @@
 
     fn apply_evacuations(&self, listing: &Listing) {
         let names = listing.items.iter().filter_map(|(key, _)| keys::evacuated_data_center(key));
-        let changes = self.entry.targets().evacuations.replace(names.map(str::to_owned).collect());
+        let mut table = self.entry.targets();
+        let changes = table.evacuations.replace(names.map(str::to_owned).collect());
         for change in &changes {
-            self.record_evacuation(change, listing.global_revision);
+            self.apply_to_targets(&mut table, change, listing.global_revision);
         }
     }
 
@@ -74,14 +75,19 @@
             Some(_) => table.evacuations.begin(data_center),
             None => table.evacuations.end(data_center),
         };
-        drop(table);
         if let Some(change) = change {
-            self.record_evacuation(&change, revision);
+            self.apply_to_targets(&mut table, &change, revision);
         }
     }
 
-    /// Logs and counts a change; the targets of a data centre may be cold after its evacuation.
-    fn record_evacuation(&self, change: &EvacuationChange, revision: Revision) {
+    /// Logs and counts a change; the targets of a data centre may be cold after its evacuation, and
+    /// get no request in between.
+    fn apply_to_targets(
+        &self,
+        table: &mut TargetTable,
+        change: &EvacuationChange,
+        revision: Revision,
+    ) {
         match change {
             EvacuationChange::Began(data_center) => {
                 log::warn!("event=evacuated data_center={data_center}");
@@ -91,7 +97,7 @@
                 log::warn!("event=evacuation_ended data_center={data_center}");
                 self.entry.metrics.count_evacuation("ended");
                 let now = self.entry.now();
-                let became_cold = self.entry.targets().presume_cold(data_center, revision, now);
+                let became_cold = table.presume_cold(data_center, revision, now);
                 became_cold.iter().for_each(|target| record_cold(&self.entry, target));
             }
         }
