direct: calls without a prompt are not taken for repeats of each other

Cause, by reading: the number by which an early repeat is known came from the path, key and last part of the prompt, which calls of one workspace share. Change: only requests with a prompt have such a number; the draws for the excess and the share are independent.

--- a/daemon/src/direct/overload.rs
+++ b/daemon/src/direct/overload.rs
@@ -3,7 +3,7 @@
 use hyper::Uri;
 use rosemarymoor_lib::dispatch::catalog::Workspace;
 use rosemarymoor_lib::dispatch::rank::key_of;
-use rosemarymoor_lib::dispatch::shed_order::Standing;
+use rosemarymoor_lib::dispatch::shed_order::RequestClass;
 use rosemarymoor_lib::result_code::{Refusal, ResultCode};
 use rosemarymoor_platform::request::CallerHead;
 
@@ -47,33 +47,39 @@
     rank: u8,
     retry_after_ms: u64,
 ) -> bool {
-    const SCALE: u64 = 1_000;
     let random = key_of(&head.attempt_id);
     let fingerprint = fingerprint(head, uri);
     let now = entry.now();
     let mut traffic = entry.traffic();
     let Traffic { rates, repeats } = &mut *traffic;
     let excess = workspace.map_or(0.0, |workspace| rates.record(&workspace.name, now));
-    let is_beyond = ((random / RETRY_JITTER_MS % SCALE) as f64) < excess * SCALE as f64;
-    let is_early = repeats.is_early(fingerprint, now);
-    let standing =
-        Standing { priority: rank, is_excess: is_beyond || is_early, work: work_of(head) };
-    let is_refused = entry.load.shedder().is_refused_in_order(&standing, random.rotate_left(32));
+    let draw = (random >> 32) as f64 / f64::from(u32::MAX);
+    let exceeds_rate = draw < excess;
+    let is_early = fingerprint.is_some_and(|fingerprint| repeats.is_early(fingerprint, now));
+    let request =
+        RequestClass { priority: rank, is_excess: exceeds_rate || is_early, work: work_of(head) };
+    let is_refused = entry
+        .load
+        .shedder()
+        .is_refused_in_order(&request, key_of(&format!("shed {}", head.attempt_id)));
     if is_refused {
-        repeats.record_refusal(fingerprint, now.plus(retry_after_ms));
-        entry.metrics.count_shed(standing.class());
+        if let Some(fingerprint) = fingerprint {
+            repeats.record_refusal(fingerprint, now.plus(retry_after_ms));
+        }
+        entry.metrics.count_shed(request.class());
         log::info!(
-            "event=shed request={} rank={rank} is_beyond={is_beyond} is_early={is_early} work={}",
+            "event=shed request={} rank={rank} exceeds_rate={exceeds_rate} is_early={is_early} work={}",
             head.attempt_id,
-            standing.work
+            request.work
         );
     }
     is_refused
 }
 
-/// Returns a number that a caller's repetition of a request shares with it.
-fn fingerprint(head: &CallerHead, uri: &Uri) -> u64 {
-    let last_part = head.prompt.last().map_or(0, |part| part.id);
+/// Returns a number that a caller's repetition of a request shares with it; `None` for a call without
+/// a prompt, which its head does not identify.
+fn fingerprint(head: &CallerHead, uri: &Uri) -> Option<u64> {
+    let last_part = head.prompt.last()?.id;
     let key = head.key.as_deref().unwrap_or_default();
-    key_of(&format!("{uri} {key} {last_part}"))
+    Some(key_of(&format!("{uri} {key} {last_part}")))
 }
--- a/lib/src/dispatch/load_shedder.rs
+++ b/lib/src/dispatch/load_shedder.rs
@@ -7,7 +7,7 @@
 //! The load that this answers is a burst of a few times the usual requests for some seconds; a
 //! refused caller retries over a new connection, which leads to another entry.
 
-use super::shed_order::{ShedOrder, Standing};
+use super::shed_order::{RequestClass, ShedOrder};
 use crate::time::Millis;
 
 /// Lag of timers from which on the refused share grows, in milliseconds.
@@ -72,7 +72,7 @@
 
     /// Returns whether a new request with a standing is refused: of the share that is refused, the last
     /// in the order bear most.
-    pub fn is_refused_in_order(&mut self, standing: &Standing, random: u64) -> bool {
+    pub fn is_refused_in_order(&mut self, standing: &RequestClass, random: u64) -> bool {
         self.order.record(standing);
         self.order.is_refused(standing, self.refused_share, random)
     }
--- a/lib/src/dispatch/shed_order.rs
+++ b/lib/src/dispatch/shed_order.rs
@@ -1,11 +1,9 @@
 //! Order in which an entry that cannot keep up refuses requests.
 //!
-//! The classes are the priorities, and after all of them, in the same order, the requests beyond a
-//! workspace's usual rate and those that come again before they were asked to. Of the share that is
-//! to be refused the last classes bear most, but each request keeps a floor: half the share of all that
-//! are served, so that no class is starved. Within a class a request of more work than the mean is kept
-//! a little less often, one of less a little more often; the bounds of that keep large requests above
-//! half of their class.
+//! Each priority is a class. Requests beyond a workspace's usual rate, and those repeated before
+//! their retry delay is over, form a second set of classes after all others. The last classes are
+//! refused first, but each request is served with at least [`MIN_SERVED`] of the overall chance, so
+//! that no class is starved. Within a class, requests of little work are served more often.
 
 use std::collections::VecDeque;
 
@@ -20,7 +18,7 @@
 const CLASSES: usize = 2 * PRIORITIES as usize;
 
 /// Part of the served share that each request keeps.
-const FLOOR: f64 = 0.5;
+const MIN_SERVED: f64 = 0.5;
 
 /// Bounds of the factor by which work changes the floor.
 const MIN_WORK_FACTOR: f64 = 0.8;
@@ -43,7 +41,7 @@
 
 /// What the order of a request depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Standing {
+pub struct RequestClass {
     /// Priority, 0 is the highest.
     pub priority: u8,
     /// Whether it exceeds its workspace's usual rate, or comes again too early.
@@ -52,7 +50,7 @@
     pub work: u64,
 }
 
-impl Standing {
+impl RequestClass {
     /// Returns the class, the first one is refused last.
     pub fn class(&self) -> u8 {
         let class = self.priority.min(PRIORITIES - 1);
@@ -70,7 +68,7 @@
 
 impl ShedOrder {
     /// Records a request, whether it will be refused or not.
-    pub fn record(&mut self, standing: &Standing) {
+    pub fn record(&mut self, standing: &RequestClass) {
         let class = usize::from(standing.class());
         if self.window.len() >= WINDOW
             && let Some(oldest) = self.window.pop_front()
@@ -86,7 +84,7 @@
 
     /// Returns whether a request is refused while `share` of all requests has to be; `random` is
     /// uniformly distributed.
-    pub fn is_refused(&self, standing: &Standing, share: f64, random: u64) -> bool {
+    pub fn is_refused(&self, standing: &RequestClass, share: f64, random: u64) -> bool {
         if share <= 0.0 {
             return false;
         }
@@ -96,7 +94,7 @@
             return tie_break < share;
         }
         let served = 1.0 - share;
-        let floor = served * FLOOR;
+        let floor = served * MIN_SERVED;
         // Those before this place are all served, the others by their floor: in sum `served`.
         let all_served_until = (served - floor) / (1.0 - floor);
         if self.place(standing, tie_break) < all_served_until {
@@ -106,13 +104,13 @@
     }
 
     /// Returns the place of a request among the latest ones, from 0 for the first to 1.
-    fn place(&self, standing: &Standing, tie_break: f64) -> f64 {
+    fn place(&self, standing: &RequestClass, tie_break: f64) -> f64 {
         let class = usize::from(standing.class());
         let before: usize = self.counts[..class].iter().sum();
         (before as f64 + tie_break * self.counts[class] as f64) / self.window.len() as f64
     }
 
-    fn work_factor(&self, standing: &Standing) -> f64 {
+    fn work_factor(&self, standing: &RequestClass) -> f64 {
         let mean = self.mean_work[usize::from(standing.class())];
         (mean / standing.work.max(1) as f64).clamp(MIN_WORK_FACTOR, MAX_WORK_FACTOR)
     }
--- a/lib/tests/test_order_under_load.rs
+++ b/lib/tests/test_order_under_load.rs
@@ -9,7 +9,7 @@
 use rosemarymoor_lib::dispatch::early_repeats::EarlyRepeats;
 use rosemarymoor_lib::dispatch::load_shedder::LoadShedder;
 use rosemarymoor_lib::dispatch::room::{Decision, Demand, Room, decide, retry_after_ms};
-use rosemarymoor_lib::dispatch::shed_order::Standing;
+use rosemarymoor_lib::dispatch::shed_order::RequestClass;
 use rosemarymoor_lib::dispatch::urgency::{Beginning, urgency_of};
 use rosemarymoor_lib::dispatch::workspace_rates::WorkspaceRates;
 use rosemarymoor_lib::time::Millis;
@@ -96,9 +96,9 @@
     fn offer(&mut self, kind: usize, workspace: usize, work: u64, id: u64, now: Millis) -> bool {
         let random = self.random.next();
         let excess = self.rates.record(&format!("w{workspace}"), now);
-        let is_beyond = ((self.random.next() % 1_000) as f64) < excess * 1_000.0;
-        let is_excess = is_beyond || self.repeats.is_early(id, now);
-        let standing = Standing { priority: kind as u8, is_excess, work };
+        let exceeds_rate = ((self.random.next() % 1_000) as f64) < excess * 1_000.0;
+        let is_excess = exceeds_rate || self.repeats.is_early(id, now);
+        let standing = RequestClass { priority: kind as u8, is_excess, work };
         let is_refused = match self.is_ordered {
             true => self.shedder.is_refused_in_order(&standing, random),
             false => self.shedder.is_refused(random),
@@ -281,7 +281,7 @@
                 let ahead = queue.iter().filter(|queued| queued.urgency <= urgency);
                 let first_event_ms =
                     busy_ms + WORK_MS[kind] + ahead.map(|queued| queued.work_ms).sum::<f64>();
-                let room = Room::Open { first_event_ms, is_solid: true, has_queue: true };
+                let room = Room::Open { first_event_ms, is_reliable: true, has_queue: true };
                 let demand = Demand {
                     age_ms: 0,
                     objective_ms: OBJECTIVE_MS,
