dispatch: a reply without permits leaves those that an earlier one granted

Cause, by reading: of two requests that asked at once the second's empty reply discarded the first's permits, so that requests were refused with room left. Change: valid permits stay. Result: test_target_limits passes.

--- a/lib/src/dispatch/target_limit.rs
+++ b/lib/src/dispatch/target_limit.rs
@@ -110,8 +110,11 @@
             None => LimitChange::Unchanged,
         };
         self.unassisted = None;
-        self.permits = reply.granted;
-        self.permits_until = now.plus(PERMIT_VALIDITY_MS);
+        // Requests that asked at the same time share what any of them was granted.
+        if reply.granted > 0 || !self.has_permit(now) {
+            self.permits = reply.granted;
+            self.permits_until = now.plus(PERMIT_VALIDITY_MS);
+        }
         let wait_ms = if reply.granted > 0 { 0 } else { reply.wait_ms };
         self.wait(wait_ms, MAX_ASK_INTERVAL_MS, now);
         change
