--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -49,7 +49,7 @@
     TurnedAway,
     /// The connection broke or the answer was invalid; the request may have run.
     Broken,
-    /// No answer arrived before the attempt's timeout; the request may have run.
+    /// No answer arrived in time, or the request left for another target; it may have run.
     Silent,
     /// The target answered with a failure status; the request may have run.
     Failed,
@@ -116,8 +116,8 @@
     software: Option<String>,
     /// Expected cost when it was sent.
     cost: PlacementCost,
-    /// Whether it waits at the target for work that is not known to the table.
-    may_wait: bool,
+    /// Whether the other entries' work at the target was unknown when it was sent.
+    is_load_unknown: bool,
     /// Prefill work in tokens, counted as pending at the target until the first answer; 0 afterwards.
     pending_tokens: u64,
     sent_at: Millis,
@@ -142,7 +142,7 @@
     /// Returns the expected time to the first answer. A wait counts only if news showed it: other
     /// waits are the target's delay.
     fn expected_ms(&self) -> f64 {
-        let wait_ms = if self.may_wait { 0.0 } else { self.cost.wait_ms };
+        let wait_ms = if self.is_load_unknown { 0.0 } else { self.cost.wait_ms };
         self.cost.base_ms + self.cost.prefill_ms + wait_ms
     }
 
@@ -286,7 +286,7 @@
     let target_id = target.registration.id.clone();
     let process = target.process().to_string();
     let software = target.registration.software.clone();
-    let may_wait = placement_cost::others(target, now).is_none();
+    let is_load_unknown = placement_cost::work_of_others(target, now).is_none();
     let prompt = &call.head.prompt;
     let cost = choice::cost_at(&table, key, call.selection_criteria(false), now)?;
     let pending_tokens = cost.prefill_tokens;
@@ -299,7 +299,7 @@
         process,
         software,
         cost,
-        may_wait,
+        is_load_unknown,
         pending_tokens,
         sent_at: now,
     };
--- a/daemon/src/direct/load_client.rs
+++ b/daemon/src/direct/load_client.rs
@@ -108,7 +108,8 @@
     /// Applies an answer; returns the pause that it asks for.
     fn apply(&mut self, news: &BoardNews) -> Duration {
         let now = self.entry.now();
-        let gaps = load_update::apply(&mut self.entry.targets(), &news.reply, news.is_anew, now);
+        let gaps =
+            load_update::apply(&mut self.entry.targets(), &news.reply, news.is_new_board, now);
         self.reader.set_gaps(gaps);
         let outcome = if news.reply.news.is_empty() { "nothing" } else { "news" };
         self.entry.metrics.count_load_news(outcome);
--- a/daemon/src/direct/load_collector.rs
+++ b/daemon/src/direct/load_collector.rs
@@ -116,9 +116,10 @@
             };
             match reader.read(&server, None, NEWS_WAIT).await {
                 Ok(news) => {
-                    let (reply, is_anew) = (&news.reply, news.is_anew);
-                    let gaps =
-                        self.board.update(|board, now| board.apply(&source, reply, is_anew, now));
+                    let (reply, is_new_board) = (&news.reply, news.is_new_board);
+                    let gaps = self
+                        .board
+                        .update(|board, now| board.apply(&source, reply, is_new_board, now));
                     reader.set_gaps(gaps);
                     tokio::time::sleep(pause).await;
                 }
--- a/daemon/src/direct/load_reader.rs
+++ b/daemon/src/direct/load_reader.rs
@@ -18,14 +18,13 @@
 /// Size limit of an answer.
 const MAX_ANSWER_BYTES: usize = 512 << 10;
 
-/// Time for which a server that did not answer is passed over, which other calls do not share:
-/// they wait longer.
+/// Time for which this reader passes over a server that did not answer; other calls still try it.
 const FAILED_SERVER_BACKOFF: Duration = Duration::from_secs(2);
 
 /// Time for which a server without a board is passed over.
-const MAX_BACKOFF: Duration = Duration::from_secs(10);
+const NO_BOARD_BACKOFF: Duration = Duration::from_secs(10);
 
-/// Number of servers that are asked for a board.
+/// Number of servers, in their order, among which one is chosen.
 const MAX_SERVERS: usize = 3;
 
 /// Why a board was not read.
@@ -50,7 +49,7 @@
 /// Reply, and whether its board was not read before.
 pub struct BoardNews {
     pub reply: LoadReply,
-    pub is_anew: bool,
+    pub is_new_board: bool,
 }
 
 impl LoadReader {
@@ -72,7 +71,7 @@
     /// Fails if all of the first [`MAX_SERVERS`] are passed over.
     pub fn choose(&self, servers: Vec<PeerRecord>) -> Result<PeerRecord, Duration> {
         let now = Instant::now();
-        let mut shortest = MAX_BACKOFF;
+        let mut shortest = NO_BOARD_BACKOFF;
         for server in servers.into_iter().take(MAX_SERVERS) {
             let backoff = self.backoffs.iter().find(|(address, _)| *address == server.internal);
             match backoff.map(|(_, until)| until.saturating_duration_since(now)) {
@@ -119,10 +118,10 @@
         };
         match reply {
             Ok(reply) => {
-                let is_anew = reply.cursor.board != self.cursor.board;
+                let is_new_board = reply.cursor.board != self.cursor.board;
                 self.cursor = reply.cursor;
                 self.gaps.clear();
-                Ok(BoardNews { reply, is_anew })
+                Ok(BoardNews { reply, is_new_board })
             }
             Err(err) => {
                 self.pass_over(server.internal, err);
@@ -136,7 +135,7 @@
         self.backoffs.retain(|(failed, until)| *failed != server && now < *until);
         let backoff = match err {
             ReadError::NoAnswer => FAILED_SERVER_BACKOFF,
-            ReadError::NoBoard => MAX_BACKOFF,
+            ReadError::NoBoard => NO_BOARD_BACKOFF,
         };
         self.backoffs.push((server, now + backoff));
     }
--- a/daemon/src/direct/prediction.rs
+++ b/daemon/src/direct/prediction.rs
@@ -18,7 +18,7 @@
     /// Time to the first event, in milliseconds.
     pub first_event_ms: f64,
     /// Whether it is based on a fresh report or on clearly delayed answers.
-    pub is_solid: bool,
+    pub is_reliable: bool,
     /// Whether requests wait at the target by its fresh report.
     pub has_queue: bool,
 }
@@ -30,10 +30,10 @@
     let target = table.get(choice.key)?;
     let report = target.known.report.as_ref();
     let report = report.and_then(|report| report.fresh(MAX_REPORT_AGE_MS, now));
-    let has_news = report.is_some() || placement_cost::others(target, now).is_some();
+    let has_news = report.is_some() || placement_cost::work_of_others(target, now).is_some();
     Some(Prediction {
         first_event_ms: choice.first_event_ms,
-        is_solid: has_news || target.delay_ms(now) >= CLEAR_DELAY_MS,
+        is_reliable: has_news || target.delay_ms(now) >= CLEAR_DELAY_MS,
         has_queue: report.is_some_and(|report| report.waiting > 0),
     })
 }
--- a/lib/src/dispatch/cache_belief.rs
+++ b/lib/src/dispatch/cache_belief.rs
@@ -9,9 +9,6 @@
 use super::targets::Target;
 use crate::time::Millis;
 
-/// Age in milliseconds up to which news of a target count.
-pub const NEWS_MAX_AGE_MS: u64 = 1_500;
-
 /// Age in milliseconds up to which a list of cached parts counts; it is confirmed less often.
 const PARTS_MAX_AGE_MS: u64 = 4_000;
 
@@ -52,7 +49,7 @@
 }
 
 /// Returns whether the parts in a target's cache are known.
-pub fn has_news(target: &Target, now: Millis) -> bool {
+pub fn knows_cached_parts(target: &Target, now: Millis) -> bool {
     let parts = target.known.parts.as_ref();
     parts.is_some_and(|parts| parts.fresh(PARTS_MAX_AGE_MS, now).is_some())
 }
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -13,8 +13,7 @@
 use super::targets::{Target, TargetKey, TargetTable};
 use crate::time::Millis;
 
-/// Prefilled tokens that cost as much as the attention of a million pairs of a new token and an
-/// earlier one.
+/// Tokens whose prefill takes as long as the attention of a million token pairs.
 const TOKENS_PER_M_PAIRS: f64 = 30.0;
 
 /// Number of targets in a part's order that are always compared.
@@ -44,7 +43,7 @@
     pub prompt: &'a [PromptPart],
     /// Largest number of tokens that the request keeps in a target's memory; 0 if not known.
     pub tokens: u64,
-    /// Random number that breaks ties between targets of equal cost.
+    /// Random number that orders the targets of calls and draws the further candidates.
     pub random: u64,
     /// Whether targets are left out for which a permit would have to be asked for.
     pub without_asking: bool,
@@ -64,8 +63,8 @@
     pub cost: PlacementCost,
 }
 
-/// Returns the target with the lowest cost that is not in `attempted`, has not asked for a pause, has
-/// not reached its limit and has not just turned requests away.
+/// Returns the target with the lowest cost that is not in `attempted`, has not asked for a pause,
+/// has not reached its limit and has not just turned requests away.
 ///
 /// Returns `None` if no such target takes new work.
 pub fn choose(
@@ -134,14 +133,15 @@
     targets.into_iter().enumerate().map(|(rank, target)| RankedTarget { target, rank }).collect()
 }
 
-/// Returns the targets to compare, in the order in which they are given: with news those that the
-/// request's own order picks, without news all.
+/// Returns the candidates whose costs are compared: all targets while the others' load is unknown,
+/// otherwise those that [`pick`] draws.
 fn compared_targets<'a>(
     ranked: &[RankedTarget<'a>],
     criteria: &SelectionCriteria<'_>,
     now: Millis,
 ) -> Vec<RankedTarget<'a>> {
-    let has_news = |ranked: &RankedTarget<'_>| placement_cost::others(ranked.target, now).is_some();
+    let has_news =
+        |ranked: &RankedTarget<'_>| placement_cost::work_of_others(ranked.target, now).is_some();
     if !ranked.iter().any(has_news) {
         return ranked.to_vec();
     }
@@ -154,7 +154,7 @@
     pick(sound, criteria, now)
 }
 
-/// Returns the first targets of the part's order, some that hold the part and some random ones.
+/// Returns the first targets of the part's order, then random ones, then some that hold the part.
 fn pick<'a>(
     sound: Vec<RankedTarget<'a>>,
     criteria: &SelectionCriteria<'_>,
--- a/lib/src/dispatch/heard_targets.rs
+++ b/lib/src/dispatch/heard_targets.rs
@@ -9,7 +9,7 @@
 use crate::time::Millis;
 
 /// Time after which a target without begun streams is forgotten, in milliseconds.
-const KEPT_MS: u64 = 10_000;
+const RETENTION_MS: u64 = 10_000;
 
 /// What has been heard of one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,7 +46,7 @@
             let heard = &mut self.rows[at].1;
             heard.begun_streams = heard.begun_streams.saturating_sub(1);
         }
-        let is_kept = |heard: &Heard| heard.begun_streams > 0 || now.since(heard.at) < KEPT_MS;
+        let is_kept = |heard: &Heard| heard.begun_streams > 0 || now.since(heard.at) < RETENTION_MS;
         self.rows.retain(|(_, heard)| is_kept(heard));
     }
 
--- a/lib/src/dispatch/known_load.rs
+++ b/lib/src/dispatch/known_load.rs
@@ -1,7 +1,7 @@
 //! Load of a target as the fleet knows it: what its own process reports, what other entries have
 //! sent to it and which parts of prompts it caches.
 //!
-//! News are some tenths of a second old and may stop. Each is kept with its time; whoever reads it
+//! News is some tenths of a second old and may stop. Each is kept with its time; whoever reads it
 //! decides how old it may be.
 
 use serde::{Deserialize, Serialize};
@@ -15,7 +15,7 @@
     pub waiting: u32,
     /// Requests that run.
     pub running: u32,
-    /// Tokens in memory that cannot yield.
+    /// Tokens in memory that cannot be evicted.
     pub memory_used: u64,
     /// Tokens that fit into the memory.
     pub memory_total: u64,
@@ -46,7 +46,7 @@
     }
 }
 
-/// What an entry knows of a target's load; empty until news arrive.
+/// What an entry knows of a target's load; empty until news arrives.
 #[derive(Clone, Debug, Default)]
 pub struct KnownLoad {
     /// Latest report of the target.
--- a/lib/src/dispatch/load_board.rs
+++ b/lib/src/dispatch/load_board.rs
@@ -274,17 +274,17 @@
     }
 
     /// Applies what was read from another board; returns the targets whose parts have to be read
-    /// whole. `is_anew` says that the source's board was not read before.
+    /// whole. `is_new_board` says that the source's board was not read before.
     pub fn apply(
         &mut self,
         source: &LoadSource,
         reply: &LoadReply,
-        is_anew: bool,
+        is_new_board: bool,
         now: Millis,
     ) -> Vec<TargetEndpoint> {
         self.expire(now);
         let is_remote = source.is_remote();
-        if is_anew {
+        if is_new_board {
             self.forget_work(source, now);
         }
         let work = if is_remote { self.work(source.clone(), now) } else { None };
--- a/lib/src/dispatch/load_update.rs
+++ b/lib/src/dispatch/load_update.rs
@@ -16,16 +16,16 @@
 
 /// Applies a reply to the table; returns the targets whose parts have to be read whole.
 ///
-/// `is_anew` says that the board was not read before: what others have sent is not known then,
+/// `is_new_board` says that the board was not read before: what others have sent is not known then,
 /// except for what the reply says. A complete reply also confirms what it does not mention.
 pub fn apply(
     table: &mut TargetTable,
     reply: &LoadReply,
-    is_anew: bool,
+    is_new_board: bool,
     now: Millis,
 ) -> Vec<TargetEndpoint> {
     let mut targets: Vec<&mut Target> = table.iter_mut().collect();
-    if is_anew {
+    if is_new_board {
         targets.iter_mut().for_each(|target| target.known.others = None);
     }
     targets.sort_unstable_by_key(|target| endpoint(target));
--- a/lib/src/dispatch/placement_cost.rs
+++ b/lib/src/dispatch/placement_cost.rs
@@ -1,15 +1,13 @@
 //! Estimates what a request costs at a target, in milliseconds.
 //!
-//! The cost of a model request is the time to its first event and what it takes from others. A
-//! prefill delays the requests that arrive while it runs: where targets are busy two thirds of the
-//! time those are two on average, so that a prefill counts twice more for the others. This share is
-//! taken at the service's mean rate, since it is capacity of the service that is used up, wherever
-//! the prefill runs. Work that waits at the target is known from this entry's own requests and from
+//! The cost of a model request is its predicted time to the first event, plus the time that its
+//! prefill takes from others. A prefill delays the requests that arrive while it runs, on average
+//! [`DELAYED_REQUESTS`] of them; their delay is computed at the service's mean rate. Work that waits at the target is known from this entry's own requests and from
 //! news of the others'; without news the other entries are taken to send what this one sends.
 //!
 //! A call without a prompt costs the calls that run at the target.
 
-use super::cache_belief::{self, NEWS_MAX_AGE_MS};
+use super::cache_belief;
 use super::choice::{SelectionCriteria, prefill_work};
 use super::known_load::{LoadReport, SentWork};
 use super::prefill_rate::Pace;
@@ -17,8 +15,12 @@
 use super::targets::Target;
 use crate::time::Millis;
 
-/// Times that a prefill counts for the requests which it delays.
-const OTHERS_SHARE: f64 = 2.0;
+/// Age in milliseconds up to which a target's reported load and the other entries' work count.
+const LOAD_MAX_AGE_MS: u64 = 1_500;
+
+/// Mean number of other requests that a prefill delays, at targets that are busy two thirds of the
+/// time.
+const DELAYED_REQUESTS: f64 = 2.0;
 
 /// Age in milliseconds up to which a reported prefill rate counts.
 const RATE_MAX_AGE_MS: u64 = 10_000;
@@ -107,7 +109,7 @@
     let uncached = cache_belief::uncached_tokens(target, rank, criteria.prompt, now);
     cost.prefill_tokens = prefill_work(uncached, prompt::all_tokens(criteria.prompt));
     cost.prefill_ms = cost.prefill_tokens as f64 / rate;
-    cost.others_ms = cost.prefill_tokens as f64 / pace.tokens_per_ms * OTHERS_SHARE;
+    cost.others_ms = cost.prefill_tokens as f64 / pace.tokens_per_ms * DELAYED_REQUESTS;
     cost.wait_ms = load.pending_tokens / rate;
     cost.running_ms = load.requests * REQUEST_MS;
     let excess = load.requests + 1.0 - f64::from(target.registration.slots);
@@ -144,7 +146,7 @@
 impl FleetLoad {
     fn of(target: &Target, entry_count: u64, now: Millis) -> FleetLoad {
         let (pending, running) = (target.pending_tokens as f64, f64::from(target.running));
-        if let Some(others) = others(target, now) {
+        if let Some(others) = work_of_others(target, now) {
             let requests = running + f64::from(others.requests);
             let pending_tokens = pending + others.pending_tokens as f64;
             return FleetLoad { pending_tokens, requests, calls: requests };
@@ -155,8 +157,8 @@
 }
 
 /// Returns what the other entries have sent to a target, as far as that is known.
-pub fn others(target: &Target, now: Millis) -> Option<&SentWork> {
-    target.known.others.as_ref()?.fresh(NEWS_MAX_AGE_MS, now)
+pub fn work_of_others(target: &Target, now: Millis) -> Option<&SentWork> {
+    target.known.others.as_ref()?.fresh(LOAD_MAX_AGE_MS, now)
 }
 
 /// Estimates the load of all entries per unit of this entry's own load.
@@ -189,7 +191,7 @@
 /// Returns whether a request does not fit into the memory with what is there and what waits.
 fn is_memory_full(target: &Target, tokens: u64, load: &FleetLoad, now: Millis) -> bool {
     let report = target.known.report.as_ref();
-    let Some(report) = report.and_then(|report| report.fresh(NEWS_MAX_AGE_MS, now)) else {
+    let Some(report) = report.and_then(|report| report.fresh(LOAD_MAX_AGE_MS, now)) else {
         return false;
     };
     let LoadReport { memory_used, memory_total, .. } = *report;
--- a/lib/src/dispatch/prefill_rate.rs
+++ b/lib/src/dispatch/prefill_rate.rs
@@ -17,19 +17,21 @@
 const ASSUMED_WEIGHT: f64 = 2.0;
 
 /// Factor of an answer's weight for each later answer.
-const FADING: f64 = 0.99;
+const DECAY: f64 = 0.99;
 
 /// Largest multiple of the expected time as which an answer counts.
 const MAX_EXCESS: f64 = 3.0;
 
-/// Bounds of a service's pace.
+/// Bounds of a service's prefill rate, in tokens per millisecond.
 const RATE_BOUNDS: (f64, f64) = (2.0, 1_000.0);
+
+/// Bounds of a service's time to an answer without a prompt, in milliseconds.
 const BASE_BOUNDS_MS: (f64, f64) = (1.0, 1_000.0);
 
 /// Weight of the newest answer in a target's speed.
 const SPEED_WEIGHT: f64 = 0.15;
 
-/// Bounds of a target's speed.
+/// Bounds of a target's speed, as a multiple of its service's.
 const SPEED_BOUNDS: (f64, f64) = (0.3, 3.0);
 
 /// Prefill rate and time to an answer without a prompt.
@@ -70,7 +72,7 @@
     pub fn learn(&mut self, work_tokens: f64, elapsed_ms: f64) {
         let limit_ms = self.pace.first_answer_ms(work_tokens) * MAX_EXCESS;
         let elapsed_ms = elapsed_ms.min(limit_ms);
-        self.sums = self.sums.map(|sum| sum * FADING);
+        self.sums = self.sums.map(|sum| sum * DECAY);
         add(&mut self.sums, 1.0, work_tokens, elapsed_ms);
         self.pace = fit(self.sums);
     }
--- a/lib/src/dispatch/rerun.rs
+++ b/lib/src/dispatch/rerun.rs
@@ -13,13 +13,9 @@
 /// Multiple of the latency objective after which a target that has sent nothing counts as silent.
 const SILENT_AFTER_OBJECTIVES: u64 = 2;
 
-/// Time without any event of its begun streams after which a target counts as silent to all, in
-/// milliseconds.
-const SILENT_TO_ALL_MS: u64 = 600;
-
-/// Time since the latest answer for which a target counts as alive, in milliseconds; without a begun
-/// stream that would go on, it is counted until the request was sent.
-const ALIVE_MS: u64 = 600;
+/// Time without anything from a target after which it counts as stalled, in milliseconds. Without
+/// begun streams the time since the request was sent does not count: nothing is due from it.
+const STALLED_AFTER_MS: u64 = 600;
 
 /// Multiple of the predicted time up to which a target counts as busy without a sign of life.
 const BUSY_PREDICTIONS: f64 = 2.0;
@@ -65,7 +61,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
     /// The target sends nothing of its begun streams either.
-    SilentToAll,
+    Stalled,
     /// The target gave no sign of life in a multiple of the objective.
     Silent,
     /// The target is busy for longer than the caller waits.
@@ -76,7 +72,7 @@
     /// Returns the name in logs and metrics.
     pub fn label(self) -> &'static str {
         match self {
-            Reason::SilentToAll => "silent_to_all",
+            Reason::Stalled => "silent_to_all",
             Reason::Silent => "silent",
             Reason::TooLong => "too_long",
         }
@@ -106,8 +102,8 @@
 pub fn decide(unanswered: &Unanswered) -> Verdict {
     let stay = Verdict::Stay { recheck_ms: RECHECK_MS };
     let Some(elsewhere_ms) = unanswered.elsewhere_ms else { return stay };
-    if is_silent_to_all(unanswered) {
-        return Verdict::Leave(Reason::SilentToAll);
+    if is_stalled(unanswered) {
+        return Verdict::Leave(Reason::Stalled);
     }
     let is_due = unanswered.waited_ms >= SILENT_AFTER_OBJECTIVES * unanswered.objective_ms;
     if is_due && !is_busy(unanswered) {
@@ -131,14 +127,15 @@
     (PATIENCE_OBJECTIVES * objective_ms).max(MIN_PATIENCE_MS)
 }
 
-fn is_silent_to_all(unanswered: &Unanswered) -> bool {
-    let is_quiet = unanswered.heard_ms_ago.is_some_and(|ms| ms >= SILENT_TO_ALL_MS);
+fn is_stalled(unanswered: &Unanswered) -> bool {
+    let is_quiet = unanswered.heard_ms_ago.is_some_and(|ms| ms >= STALLED_AFTER_MS);
     unanswered.waited_ms >= unanswered.objective_ms && unanswered.begun_streams > 0 && is_quiet
 }
 
 fn is_busy(unanswered: &Unanswered) -> bool {
     let has_begun = unanswered.begun_streams > 0;
-    let quiet_ms = if has_begun { ALIVE_MS } else { ALIVE_MS + unanswered.waited_ms };
+    let quiet_ms =
+        if has_begun { STALLED_AFTER_MS } else { STALLED_AFTER_MS + unanswered.waited_ms };
     let is_alive = unanswered.heard_ms_ago.is_some_and(|ms| ms < quiet_ms);
     let predicted_ms = unanswered.predicted_ms.unwrap_or_default();
     is_alive || (unanswered.waited_ms as f64) < predicted_ms * BUSY_PREDICTIONS
--- a/lib/src/dispatch/room.rs
+++ b/lib/src/dispatch/room.rs
@@ -46,7 +46,7 @@
     Open {
         first_event_ms: f64,
         /// Whether that is based on fresh reports or on answers of the last seconds.
-        is_solid: bool,
+        is_reliable: bool,
         /// Whether the target has freshly reported that requests wait there.
         has_queue: bool,
     },
@@ -72,14 +72,14 @@
     match *room {
         Room::Unknown => Decision::Send { yields: false },
         Room::Closed { wait_ms } => hold_or_refuse(demand, wait_ms),
-        Room::Open { first_event_ms, is_solid, has_queue } => {
+        Room::Open { first_event_ms, is_reliable, has_queue } => {
             let useful_ms = useful_ms(demand) as f64;
-            let is_vain = first_event_ms > useful_ms * REFUSAL_MARGIN;
-            if is_vain && is_solid && has_queue && !demand.is_taken_up {
+            let is_hopeless = first_event_ms > useful_ms * REFUSAL_MARGIN;
+            if is_hopeless && is_reliable && has_queue && !demand.is_taken_up {
                 return Decision::Refuse { room_after_ms: (first_event_ms - useful_ms) as u64 };
             }
             let is_late = demand.age_ms as f64 + first_event_ms > demand.objective_ms as f64;
-            Decision::Send { yields: is_late && is_solid && !demand.is_taken_up }
+            Decision::Send { yields: is_late && is_reliable && !demand.is_taken_up }
         }
     }
 }
--- a/lib/tests/test_rerun.rs
+++ b/lib/tests/test_rerun.rs
@@ -46,7 +46,7 @@
         Unanswered { predicted_ms: Some(900.0), ..UNKNOWN } => None;
     a_target_whose_begun_streams_stand_still_is_left_soon:
         Unanswered { waited_ms: 600, begun_streams: 2, heard_ms_ago: Some(700), ..UNKNOWN }
-        => Some(Reason::SilentToAll);
+        => Some(Reason::Stalled);
     a_busy_target_is_left_shortly_before_the_caller_leaves:
         Unanswered { waited_ms: 1_500, age_ms: 1_500, heard_ms_ago: Some(10), ..UNKNOWN }
         => Some(Reason::TooLong);
--- a/lib/tests/test_room.rs
+++ b/lib/tests/test_room.rs
@@ -19,8 +19,8 @@
 
 const SEND: Decision = Decision::Send { yields: false };
 
-fn open(first_event_ms: f64, is_solid: bool, has_queue: bool) -> Room {
-    Room::Open { first_event_ms, is_solid, has_queue }
+fn open(first_event_ms: f64, is_reliable: bool, has_queue: bool) -> Room {
+    Room::Open { first_event_ms, is_reliable, has_queue }
 }
 
 macro_rules! decisions {
