--- a/bench/src/measures/choice.rs
+++ b/bench/src/measures/choice.rs
@@ -79,7 +79,7 @@
         slots: 64,
         software: None,
         leaving: false,
-        cold_left_ms: None,
+        cold_for_ms: None,
         started_ms: 1,
     }
 }
--- a/daemon/src/direct/entry_feeds.rs
+++ b/daemon/src/direct/entry_feeds.rs
@@ -158,7 +158,7 @@
             self.entry.metrics.count_malformed_input("registration");
             return None;
         };
-        let report = ColdReport { left_ms: decoded.cold_left_ms, revision: found.revision };
+        let report = ColdReport { left_ms: decoded.cold_for_ms, revision: found.revision };
         Some((decoded, report))
     }
 
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -71,7 +71,7 @@
     /// Wall-clock start in Unix milliseconds; it differs after a restart under the same id.
     pub started_ms: u64,
     /// Time for which it stays cold, in milliseconds; `None` if it does not say.
-    pub cold_left_ms: Option<u64>,
+    pub cold_for_ms: Option<u64>,
 }
 
 /// Registered target with the state that this entry observes.
@@ -385,9 +385,9 @@
             self.add(registration);
             return true;
         }
-        let cold_left_ms = target.registration.cold_left_ms;
+        let cold_for_ms = target.registration.cold_for_ms;
         let is_changed =
-            target.registration != Registration { cold_left_ms, ..registration.clone() };
+            target.registration != Registration { cold_for_ms, ..registration.clone() };
         target.leaving |= registration.leaving;
         target.registration = registration;
         is_changed
--- a/lib/tests/choice_world/mod.rs
+++ b/lib/tests/choice_world/mod.rs
@@ -65,7 +65,7 @@
         slots: 64,
         software: None,
         leaving: false,
-        cold_left_ms: None,
+        cold_for_ms: None,
         started_ms: 1,
     }
 }
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -181,7 +181,7 @@
         software: Some("v1".to_owned()),
         leaving: false,
         started_ms: 1,
-        cold_left_ms: None,
+        cold_for_ms: None,
     }
 }
 
--- a/lib/tests/test_load_board.rs
+++ b/lib/tests/test_load_board.rs
@@ -229,7 +229,7 @@
             slots: 64,
             software: None,
             leaving: false,
-            cold_left_ms: None,
+            cold_for_ms: None,
             started_ms: 7,
         });
     }
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -28,7 +28,7 @@
         software: None,
         leaving: false,
         started_ms: 1,
-        cold_left_ms: None,
+        cold_for_ms: None,
     }
 }
 
--- a/lib/tests/test_rerun.rs
+++ b/lib/tests/test_rerun.rs
@@ -67,7 +67,7 @@
         slots: 1,
         software: None,
         leaving: false,
-        cold_left_ms: None,
+        cold_for_ms: None,
         started_ms: 1,
     });
     table.iter().next().unwrap().key
