dispatch: parts that complete again and again are not what crashes targets

Cause: an answer that ends with its connection never counted as a completion while its target had crashed in the last 2 s, and proved no part sound.

Change: a completion says when it ended, and is in doubt only if its target crashed within 200 ms of that; a part is sound after two of them, also at budget servers, which entries tell while it is not proved. What crashed no more often than targets crash without it (twice as many other moments) is refused after the fifth crash instead of the third.

--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -75,6 +75,7 @@
             target: target.to_owned(),
             suspects: self.suspects.clone(),
             is_certain: body_end != BodyEnd::Connection,
+            ended_ago_ms: Some(0),
         };
         self.entry.poison.record_sound(&self.service, completion);
     }
--- a/daemon/src/direct/poison_publisher.rs
+++ b/daemon/src/direct/poison_publisher.rs
@@ -212,7 +212,8 @@
                         serde_json::from_slice(&body).unwrap_or_default();
                     suspects.sort();
                     let target = String::new();
-                    let completion = Completion { target, suspects, is_certain: true };
+                    let completion =
+                        Completion { target, suspects, is_certain: true, ended_ago_ms: None };
                     if !completion.suspects.is_empty() {
                         self.record_sound(&completion);
                     }
--- a/daemon/src/direct/poison_reports.rs
+++ b/daemon/src/direct/poison_reports.rs
@@ -30,8 +30,8 @@
 /// Longest wait for the answer to a request for a trial; a caller waits for it.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time after which the crash of a target is known, if it has ended a connection.
-const CRASH_NEWS_DELAY: Duration = Duration::from_millis(300);
+/// Time after which the crash of a target is known, if it has ended a connection, in milliseconds.
+const CRASH_NEWS_DELAY_MS: u64 = 300;
 
 /// Name by which the budget servers are ranked that hear what the fleet's own list lacks or has wrong.
 const LISTED: &str = "fleet";
@@ -94,7 +94,8 @@
         });
     }
 
-    /// Records that a request of a service has completed, and reports it if it was suspected.
+    /// Records that a request of a service has completed, and reports it if it was suspected. An answer
+    /// that ended with its connection is reported as long as a part of it is not known to be sound.
     pub fn record_sound(&self, service: &str, completion: Completion) {
         let was_reported = completion.suspects.iter().filter(|suspect| self.forget(**suspect));
         let was_reported = was_reported.count() > 0;
@@ -105,7 +106,9 @@
             }
             return;
         }
-        if was_reported || self.own.is_suspected(&completion.suspects) {
+        let is_unproven =
+            self.own.unproven(&completion.suspects).iter().any(|suspect| suspect.is_part());
+        if was_reported || is_unproven || self.own.is_suspected(&completion.suspects) {
             let (reports, service) = (self.clone(), service.to_owned());
             tokio::spawn(async move { reports.record_uncertain(&service, completion).await });
         }
@@ -113,15 +116,18 @@
 
     /// Records a completion that may be the end of a crashed target, unless a budget server has heard
     /// of the crash.
-    async fn record_uncertain(&self, service: &str, completion: Completion) {
-        tokio::time::sleep(CRASH_NEWS_DELAY).await;
+    async fn record_uncertain(&self, service: &str, mut completion: Completion) {
+        let ended_at = self.clock.now();
+        tokio::time::sleep(Duration::from_millis(CRASH_NEWS_DELAY_MS)).await;
         let mut is_sound = true;
         for server in self.servers(service) {
+            completion.ended_ago_ms = Some(self.clock.now().since(ended_at));
             let posted = self.client.post(&server, SOUND_PATH, &completion, REPORT_TIMEOUT).await;
             let Ok((_, body)) = posted else { continue };
             is_sound &= serde_json::from_slice(&body).unwrap_or(false);
         }
         if is_sound {
+            completion.ended_ago_ms = Some(self.clock.now().since(ended_at));
             self.own.record_sound(&completion);
         }
     }
--- a/daemon/tests/test_direct_crashes.rs
+++ b/daemon/tests/test_direct_crashes.rs
@@ -1,7 +1,10 @@
 //! One part of many prompts crashes each target that begins to answer, with real processes.
 
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rosemarymoor_platform_standins::caller::{Answer, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{events, events_until_close, target};
 use rosemarymoor_platform_standins::fleet_group::{FleetGroup, send};
@@ -51,6 +54,18 @@
 /// Seconds for which sound requests are sent; the last ones come after the last bad request.
 const SOUND_SECONDS: u32 = 8;
 
+/// Second parts of the prompts that share one of them in turn.
+const SECOND_PARTS: u64 = 40;
+
+/// Share of the requests during which a target resets their connection by chance.
+const CHANCE_SHARE: f64 = 0.2;
+
+/// Seconds for which requests are sent to targets that reset connections by chance.
+const CHANCE_SECONDS: u32 = 16;
+
+/// Share of sound requests that may be refused as causes of crashes, in percent.
+const MAX_REFUSED_PERCENT: usize = 1;
+
 /// Where the bad part stands among the shared parts of a prompt.
 #[derive(Clone, Copy)]
 enum Place {
@@ -321,6 +336,93 @@
     assert_served(&later);
 }
 
+/// How an answer ends.
+#[derive(Clone, Copy)]
+enum End {
+    /// With its last chunk.
+    Chunk,
+    /// With its connection.
+    Connection,
+}
+
+/// Which of the requests a target resets, whatever they hold.
+#[derive(Clone, Copy)]
+enum Chance {
+    /// A share of them, as a generator with this seed draws it.
+    Drawn(u64),
+    EveryFifth,
+}
+
+impl Chance {
+    /// Returns the function that says of each request in turn whether it is reset.
+    fn draws(self) -> Box<dyn FnMut() -> bool + Send> {
+        let mut number = 0;
+        match self {
+            Chance::Drawn(seed) => {
+                let mut random = StdRng::seed_from_u64(seed);
+                Box::new(move || random.random_bool(CHANCE_SHARE))
+            }
+            Chance::EveryFifth => Box::new(move || {
+                number += 1;
+                number % 5 == 0
+            }),
+        }
+    }
+}
+
+/// Returns a request that shares its first part with all others, and its second one in turn.
+fn in_turn(id: &str) -> CallerRequest {
+    let round = id.rsplit("turn").next().and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let entry = id.bytes().next().map_or(0, |digit| u64::from(digit - b'0'));
+    let second = (3 * round + entry) % SECOND_PARTS;
+    let prompt = format!("c0ffee:400,d0c{second:x}:400,{:x}:100", own_part(id));
+    prompt_request(&format!("/stream/{id}"), id, &prompt)
+}
+
+/// Sends sound requests before targets that stay and reset the connections of some after the first
+/// event. Asserts that hardly any is refused for it.
+async fn check_resets_by_chance(chance: Chance, end: End) {
+    let is_reset = Arc::new(Mutex::new(chance.draws()));
+    let mut targets = Vec::new();
+    for _ in 0..TARGETS {
+        let is_reset = is_reset.clone();
+        let answer = move |received: &ReceivedRequest| {
+            let mut steps = match end {
+                End::Chunk => events(received, 0, 5, EVENT_INTERVAL),
+                End::Connection => events_until_close(received, 0, 5, EVENT_INTERVAL),
+            };
+            if (is_reset.lock().unwrap())() {
+                steps.truncate(2);
+                steps.extend([Step::Wait(EVENT_INTERVAL), Step::Reset]);
+            }
+            steps
+        };
+        targets.push(target(answer).await);
+    }
+    let group = FleetGroup::open(BINARY, 3, 2, &targets.iter().collect::<Vec<_>>()).await;
+    let answers = group.load("turn", CHANCE_SECONDS, in_turn).await;
+    let refused = answers.iter().filter(|answer| answer.status == 422).count();
+    let most = answers.len() * MAX_REFUSED_PERCENT / 100;
+    println!("{refused} of {} are refused", answers.len());
+    assert!(refused <= most, "{refused} of {} are refused", answers.len());
+}
+
+macro_rules! targets_reset_some_connections_by_chance {
+    ($($name:ident: $chance:expr, $end:ident;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            check_resets_by_chance($chance, End::$end).await;
+        })*
+    };
+}
+
+targets_reset_some_connections_by_chance! {
+    resets_by_chance_put_no_sound_part_under_refusal: Chance::Drawn(1), Chunk;
+    resets_of_every_fifth_request_put_no_sound_part_under_refusal: Chance::EveryFifth, Chunk;
+    resets_by_chance_beside_ends_of_connections_put_no_sound_part_under_refusal: Chance::Drawn(1), Connection;
+    resets_of_every_fifth_beside_ends_of_connections_put_no_sound_part_under_refusal: Chance::EveryFifth, Connection;
+}
+
 #[tokio::test]
 async fn sound_requests_with_the_body_of_a_bad_one_are_served() {
     let targets = targets(Break::BeforeHead).await;
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -28,6 +28,7 @@
 pub mod choice;
 pub mod cold_start;
 pub mod cold_targets;
+mod crash_moments;
 mod crash_row;
 pub mod crash_tracker;
 pub mod early_repeats;
--- a/lib/src/dispatch/crash_row.rs
+++ b/lib/src/dispatch/crash_row.rs
@@ -1,5 +1,6 @@
 //! Crashes counted for one suspect, and its trials.
 
+use super::crash_moments::{CrashMoments, MOMENT_MS};
 use super::crash_tracker::{Level, MAX_CRASHES, SETTLING_MS, Suspect, Suspicion, TRIAL_CRASHES};
 use crate::time::Millis;
 
@@ -13,6 +14,13 @@
 /// Number of crashes after which what is common is refused too.
 const MAX_COMMON_CRASHES: usize = 2 * MAX_CRASHES;
 
+/// Number of crashes after which a suspect is refused if targets crash without it, too.
+const MAX_AMBIGUOUS_CRASHES: usize = MAX_CRASHES + 2;
+
+/// Number of moments at which targets crashed without a suspect, for each one with it, from which on its
+/// crashes may have happened by chance.
+const MIN_MOMENTS_WITHOUT: usize = 2;
+
 /// Time by which a report of a crash may be later than the crash, in milliseconds.
 const REPORT_DELAY_MS: u64 = 100;
 
@@ -67,6 +75,10 @@
     pub suspect: Suspect,
     crashes: Vec<RowCrash>,
     last_counted_at: Millis,
+    /// Number of moments at which targets crashed with it, counted or not, and the first and the last.
+    moments: usize,
+    first_moment: Millis,
+    last_moment: Millis,
     pub level: Level,
     /// Others that were in all its counted crashes, sorted; known once it is refused.
     pub rivals: Vec<Suspect>,
@@ -85,6 +97,9 @@
             suspect,
             crashes: Vec::new(),
             last_counted_at: Millis(0),
+            moments: 0,
+            first_moment: now,
+            last_moment: now,
             level: Level::Free,
             rivals: Vec::new(),
             trial: None,
@@ -111,6 +126,7 @@
     pub fn add_crash(&mut self, process: u64, request: u32, sent_at: Millis, now: Millis) {
         self.touched_at = now;
         self.trial = None;
+        self.record_moment(now);
         let is_later = self.counted() == 0 || sent_at.plus(REPORT_DELAY_MS) >= self.last_counted_at;
         if let Some(known) = self.crashes.iter_mut().find(|crash| crash.process == process) {
             known.add_request(request, sent_at);
@@ -127,6 +143,16 @@
         }
     }
 
+    fn record_moment(&mut self, now: Millis) {
+        if self.moments == 0 {
+            self.first_moment = now;
+        } else if now.since(self.last_moment) < MOMENT_MS {
+            return;
+        }
+        self.moments += 1;
+        self.last_moment = now;
+    }
+
     /// Raises the level; returns whether it changed.
     pub fn raise(&mut self, level: Level, now: Millis) -> bool {
         if level <= self.level {
@@ -139,11 +165,22 @@
         true
     }
 
-    /// Returns whether there were enough crashes to refuse it.
-    pub fn has_enough_crashes(&self) -> bool {
-        let counted = self.counted();
-        let required = if self.is_common() { MAX_COMMON_CRASHES } else { MAX_CRASHES };
-        counted >= required
+    /// Returns whether there were enough crashes to refuse it; `all` are those of all targets.
+    pub fn has_enough_crashes(&self, all: &CrashMoments) -> bool {
+        let required = if self.is_common() {
+            MAX_COMMON_CRASHES
+        } else if self.may_be_chance(all) {
+            MAX_AMBIGUOUS_CRASHES
+        } else {
+            MAX_CRASHES
+        };
+        self.counted() >= required
+    }
+
+    /// Returns whether targets crash so often without it that its crashes may have happened by chance.
+    fn may_be_chance(&self, all: &CrashMoments) -> bool {
+        let moments = all.count_between(self.first_moment, self.last_moment);
+        moments.saturating_sub(self.moments) >= MIN_MOMENTS_WITHOUT * self.moments
     }
 
     /// Returns whether many requests with it were in each of its crashes.
@@ -158,8 +195,8 @@
     }
 
     /// Returns whether it will be refused unless a report shows another cause.
-    pub fn is_settling(&self, now: Millis) -> bool {
-        self.level < Level::Refused && self.has_enough_crashes() && !self.is_settled(now)
+    pub fn is_settling(&self, all: &CrashMoments, now: Millis) -> bool {
+        self.level < Level::Refused && self.has_enough_crashes(all) && !self.is_settled(now)
     }
 
     /// Returns whether it was in all crashes that count for another suspect. One beyond the first ones
--- a/lib/src/dispatch/crash_tracker.rs
+++ b/lib/src/dispatch/crash_tracker.rs
@@ -4,7 +4,9 @@
 //! but the last one, is only suspected. These rules tell the cause from what was there by chance:
 //!
 //! - What completes is sound. A completion takes all crashes from a suspect, and a part that has
-//!   completed lately is not suspected at all.
+//!   completed lately is not suspected at all. An answer that ends with its connection may have been
+//!   broken off by a crash: it counts only if its target did not crash at that moment, and proves a part
+//!   only when it has happened again.
 //! - A crash counts only for requests that were sent after the crash counted before. Targets that
 //!   end at the same moment count once, and so do requests that ran when the first one crashed.
 //! - From [`TRIAL_CRASHES`] on a suspect runs as a trial: one at a time, and not at a target at which
@@ -17,13 +19,15 @@
 //! longer count for others.
 //!
 //! What many requests of each crash have in common is hardly the cause, which ends a target with the
-//! first of them that begins; it takes twice as many crashes.
+//! first of them that begins; it takes twice as many crashes. It takes some more, too, to refuse what may
+//! have been in its crashes by chance, since targets crash more often without it.
 //!
 //! A refusal is tried again, ever less often, and ends when a trial completes. It ends by itself when
 //! nobody has sent such a request for [`RETENTION_MS`].
 
 use serde::{Deserialize, Serialize};
 
+use super::crash_moments::CrashMoments;
 use super::crash_row::Row;
 use super::rank;
 use super::recent_suspects::RecentSuspects;
@@ -41,9 +45,12 @@
 /// Time in which all reports of a crash arrive, in milliseconds.
 pub const SETTLING_MS: u64 = 50;
 
-/// Time after the crash of a target in which the end of a connection to it is no completion, in
-/// milliseconds.
-const DOUBT_MS: u64 = 2_000;
+/// Time around the end of a connection in which a reported crash of its target may be what ended it,
+/// in milliseconds.
+const DOUBT_MS: u64 = 200;
+
+/// The same for a completion of unknown age, in milliseconds.
+const UNDATED_DOUBT_MS: u64 = 2_000;
 
 /// Time after which the fleet is told once more that a refusal is needed, in milliseconds.
 const RENEWAL_MS: u64 = 20_000;
@@ -112,6 +119,19 @@
     /// Whether the answer said itself that it is complete. One that ends with its connection may have
     /// been broken off by a crash.
     pub is_certain: bool,
+    /// Time since the answer ended, in milliseconds. Older builds do not say.
+    #[serde(default)]
+    pub ended_ago_ms: Option<u64>,
+}
+
+impl Completion {
+    /// Returns whether a crash of its target at this time may be what ended the answer.
+    fn may_be_crash(&self, crashed_at: Millis, now: Millis) -> bool {
+        match self.ended_ago_ms {
+            Some(ended_ago_ms) => now.since(crashed_at).abs_diff(ended_ago_ms) < DOUBT_MS,
+            None => now.since(crashed_at) < UNDATED_DOUBT_MS,
+        }
+    }
 }
 
 /// What processes tell each other of a suspect.
@@ -174,10 +194,13 @@
 pub struct CrashTracker {
     /// Sorted by suspect.
     rows: Vec<Row>,
-    /// Parts that have certainly completed.
+    /// Parts that have certainly completed, or again and again.
     sound: RecentSuspects,
+    /// Parts of an answer that ended with its connection.
+    completed_once: RecentSuspects,
     /// Digests of crashed processes with the times, oldest first.
     crashed: Vec<(u64, Millis)>,
+    moments: CrashMoments,
 }
 
 impl CrashTracker {
@@ -193,6 +216,7 @@
         self.expire(now);
         let process = rank::key_of(&crash.target);
         self.record_end(process, now);
+        self.moments.record(now);
         let sent_at = Millis(now.0.saturating_sub(crash.sent_ago_ms));
         let whole = crash.suspects.iter().find(|suspect| !suspect.is_part());
         let request = whole.map_or(0, |whole| whole.0 as u32);
@@ -221,7 +245,7 @@
     pub fn settle(&mut self, now: Millis) -> Vec<Suspicion> {
         let is_due = |row: &&Row| {
             let is_final = row.level == Level::Refused && row.rivals.is_empty();
-            !is_final && row.is_settled(now) && row.has_enough_crashes()
+            !is_final && row.is_settled(now) && row.has_enough_crashes(&self.moments)
         };
         let mut due: Vec<(usize, Suspect)> =
             self.rows.iter().filter(is_due).map(|row| (row.counted(), row.suspect)).collect();
@@ -229,7 +253,7 @@
         let mut changes = Vec::new();
         for (_, suspect) in due {
             let Ok(at) = self.position(suspect) else { continue };
-            if !self.rows[at].has_enough_crashes() {
+            if !self.rows[at].has_enough_crashes(&self.moments) {
                 continue;
             }
             let rivals = self.rivals(&self.rows[at]);
@@ -249,9 +273,9 @@
     /// Returns whether a completion counts.
     pub fn is_completion(&self, completion: &Completion, now: Millis) -> bool {
         let process = rank::key_of(&completion.target);
-        let is_lately =
-            |(other, at): &(u64, Millis)| *other == process && now.since(*at) < DOUBT_MS;
-        completion.is_certain || !self.crashed.iter().any(is_lately)
+        let is_end =
+            |(other, at): &(u64, Millis)| *other == process && completion.may_be_crash(*at, now);
+        completion.is_certain || !self.crashed.iter().any(is_end)
     }
 
     /// Records that a request has completed, which takes all crashes from its suspects; returns those
@@ -263,9 +287,12 @@
         if !self.is_completion(completion, now) {
             return Vec::new();
         }
-        let parts = completion.suspects.iter().filter(|suspect| suspect.is_part());
-        for suspect in parts.filter(|_| completion.is_certain) {
-            self.sound.insert(*suspect, now);
+        for part in completion.suspects.iter().filter(|suspect| suspect.is_part()) {
+            if completion.is_certain || self.completed_once.contains(*part) {
+                self.sound.insert(*part, now);
+            } else {
+                self.completed_once.insert(*part, now);
+            }
         }
         let is_cleared = |row: &mut Row| completion.suspects.binary_search(&row.suspect).is_ok();
         let cleared: Vec<Row> = self.rows.extract_if(.., is_cleared).collect();
@@ -298,7 +325,7 @@
         is_raised || has_other_rivals
     }
 
-    /// Returns those of the suspected parts that have certainly completed.
+    /// Returns those of the suspected parts that are known to be sound.
     pub fn certainly_sound(&self, told: &[Suspicion]) -> Vec<Suspect> {
         let told = told.iter().filter(|told| told.level > Level::Free);
         let suspects = told.map(|told| told.suspect);
@@ -349,7 +376,9 @@
         let process = rank::key_of(target);
         for row in &self.rows {
             let is_in_request = suspects.binary_search(&row.suspect).is_ok();
-            if is_in_request && (row.is_tried_by_other(request, now) || row.is_settling(now)) {
+            if is_in_request
+                && (row.is_tried_by_other(request, now) || row.is_settling(&self.moments, now))
+            {
                 return Decision::Wait;
             }
             if is_in_request && !is_last_target && row.has_crashed(process) {
--- a/lib/tests/test_crash_tracker.rs
+++ b/lib/tests/test_crash_tracker.rs
@@ -33,7 +33,8 @@
 }
 
 fn completion(suspects: &[Suspect], is_certain: bool) -> Completion {
-    Completion { target: "t0/1".to_owned(), suspects: suspects.to_vec(), is_certain }
+    let (target, suspects) = ("t0/1".to_owned(), suspects.to_vec());
+    Completion { target, suspects, is_certain, ended_ago_ms: Some(0) }
 }
 
 fn told(suspect: Suspect, level: Level) -> Suspicion {
@@ -355,6 +356,53 @@
     assert_eq!(tracker.decide(&request(10, &[BAD]), now), Decision::Run);
 }
 
+#[test]
+fn an_end_of_connection_is_a_completion_unless_the_target_crashed_then() {
+    let mut tracker = CrashTracker::default();
+    tracker.record_crash(&crash(&request(1, &[BAD]), 3), NOW);
+    let ended = |ended_ago_ms| Completion {
+        target: "t3/1".to_owned(),
+        ended_ago_ms,
+        ..completion(&request(9, &[BAD]), false)
+    };
+    let now = NOW.plus(1_000);
+    assert!(!tracker.is_completion(&ended(Some(1_100)), now));
+    assert!(!tracker.is_completion(&ended(Some(900)), now));
+    assert!(!tracker.is_completion(&ended(None), now));
+    assert!(tracker.is_completion(&ended(Some(300)), now));
+    assert!(tracker.is_completion(&ended(Some(1_700)), now));
+}
+
+#[test]
+fn a_part_whose_answers_end_with_their_connections_again_and_again_is_sound() {
+    let mut tracker = CrashTracker::default();
+    tracker.record_sound(&completion(&request(1, &[COMMON]), false), NOW);
+    assert_eq!(tracker.unproven(&request(2, &[COMMON])), request(2, &[COMMON]));
+    tracker.record_sound(&completion(&request(2, &[COMMON]), false), NOW);
+    assert_eq!(tracker.unproven(&request(3, &[COMMON])), request(3, &[]));
+}
+
+#[test]
+fn crashes_that_happen_more_often_without_a_part_take_longer_to_refuse_it() {
+    let other = |number| vec![request(1_000 + number, &[])];
+    let bad = |number| vec![request(number, &[BAD])];
+    let mut crashes = Vec::new();
+    for number in 0..5 {
+        crashes.extend([
+            bad(number),
+            other(3 * number),
+            other(3 * number + 1),
+            other(3 * number + 2),
+        ]);
+    }
+    let is_refused_after = |count: usize| {
+        let mut tracker = CrashTracker::default();
+        let now = crash_in_turn(&mut tracker, &crashes[..count]);
+        is_refused(&tracker, &request(99, &[BAD]), now)
+    };
+    assert_eq!([9, 13, 17].map(is_refused_after), [false, false, true]);
+}
+
 #[test]
 fn a_wrong_refusal_ends_with_the_next_trial() {
     let mut tracker = CrashTracker::default();
