direct: an entry that stops refuses what it cannot finish, and says what it cut

Cause: for 3 s after SIGTERM an entry admitted all that came on its open connections, also streams that last longer than what is left of its grace; it cut them at its end and logged caller_left, which is false.

Change: lib/src/dispatch/answer_times.rs remembers how long the latest answers of each route took. What is cut at the end is logged as cut_by_stop and counted as such.

test_direct_stops, real processes: a stream of 4.5 s that comes 2.7 s after the signal was answered 200 and cut; now 503 and never sent to a target. One that comes after 0.2 s is served whole, before and after.

--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -1,6 +1,7 @@
 //! Request that an entry has admitted.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -61,6 +62,10 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
+        if outcome == "answered" {
+            let took_ms = self.arrived_at.elapsed().as_millis() as u64;
+            self.entry.answer_times().record(&self.route.name, took_ms, self.entry.now());
+        }
         let metrics = &self.entry.metrics;
         metrics.count_request(&self.route, outcome, self.arrived_at.elapsed());
         metrics.count_charged_tokens(
@@ -127,14 +132,19 @@
 impl Drop for Call {
     fn drop(&mut self) {
         if !self.ended {
+            let is_cut = self.entry.cutting.load(Ordering::Relaxed);
+            let (event, outcome) = match is_cut {
+                true => ("event=cut_by_stop", "cut"),
+                false => ("event=caller_left", "left"),
+            };
             log::info!(
-                "event=caller_left request={} route={} after_ms={} left_ms={}",
+                "{event} request={} route={} after_ms={} left_ms={}",
                 self.head.attempt_id,
                 self.route.name,
                 self.arrived_at.elapsed().as_millis(),
                 self.time_left().as_millis()
             );
-            self.record_end("left");
+            self.record_end(outcome);
         }
     }
 }
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -1,9 +1,11 @@
 //! State that all requests of an entry for direct delivery share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use rosemarymoor_lib::dispatch::answer_times::AnswerTimes;
 use rosemarymoor_lib::dispatch::catalog::Catalog;
 use rosemarymoor_lib::dispatch::heard_targets::HeardTargets;
 use rosemarymoor_lib::dispatch::regions::RegionMap;
@@ -53,7 +55,13 @@
     /// Requests that wait until a target takes them.
     pub waiting: Waiting,
     pub clock: MonotonicClock,
+    /// How long answers took lately.
+    pub(super) answer_times: Mutex<AnswerTimes>,
     pub(super) stopping: AtomicBool,
+    /// When the connections that are still open will be cut, once the process stops.
+    pub(super) cuts_at: OnceLock<Instant>,
+    /// Whether the process has begun to cut them.
+    pub(super) cutting: AtomicBool,
     /// Whether the list of targets has been read once.
     pub(super) has_targets: AtomicBool,
     /// Readiness as last logged.
@@ -92,6 +100,11 @@
         self.budget_retry_after.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the times of the latest answers.
+    pub fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
+        self.answer_times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the time on the entry's clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -84,7 +84,10 @@
         traffic: Mutex::default(),
         waiting: Waiting::default(),
         clock: cx.clock,
+        answer_times: Mutex::default(),
         stopping: AtomicBool::new(false),
+        cuts_at: OnceLock::new(),
+        cutting: AtomicBool::new(false),
         has_targets: AtomicBool::new(false),
         logged_ready: AtomicBool::new(false),
         updated_at_ms: AtomicU64::new(0),
@@ -118,12 +121,15 @@
 /// Stops an entry: fails readiness checks, finishes open requests and returns tokens.
 async fn stop(entry: &Entry, callers: HttpServer, grace: Duration) {
     let started = Instant::now();
+    // Nothing else sets it.
+    let _ = entry.cuts_at.set(started + grace.saturating_sub(EXIT_RESERVE));
     entry.stopping.store(true, Ordering::Relaxed);
     log::warn!("event=stopping role=direct-entry host={}", entry.name);
     entry.log_readiness();
     tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2)).await;
     let close_timeout = grace.saturating_sub(EXIT_RESERVE).saturating_sub(started.elapsed());
     let open = callers.close(close_timeout).await;
+    entry.cutting.store(true, Ordering::Relaxed);
     entry.budgets.close().await;
     let took_ms = started.elapsed().as_millis();
     log::warn!(
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -41,6 +41,9 @@
 /// Retry delay reported while the entry is not configured or a route has no service.
 const NOT_CONFIGURED_RETRY_AFTER_MS: u64 = 400;
 
+/// Retry delay reported by an entry that stops: another one serves the caller at once.
+const STOPPING_RETRY_AFTER_MS: u64 = 10;
+
 /// Identity in the log of a request whose head cannot be read.
 const NO_IDENTITY: &str = "none";
 
@@ -103,6 +106,11 @@
     let load = entry.load.track_request();
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived_at + time_limit;
+    if !ends_before_stop(entry, &route, time_limit) {
+        let refusal =
+            Refusal::new(ResultCode::ShuttingDown, "it would not end before the entry does");
+        return Err(refusal.retry_after(STOPPING_RETRY_AFTER_MS));
+    }
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
     let uri = uri.map_err(|_| Refusal::new(ResultCode::BadRequest, "the path cannot be read"))?;
     let body = read_body(body, &catalog, deadline).await?;
@@ -199,6 +207,14 @@
     entry.regions.load().allowed_data_centers(&[&route.allowed_regions, by_workspace])
 }
 
+/// Returns whether a request is expected to end before the process does; it is if that does not stop.
+fn ends_before_stop(entry: &Entry, route: &Route, time_limit: Duration) -> bool {
+    let Some(cuts_at) = entry.cuts_at.get() else { return true };
+    let left = cuts_at.saturating_duration_since(Instant::now());
+    let (limit_ms, left_ms) = (time_limit.as_millis() as u64, left.as_millis() as u64);
+    entry.answer_times().ends_within(&route.name, limit_ms, left_ms)
+}
+
 /// Reads the body up to the size limit, until the request's deadline at the latest.
 async fn read_body(body: Incoming, catalog: &Catalog, deadline: Instant) -> Result<Bytes, Refusal> {
     let limits = catalog.limits;
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -15,7 +15,8 @@
 //! computes the delay that refused callers are given; [`urgency`] orders requests at a target, [`room`]
 //! decides what becomes of them when there is too little room, with [`wait_queue`] for those that wait
 //! at the entry and [`shed_order`] for the order in which an entry that cannot keep up refuses them, by
-//! the traffic in [`workspace_rates`] and [`early_repeats`];
+//! the traffic in [`workspace_rates`] and [`early_repeats`]; [`answer_times`] tells an entry that stops
+//! which requests it can still answer;
 //! [`known_load`] keeps what the fleet knows of a target's load, which processes read from each
 //! other's [`load_board`] as [`load_news`], with the cached prompt parts of [`load_parts`] and the
 //! prefill rate of [`prefill_meter`]; [`target_limit`] knows
@@ -23,6 +24,7 @@
 //! answer into server-sent events, and [`stream_origins`] knows which software version
 //! began a stream.
 
+pub mod answer_times;
 pub mod cache_belief;
 pub mod catalog;
 pub mod choice;
