dispatch: folders for crashes, load and the order of requests

43 modules stood on one level. crash/, load/ and order/ hold 5, 6 and 8 of them, 27 entries are left, and the head of dispatch lists them by the five questions that they answer. What processes tell each other of suspects is a module of its own (crash/suspect.rs), so that tracker, row and recent_suspects no longer use each other in a circle. Only names and places change. The circles catalog/urgency and choice/placement_cost stay.

--- a/bench/src/measures/choice.rs
+++ b/bench/src/measures/choice.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria};
-use rosemarymoor_lib::dispatch::known_load::{Dated, KnownLoad, LoadReport, SentWork};
+use rosemarymoor_lib::dispatch::load::known::{Dated, KnownLoad, LoadReport, SentWork};
 use rosemarymoor_lib::dispatch::prompt::PromptPart;
 use rosemarymoor_lib::dispatch::targets::{Registration, TargetTable};
 use rosemarymoor_lib::time::Millis;
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -35,8 +35,9 @@
 use rosemarymoor_lib::budget::ceiling::{
     Headroom, ReservationReply, ReservationRequest, Settlement, WitnessReport,
 };
-use rosemarymoor_lib::dispatch::crash_tracker::{Completion, Crash, Suspicion, TrialRequest};
-use rosemarymoor_lib::dispatch::load_news::{self, LoadQuery};
+use rosemarymoor_lib::dispatch::crash::suspect::Suspicion;
+use rosemarymoor_lib::dispatch::crash::tracker::{Completion, Crash, TrialRequest};
+use rosemarymoor_lib::dispatch::load::news::{self, LoadQuery};
 use rosemarymoor_lib::dispatch::send_permits::{LimitReport, PermitRequest};
 use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId};
 use rosemarymoor_lib::kv_feed::KvFeed;
@@ -344,11 +345,11 @@
 
     async fn answer_load(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let Some(board) = &self.load else { return empty(StatusCode::NOT_FOUND) };
-        let Ok(query) = load_news::decode::<LoadQuery>(body) else {
+        let Ok(query) = news::decode::<LoadQuery>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
         let reply = board.answer(&query).await;
-        Response::new(Full::new(load_news::encode(&reply).into()))
+        Response::new(Full::new(news::encode(&reply).into()))
     }
 
     /// Relays a call to the store; `path` includes the query.
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -9,9 +9,10 @@
 use hyper::{Method, Uri};
 use rosemarymoor_lib::dispatch::catalog::Route;
 use rosemarymoor_lib::dispatch::choice::SelectionCriteria;
-use rosemarymoor_lib::dispatch::crash_tracker::{Completion, Suspect};
+use rosemarymoor_lib::dispatch::crash::suspect::Suspect;
+use rosemarymoor_lib::dispatch::crash::tracker::Completion;
+use rosemarymoor_lib::dispatch::order::shed_order;
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::dispatch::shed_order;
 use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
 use rosemarymoor_platform::request::CallerHead;
 
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use rosemarymoor_lib::dispatch::answer_times::AnswerTimes;
 use rosemarymoor_lib::dispatch::catalog::Catalog;
 use rosemarymoor_lib::dispatch::heard_targets::HeardTargets;
+use rosemarymoor_lib::dispatch::order::answer_times::AnswerTimes;
 use rosemarymoor_lib::dispatch::regions::RegionMap;
 use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
 use rosemarymoor_lib::dispatch::retry_budget::RetryBudget;
--- a/daemon/src/direct/listener.rs
+++ b/daemon/src/direct/listener.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, StatusCode};
-use rosemarymoor_lib::dispatch::crash_tracker::{Suspect, Suspicion};
+use rosemarymoor_lib::dispatch::crash::suspect::{Suspect, Suspicion};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use super::entry::Entry;
--- a/daemon/src/direct/load_client.rs
+++ b/daemon/src/direct/load_client.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use rosemarymoor_lib::dispatch::load_news::{EntryWork, LoadScope};
-use rosemarymoor_lib::dispatch::load_update;
+use rosemarymoor_lib::dispatch::load::news::{EntryWork, LoadScope};
+use rosemarymoor_lib::dispatch::load::update;
 
 use super::entry::Entry;
 use super::load_collector::collectors;
@@ -88,7 +88,7 @@
                 return pause;
             }
         };
-        let sent = load_update::sent_work(&self.entry.targets());
+        let sent = update::sent_work(&self.entry.targets());
         let work = EntryWork { entry: self.entry.name.clone(), sent };
         match self.reader.read(&server, Some(work), Duration::ZERO).await {
             Ok(news) => self.apply(&news),
@@ -108,8 +108,7 @@
     /// Applies an answer; returns the pause that it asks for.
     fn apply(&mut self, news: &BoardNews) -> Duration {
         let now = self.entry.now();
-        let gaps =
-            load_update::apply(&mut self.entry.targets(), &news.reply, news.is_new_board, now);
+        let gaps = update::apply(&mut self.entry.targets(), &news.reply, news.is_new_board, now);
         self.reader.set_gaps(gaps);
         let outcome = if news.reply.news.is_empty() { "nothing" } else { "news" };
         self.entry.metrics.count_load_news(outcome);
--- a/daemon/src/direct/load_collector.rs
+++ b/daemon/src/direct/load_collector.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use rosemarymoor_lib::dispatch::load_board::LoadSource;
-use rosemarymoor_lib::dispatch::load_news::LoadScope;
+use rosemarymoor_lib::dispatch::load::board::LoadSource;
+use rosemarymoor_lib::dispatch::load::news::LoadScope;
 use rosemarymoor_lib::dispatch::rank;
 use tokio::task::JoinHandle;
 
--- a/daemon/src/direct/load_monitor.rs
+++ b/daemon/src/direct/load_monitor.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use rosemarymoor_lib::dispatch::load_shedder::LoadShedder;
+use rosemarymoor_lib::dispatch::order::load_shedder::LoadShedder;
 use rosemarymoor_lib::time::MonotonicClock;
 use tokio::sync::Notify;
 
--- a/daemon/src/direct/load_reader.rs
+++ b/daemon/src/direct/load_reader.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
-use rosemarymoor_lib::dispatch::load_news::{
+use rosemarymoor_lib::dispatch::load::news::{
     self, EntryWork, LoadCursor, LoadQuery, LoadReply, LoadScope, TargetEndpoint,
 };
 
@@ -105,13 +105,13 @@
             gaps: self.gaps.clone(),
             work,
         };
-        let body = load_news::encode(&query).into();
+        let body = news::encode(&query).into();
         let timeout = wait + ANSWER_TIMEOUT;
         let answer =
             self.client.post_bytes(server, LOAD_PATH, body, timeout, MAX_ANSWER_BYTES).await;
         let reply = match answer {
             Ok((StatusCode::OK, _, body)) => {
-                load_news::decode::<LoadReply>(&body).map_err(|_| ReadError::NoAnswer)
+                news::decode::<LoadReply>(&body).map_err(|_| ReadError::NoAnswer)
             }
             Ok((StatusCode::NOT_FOUND, _, _)) => Err(ReadError::NoBoard),
             Ok(_) | Err(_) => Err(ReadError::NoAnswer),
--- a/daemon/src/direct/load_server.rs
+++ b/daemon/src/direct/load_server.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use rosemarymoor_lib::dispatch::load_board::LoadBoard;
-use rosemarymoor_lib::dispatch::load_news::{LoadQuery, LoadReply, LoadScope};
+use rosemarymoor_lib::dispatch::load::board::LoadBoard;
+use rosemarymoor_lib::dispatch::load::news::{LoadQuery, LoadReply, LoadScope};
 use rosemarymoor_lib::time::{Millis, MonotonicClock};
 use tokio::sync::{Notify, watch};
 
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -10,7 +10,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use rosemarymoor_lib::dispatch::catalog::{CallKind, Route};
-use rosemarymoor_lib::dispatch::load_board::LoadBoard;
+use rosemarymoor_lib::dispatch::load::board::LoadBoard;
 use rosemarymoor_platform::store::{CallError, StoreAnswer, is_served};
 
 use super::ceilings::Ceilings;
--- a/daemon/src/direct/overload.rs
+++ b/daemon/src/direct/overload.rs
@@ -2,8 +2,8 @@
 
 use hyper::Uri;
 use rosemarymoor_lib::dispatch::catalog::Workspace;
+use rosemarymoor_lib::dispatch::order::shed_order::RequestClass;
 use rosemarymoor_lib::dispatch::rank::key_of;
-use rosemarymoor_lib::dispatch::shed_order::RequestClass;
 use rosemarymoor_lib::result_code::{Refusal, ResultCode};
 use rosemarymoor_platform::request::CallerHead;
 
--- a/daemon/src/direct/poison.rs
+++ b/daemon/src/direct/poison.rs
@@ -4,8 +4,9 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use rosemarymoor_lib::dispatch::crash_tracker::{
-    Completion, Crash, CrashTracker, Decision, Level, Suspect, Suspicion, TrialRequest,
+use rosemarymoor_lib::dispatch::crash::suspect::{Level, Suspect, Suspicion};
+use rosemarymoor_lib::dispatch::crash::tracker::{
+    Completion, Crash, CrashTracker, Decision, TrialRequest,
 };
 use rosemarymoor_lib::kv_feed::{Changes, Listing};
 use rosemarymoor_lib::time::MonotonicClock;
--- a/daemon/src/direct/poison_publisher.rs
+++ b/daemon/src/direct/poison_publisher.rs
@@ -7,9 +7,8 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use rosemarymoor_lib::dispatch::crash_tracker::{
-    Completion, Crash, Level, RETENTION_MS, SETTLING_MS, Suspect, Suspicion,
-};
+use rosemarymoor_lib::dispatch::crash::suspect::{Level, SETTLING_MS, Suspect, Suspicion};
+use rosemarymoor_lib::dispatch::crash::tracker::{Completion, Crash, RETENTION_MS};
 use rosemarymoor_lib::kv_feed::KvFeed;
 use rosemarymoor_lib::kv_store::{KvStore, Outcome, RestoreWatch, Revision};
 use rosemarymoor_platform::store::PlatformStore;
--- a/daemon/src/direct/poison_reports.rs
+++ b/daemon/src/direct/poison_reports.rs
@@ -8,11 +8,10 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
-use rosemarymoor_lib::dispatch::crash_tracker::{
-    Completion, Crash, Decision, Level, SETTLING_MS, Suspect, Suspicion, TrialRequest,
-};
+use rosemarymoor_lib::dispatch::crash::recent_suspects::RecentSuspects;
+use rosemarymoor_lib::dispatch::crash::suspect::{Level, SETTLING_MS, Suspect, Suspicion};
+use rosemarymoor_lib::dispatch::crash::tracker::{Completion, Crash, Decision, TrialRequest};
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::dispatch::recent_suspects::RecentSuspects;
 use rosemarymoor_lib::kv_store::{EraReceiver, RestoreWatch};
 use rosemarymoor_lib::time::MonotonicClock;
 use serde::Serialize;
--- a/daemon/src/direct/room.rs
+++ b/daemon/src/direct/room.rs
@@ -2,8 +2,8 @@
 //!
 //! Requests without a configured priority are sent as they come.
 
+use rosemarymoor_lib::dispatch::order::room::{self, Decision, Demand, Room};
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::dispatch::room::{self, Decision, Demand, Room};
 use rosemarymoor_lib::result_code::{Refusal, ResultCode};
 
 use super::attempts::{Attempts, best_target};
--- a/daemon/src/direct/target_watch.rs
+++ b/daemon/src/direct/target_watch.rs
@@ -9,9 +9,9 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use rosemarymoor_lib::dispatch::known_load::LoadReport;
-use rosemarymoor_lib::dispatch::load_news::{LoadScope, PartsChange, TargetEndpoint};
-use rosemarymoor_lib::dispatch::prefill_meter::PrefillMeter;
+use rosemarymoor_lib::dispatch::load::known::LoadReport;
+use rosemarymoor_lib::dispatch::load::news::{LoadScope, PartsChange, TargetEndpoint};
+use rosemarymoor_lib::dispatch::load::prefill_meter::PrefillMeter;
 use rosemarymoor_lib::time::MonotonicClock;
 use rosemarymoor_platform::report;
 
--- a/daemon/src/direct/traffic.rs
+++ b/daemon/src/direct/traffic.rs
@@ -1,7 +1,7 @@
 //! Recent traffic of an entry, for the order in which it refuses requests when it is overloaded.
 
-use rosemarymoor_lib::dispatch::early_repeats::EarlyRepeats;
-use rosemarymoor_lib::dispatch::workspace_rates::WorkspaceRates;
+use rosemarymoor_lib::dispatch::order::early_repeats::EarlyRepeats;
+use rosemarymoor_lib::dispatch::order::workspace_rates::WorkspaceRates;
 
 /// Recent traffic by workspace and by refused request.
 #[derive(Debug, Default)]
--- a/daemon/src/direct/trials.rs
+++ b/daemon/src/direct/trials.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use rosemarymoor_lib::dispatch::crash_tracker::{Crash, Decision};
+use rosemarymoor_lib::dispatch::crash::tracker::{Crash, Decision};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::targets::TargetKey;
 use rosemarymoor_lib::time::Millis;
--- a/daemon/src/direct/turn.rs
+++ b/daemon/src/direct/turn.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rosemarymoor_lib::dispatch::order::wait_queue::Place;
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::dispatch::wait_queue::Place;
 use tokio::sync::Notify;
 
 use super::call::Call;
--- a/daemon/src/direct/waiting.rs
+++ b/daemon/src/direct/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use rosemarymoor_lib::dispatch::wait_queue::{Place, WaitQueue};
+use rosemarymoor_lib::dispatch::order::wait_queue::{Place, WaitQueue};
 use tokio::sync::Notify;
 
 /// Queues of the services whose targets are all closed.
--- a/lib/src/dispatch/cache_belief.rs
+++ b/lib/src/dispatch/cache_belief.rs
@@ -4,7 +4,7 @@
 //! decides where it is known. Without it a target is believed to hold what this entry sent there
 //! lately, and, less and less, what the part's rendezvous order made other entries send there.
 
-use super::known_load::Dated;
+use super::load::known::Dated;
 use super::prompt::{self, PromptPart};
 use super::targets::Target;
 use crate::time::Millis;
--- a/lib/src/dispatch/catalog.rs
+++ b/lib/src/dispatch/catalog.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::cold_start::ColdStart;
-use super::urgency::PriorityRanks;
+use super::order::urgency::PriorityRanks;
 
 /// Whether a route's requests may be repeated, and the shape of its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/lib/src/dispatch/recent_suspects.rs
+++ b/lib/src/dispatch/crash/recent_suspects.rs
@@ -3,7 +3,7 @@
 //! A suspect is kept for one to two times [`GENERATION_MS`] after it was recorded, as long as callers
 //! do not send more than fit.
 
-use super::crash_tracker::Suspect;
+use super::suspect::Suspect;
 use crate::time::Millis;
 
 /// Time after which a new generation begins, in milliseconds.
--- a/lib/src/dispatch/crash_row.rs
+++ b/lib/src/dispatch/crash/row.rs
@@ -1,7 +1,7 @@
 //! Crashes counted for one suspect, and its trials.
 
-use super::crash_moments::{CrashMoments, MOMENT_MS};
-use super::crash_tracker::{Level, MAX_CRASHES, SETTLING_MS, Suspect, Suspicion, TRIAL_CRASHES};
+use super::moments::{CrashMoments, MOMENT_MS};
+use super::suspect::{Level, MAX_CRASHES, SETTLING_MS, Suspect, Suspicion, TRIAL_CRASHES};
 use crate::time::Millis;
 
 /// Mean number of requests with a suspect in its crashes from which on it is taken for common: what
--- a/lib/src/dispatch/load_board.rs
+++ b/lib/src/dispatch/load/board.rs
@@ -8,11 +8,11 @@
 //! What an entry or another data centre has sent counts until it is silent for a while, reports
 //! until they are too old to be of use.
 
-use super::known_load::{Dated, LoadReport, SentWork};
-use super::load_news::{
+use super::known::{Dated, LoadReport, SentWork};
+use super::news::{
     EntryWork, LoadCursor, LoadQuery, LoadReply, LoadScope, PartsChange, TargetEndpoint, TargetNews,
 };
-use super::load_parts::CachedParts;
+use super::parts::CachedParts;
 use crate::time::Millis;
 
 /// Maximum number of targets on a board.
--- a/lib/src/dispatch/load_news.rs
+++ b/lib/src/dispatch/load/news.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::known_load::{LoadReport, SentWork};
+use super::known::{LoadReport, SentWork};
 
 /// Process of a target, as it is known at its address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/lib/src/dispatch/load_parts.rs
+++ b/lib/src/dispatch/load/parts.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 
-use super::known_load::Dated;
-use super::load_news::PartsChange;
+use super::known::Dated;
+use super::news::PartsChange;
 use crate::time::Millis;
 
 /// Number of parts of one target that are kept; further ones count as not cached.
--- a/lib/src/dispatch/load_update.rs
+++ b/lib/src/dispatch/load/update.rs
@@ -1,8 +1,8 @@
 //! News of targets' load in an entry's table, and what the entry has sent itself.
 
-use super::known_load::{Dated, SentWork};
-use super::load_news::{LoadReply, PartsChange, TargetEndpoint, TargetNews};
-use super::targets::{Target, TargetTable};
+use super::super::targets::{Target, TargetTable};
+use super::known::{Dated, SentWork};
+use super::news::{LoadReply, PartsChange, TargetEndpoint, TargetNews};
 use crate::time::Millis;
 
 /// Returns what this entry has sent and what is not answered, for each target with any of it.
--- a/lib/src/dispatch/room.rs
+++ b/lib/src/dispatch/order/room.rs
@@ -7,7 +7,7 @@
 //! late answer is worth more than none. While all targets are closed it waits in the entry's
 //! [queue](super::wait_queue) if one opens soon enough, and is refused otherwise.
 
-use super::rerun::patience_ms;
+use super::super::rerun::patience_ms;
 
 /// Divisor of the latency objective that gives the longest wait at the entry: whoever is refused after
 /// it can still be answered in time elsewhere.
--- a/lib/src/dispatch/urgency.rs
+++ b/lib/src/dispatch/order/urgency.rs
@@ -7,7 +7,7 @@
 //! A stream that is taken up again goes before the new requests of its rank: its caller already
 //! waits in the middle of an answer.
 
-use super::catalog::{Route, Workspace};
+use super::super::catalog::{Route, Workspace};
 
 /// Lowest urgency that a target knows.
 const LOWEST: u8 = 9;
--- a/lib/src/dispatch/placement_cost.rs
+++ b/lib/src/dispatch/placement_cost.rs
@@ -9,7 +9,7 @@
 
 use super::cache_belief;
 use super::choice::{SelectionCriteria, prefill_work};
-use super::known_load::{LoadReport, SentWork};
+use super::load::known::{LoadReport, SentWork};
 use super::prefill_rate::Pace;
 use super::prompt;
 use super::targets::Target;
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -11,7 +11,7 @@
 
 use super::cold_start::{ColdStart, ColdState};
 use super::evacuations::Evacuations;
-use super::known_load::KnownLoad;
+use super::load::known::KnownLoad;
 use super::prefill_rate::{Pace, ServicePace, TargetSpeed};
 use super::refusal_backoff::RefusalBackoff;
 use super::target_limit::TargetLimit;
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -15,8 +15,8 @@
 
 use crate::admission::{Admission, AdmissionLimits, Arrival, Decision, Ticket};
 use crate::control::System;
-use crate::dispatch::crash_tracker::Suspect;
-use crate::dispatch::recent_suspects::RecentSuspects;
+use crate::dispatch::crash::recent_suspects::RecentSuspects;
+use crate::dispatch::crash::suspect::Suspect;
 use crate::poison::{CrashId, PoisonDecision, PoisonRow, PoisonTable, RequestDigests};
 use crate::result_code::{Refusal, ResultCode};
 use crate::target_client::TargetLoad;
--- a/lib/tests/choice_world/mod.rs
+++ b/lib/tests/choice_world/mod.rs
@@ -2,7 +2,7 @@
 //! and the news of that reach them late.
 
 use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria, prefill_work};
-use rosemarymoor_lib::dispatch::known_load::{Dated, KnownLoad, LoadReport, SentWork};
+use rosemarymoor_lib::dispatch::load::known::{Dated, KnownLoad, LoadReport, SentWork};
 use rosemarymoor_lib::dispatch::prompt::{PromptPart, all_tokens};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::targets::{Observation, Registration, TargetTable};
--- a/lib/tests/test_answer_times.rs
+++ b/lib/tests/test_answer_times.rs
@@ -1,6 +1,6 @@
 //! Tests of what an entry that stops can still answer.
 
-use rosemarymoor_lib::dispatch::answer_times::AnswerTimes;
+use rosemarymoor_lib::dispatch::order::answer_times::AnswerTimes;
 use rosemarymoor_lib::time::Millis;
 
 const LIMIT_MS: u64 = 15_000;
--- a/lib/tests/test_choice.rs
+++ b/lib/tests/test_choice.rs
@@ -5,7 +5,7 @@
 
 use choice_world::{News, TOKENS_PER_MS, World, criteria, prompt, registration, table};
 use rosemarymoor_lib::dispatch::choice;
-use rosemarymoor_lib::dispatch::known_load::{Dated, KnownLoad, LoadReport, SentWork};
+use rosemarymoor_lib::dispatch::load::known::{Dated, KnownLoad, LoadReport, SentWork};
 use rosemarymoor_lib::dispatch::prefill_rate::{Pace, ServicePace, TargetSpeed};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::targets::{Registration, TargetKey, TargetTable};
--- a/lib/tests/test_crash_tracker.rs
+++ b/lib/tests/test_crash_tracker.rs
@@ -1,8 +1,10 @@
 //! Tests of the crash tracker, which refuses what crashes targets.
 
-use rosemarymoor_lib::dispatch::crash_tracker::{
-    Completion, Crash, CrashTracker, Decision, Level, MAX_CRASHES, RETENTION_MS, SETTLING_MS,
-    Suspect, Suspicion, TRIAL_CRASHES, TrialRequest, suspects_of,
+use rosemarymoor_lib::dispatch::crash::suspect::{
+    Level, MAX_CRASHES, SETTLING_MS, Suspect, Suspicion, TRIAL_CRASHES, suspects_of,
+};
+use rosemarymoor_lib::dispatch::crash::tracker::{
+    Completion, Crash, CrashTracker, Decision, RETENTION_MS, TrialRequest,
 };
 use rosemarymoor_lib::time::Millis;
 
--- a/lib/tests/test_load_board.rs
+++ b/lib/tests/test_load_board.rs
@@ -1,13 +1,13 @@
 //! The board of targets' load: what readers learn, in which order, and for how long.
 
-use rosemarymoor_lib::dispatch::known_load::{LoadReport, SentWork};
-use rosemarymoor_lib::dispatch::load_board::{LoadBoard, LoadSource};
-use rosemarymoor_lib::dispatch::load_news::{
+use rosemarymoor_lib::dispatch::load::board::{LoadBoard, LoadSource};
+use rosemarymoor_lib::dispatch::load::known::{LoadReport, SentWork};
+use rosemarymoor_lib::dispatch::load::news::{
     self, EntryWork, LoadCursor, LoadQuery, LoadReply, LoadScope, PartsChange, TargetEndpoint,
     TargetNews,
 };
-use rosemarymoor_lib::dispatch::load_update;
-use rosemarymoor_lib::dispatch::prefill_meter::{EngineRun, PrefillMeter};
+use rosemarymoor_lib::dispatch::load::prefill_meter::{EngineRun, PrefillMeter};
+use rosemarymoor_lib::dispatch::load::update;
 use rosemarymoor_lib::dispatch::targets::{Registration, TargetTable};
 use rosemarymoor_lib::time::Millis;
 
@@ -146,8 +146,8 @@
 /// Reads all of `from` in a scope onto `to`.
 fn copy(from: &LoadBoard, to: &mut LoadBoard, source: &LoadSource, scope: LoadScope, now: Millis) {
     let reply = from.reply(&whole(scope), now);
-    let bytes = load_news::encode(&reply);
-    let decoded: LoadReply = load_news::decode(&bytes).unwrap();
+    let bytes = news::encode(&reply);
+    let decoded: LoadReply = news::decode(&bytes).unwrap();
     assert_eq!(to.apply(source, &decoded, true, now), Vec::new());
 }
 
@@ -243,7 +243,7 @@
     board.record_work(&work("b", &[(target(1), sent(2))]), Millis(0));
     let mut table = table(&[1, 2]);
     let reply = board.reply(&entry_query("a"), Millis(50));
-    assert!(load_update::apply(&mut table, &reply, true, Millis(1_000)).is_empty());
+    assert!(update::apply(&mut table, &reply, true, Millis(1_000)).is_empty());
     let known = &table.with_id("t1").unwrap().known;
     assert_eq!(known.report.unwrap().fresh(100, Millis(1_000)), Some(&report(4)));
     assert_eq!(known.others.unwrap().value, sent(2));
@@ -258,7 +258,7 @@
     board.record_report(earlier, report(4), Millis(0));
     let mut table = table(&[1]);
     let reply = board.reply(&entry_query("a"), Millis(0));
-    load_update::apply(&mut table, &reply, true, Millis(0));
+    update::apply(&mut table, &reply, true, Millis(0));
     assert_eq!(table.with_id("t1").unwrap().known.report, None);
 }
 
@@ -270,10 +270,10 @@
     board.record_parts(target(1), &changed(&[2], &[]), Millis(0));
     let next = LoadQuery { cursor, ..entry_query("a") };
     let mut table = table(&[1]);
-    let gaps = load_update::apply(&mut table, &board.reply(&next, Millis(0)), false, Millis(0));
+    let gaps = update::apply(&mut table, &board.reply(&next, Millis(0)), false, Millis(0));
     assert_eq!(gaps, [target(1)]);
     let reply = board.reply(&LoadQuery { gaps, ..next }, Millis(0));
-    assert!(load_update::apply(&mut table, &reply, false, Millis(0)).is_empty());
+    assert!(update::apply(&mut table, &reply, false, Millis(0)).is_empty());
     let known = &table.with_id("t1").unwrap().known;
     assert_eq!(
         [1, 2, 3].map(|part| known.caches(part, 0, Millis(0))),
--- a/lib/tests/test_load_shedder.rs
+++ b/lib/tests/test_load_shedder.rs
@@ -1,6 +1,6 @@
 //! Load shedding of an entry whose processor is too slow for a burst, in simulated time.
 
-use rosemarymoor_lib::dispatch::load_shedder::LoadShedder;
+use rosemarymoor_lib::dispatch::order::load_shedder::LoadShedder;
 use rosemarymoor_lib::time::Millis;
 
 /// Processor time of one request, in milliseconds.
--- a/lib/tests/test_order_under_load.rs
+++ b/lib/tests/test_order_under_load.rs
@@ -6,12 +6,12 @@
 //! kind and no workspace less than a quarter as often as all, large requests at least half as often as
 //! their kind, and nobody pays while there is room.
 
-use rosemarymoor_lib::dispatch::early_repeats::EarlyRepeats;
-use rosemarymoor_lib::dispatch::load_shedder::LoadShedder;
-use rosemarymoor_lib::dispatch::room::{Decision, Demand, Room, decide, retry_after_ms};
-use rosemarymoor_lib::dispatch::shed_order::RequestClass;
-use rosemarymoor_lib::dispatch::urgency::{Beginning, urgency_of};
-use rosemarymoor_lib::dispatch::workspace_rates::WorkspaceRates;
+use rosemarymoor_lib::dispatch::order::early_repeats::EarlyRepeats;
+use rosemarymoor_lib::dispatch::order::load_shedder::LoadShedder;
+use rosemarymoor_lib::dispatch::order::room::{Decision, Demand, Room, decide, retry_after_ms};
+use rosemarymoor_lib::dispatch::order::shed_order::RequestClass;
+use rosemarymoor_lib::dispatch::order::urgency::{Beginning, urgency_of};
+use rosemarymoor_lib::dispatch::order::workspace_rates::WorkspaceRates;
 use rosemarymoor_lib::time::Millis;
 
 /// Processor time of one request at the entry, in milliseconds.
--- a/lib/tests/test_room.rs
+++ b/lib/tests/test_room.rs
@@ -1,9 +1,9 @@
 //! What becomes of a request when there is too little room, and the tables that decide it.
 
-use rosemarymoor_lib::dispatch::early_repeats::EarlyRepeats;
-use rosemarymoor_lib::dispatch::room::{Decision, Demand, Room, decide, retry_after_ms};
-use rosemarymoor_lib::dispatch::wait_queue::{Place, WaitQueue};
-use rosemarymoor_lib::dispatch::workspace_rates::WorkspaceRates;
+use rosemarymoor_lib::dispatch::order::early_repeats::EarlyRepeats;
+use rosemarymoor_lib::dispatch::order::room::{Decision, Demand, Room, decide, retry_after_ms};
+use rosemarymoor_lib::dispatch::order::wait_queue::{Place, WaitQueue};
+use rosemarymoor_lib::dispatch::order::workspace_rates::WorkspaceRates;
 use rosemarymoor_lib::time::Millis;
 
 /// Stream with an objective of 800 ms, whose caller waits 3.2 s for its first event.
--- a/lib/tests/test_urgency.rs
+++ b/lib/tests/test_urgency.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rosemarymoor_lib::dispatch::catalog::{CallKind, Route, Workspace};
-use rosemarymoor_lib::dispatch::urgency::{Beginning, PriorityRanks, urgency_of};
+use rosemarymoor_lib::dispatch::order::urgency::{Beginning, PriorityRanks, urgency_of};
 
 fn route(priority: Option<u8>) -> Route {
     Route {
