--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -48,7 +48,6 @@
 use super::begun_streams::{BEGUN_PATH, BegunStreams, ORIGIN_PATH, StreamDirectory};
 use super::ceilings::Ceilings;
 use super::context::{ProcessContext, reload_on_hangup};
-use super::direct_path::DirectPath;
 use super::fleet_keys::PEER_PREFIX;
 use super::load_collector::{self, CollectorContext};
 use super::load_server::{LOAD_PATH, LoadServer};
@@ -56,22 +55,16 @@
 use super::peer_client::PeerClient;
 use super::poison::{CRASH_PATH, PoisonedRequests, SOUND_PATH, SUSPECTED_PATH, TRIAL_PATH};
 use super::poison_publisher::PoisonPublisher;
-use super::probed_path::{ProbePolicy, ProbedPath};
 use super::send_permits::{LIMIT_PATH, PERMIT_PATH, SharedIssuer};
 use super::settings::DirectSettings;
 use super::shared_watch::SharedWatches;
-use super::store_path::{RELAY_PREFIX, RelayedPath, STORE_NOT_REACHED, STORE_SILENT};
+use super::store_path::{DirectPath, RELAY_PREFIX, RelayedPath, STORE_NOT_REACHED, STORE_SILENT};
 use super::target_watch;
 use crate::http_server::{self, ConnectionLimits, HttpServer};
 
 /// Timeout of a relayed call other than a watch, which waits as long as it says.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// How a server gives up the store: one lost answer is no sign, and requests wait for the end of an
-/// outage.
-const PROBE_POLICY: ProbePolicy =
-    ProbePolicy { max_failures: 2, interval: Duration::from_millis(250) };
-
 /// Size limit of the body of an internal call.
 const MAX_BODY_BYTES: usize = 2 << 20;
 
@@ -95,7 +88,7 @@
 /// State that all internal calls share.
 struct Server {
     ceilings: Ceilings,
-    store: Arc<ProbedPath>,
+    store: DirectPath,
     watches: SharedWatches,
     kv: Arc<dyn KvStore>,
     poison: PoisonedRequests,
@@ -117,9 +110,8 @@
         }
     };
     let meter = metrics.meter("budget-server");
-    let direct = DirectPath::open(cx.pool.clone(), settings.store, StoreMetrics::open(&meter));
-    let store = ProbedPath::spawn(direct.clone(), PROBE_POLICY);
-    let kv = Arc::new(PlatformStore::open(store.clone()));
+    let store = DirectPath::open(cx.pool.clone(), settings.store, StoreMetrics::open(&meter));
+    let kv = Arc::new(PlatformStore::open(Arc::new(store.clone())));
     let ceilings = Ceilings::spawn(kv.clone(), cx.clock, Headroom::ByRate);
     let epoch = ceilings.epoch();
     log::warn!("event=start role=budget-server host={} epoch={epoch}", settings.name);
@@ -130,13 +122,13 @@
         let board = LoadServer::open(cx.clock);
         let metrics = LoadMetrics::open(&meter, &board);
         target_watch::spawn(target, cx.pool.clone(), board.clone(), cx.clock, metrics);
-        collect_load(&cx, &settings, direct.clone(), client.clone(), board.clone());
+        collect_load(&cx, &settings, store.clone(), client.clone(), board.clone());
         board
     });
     let publisher = PoisonPublisher::spawn(poison.clone(), kv.clone(), client);
     let server = Arc::new(Server {
         ceilings: ceilings.clone(),
-        watches: SharedWatches::open(store.clone()),
+        watches: SharedWatches::open(Arc::new(store.clone())),
         store,
         kv: kv.clone(),
         poison,
