--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -107,9 +107,9 @@
     let load = entry.load.track_request();
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived_at + time_limit;
-    if !ends_before_stop(entry, &route, time_limit) {
+    if !ends_before_stop(entry, &route) {
         let refusal =
-            Refusal::new(ResultCode::ShuttingDown, "it would not end before the entry does");
+            Refusal::new(ResultCode::ShuttingDown, "it would hardly end before the entry does");
         return Err(refusal.retry_after(STOPPING_RETRY_AFTER_MS));
     }
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
@@ -208,12 +208,11 @@
     entry.regions.load().allowed_data_centers(&[&route.allowed_regions, by_workspace])
 }
 
-/// Returns whether a request is expected to end before the process does; it is if that does not stop.
-fn ends_before_stop(entry: &Entry, route: &Route, time_limit: Duration) -> bool {
+/// Returns whether a request is likely to end before the process does; it is if that does not stop.
+fn ends_before_stop(entry: &Entry, route: &Route) -> bool {
     let Some(cuts_at) = entry.cuts_at.get() else { return true };
     let left = cuts_at.saturating_duration_since(Instant::now());
-    let (limit_ms, left_ms) = (time_limit.as_millis() as u64, left.as_millis() as u64);
-    entry.answer_times().ends_within(&route.name, limit_ms, left_ms)
+    entry.answer_times().ends_within(&route.name, left.as_millis() as u64)
 }
 
 /// Reads the body up to the size limit, until the request's deadline at the latest.
--- a/lib/src/dispatch/order/answer_times.rs
+++ b/lib/src/dispatch/order/answer_times.rs
@@ -3,7 +3,8 @@
 //!
 //! The load it answers: callers go on sending on their open connections until the balancer has noticed
 //! that the entry stops. An answer that the end of the process would cut is worse than a refusal, after
-//! which the caller goes to another entry at once.
+//! which the caller goes to another entry at once; but that one may stop as well, so that only what would
+//! more likely be cut than end is refused.
 
 use std::collections::VecDeque;
 
@@ -43,12 +44,13 @@
         times.updated_at = now;
     }
 
-    /// Returns whether a request of a route is expected to end within `left_ms` milliseconds, if it ends
-    /// after `limit_ms` in any case: the longest of the latest answers decides, or else its limit.
-    pub fn ends_within(&self, route: &str, limit_ms: u64, left_ms: u64) -> bool {
-        let found = self.position(route).ok();
-        let longest = found.and_then(|at| self.routes[at].took_ms.iter().max().copied());
-        longest.unwrap_or(limit_ms).min(limit_ms) <= left_ms
+    /// Returns whether a request of a route is likely to end within `left_ms` milliseconds: at least half
+    /// of the latest answers did. One without answers is taken to.
+    pub fn ends_within(&self, route: &str, left_ms: u64) -> bool {
+        let Ok(at) = self.position(route) else { return true };
+        let took_ms = &self.routes[at].took_ms;
+        let in_time = took_ms.iter().filter(|took_ms| **took_ms <= left_ms).count();
+        in_time * 2 >= took_ms.len()
     }
 
     fn position(&self, route: &str) -> Result<usize, usize> {
