http_server: a process that starts waits for an address that is in use

The address is tried again for 3 s now, and the wait is logged once. a_budget_server_waits_for_its_address fails without it (the process has exited).

--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -137,7 +137,7 @@
         permits: SharedIssuer::open(cx.clock),
         load,
     });
-    let listener = match http_server::bind(settings.internal) {
+    let listener = match http_server::bind_when_free(settings.internal).await {
         Ok(listener) => listener,
         Err(err) => {
             log::error!("event=stop reason=bind_failed address={} {err}", settings.internal);
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -94,7 +94,7 @@
         metrics: DirectMetrics::open(&meter),
     });
     entry_metrics::observe(&meter, &entry);
-    let callers = match listener::spawn(&settings, entry.clone()) {
+    let callers = match listener::spawn(&settings, entry.clone()).await {
         Ok(callers) => callers,
         Err(err) => {
             log::error!("event=stop reason=bind_failed {err}");
--- a/daemon/src/direct/listener.rs
+++ b/daemon/src/direct/listener.rs
@@ -45,11 +45,15 @@
 ///
 /// Returns the server for callers; readiness checks are served until the process ends. Fails
 /// if an address is missing in the settings or cannot be bound.
-pub fn spawn(settings: &DirectSettings, entry: Arc<Entry>) -> Result<HttpServer, ListenError> {
+pub async fn spawn(
+    settings: &DirectSettings,
+    entry: Arc<Entry>,
+) -> Result<HttpServer, ListenError> {
     let callers = settings.callers.context(NoAddressSnafu { name: "callers" })?;
     let ready = settings.ready.context(NoAddressSnafu { name: "ready" })?;
-    let ready = http_server::bind(ready).context(BindSnafu { address: ready })?;
-    let callers = http_server::bind(callers).context(BindSnafu { address: callers })?;
+    let ready = http_server::bind_when_free(ready).await.context(BindSnafu { address: ready })?;
+    let callers =
+        http_server::bind_when_free(callers).await.context(BindSnafu { address: callers })?;
     let checked_entry = entry.clone();
     let idle = || ConnectionLimits::idle(READY_IDLE_TIMEOUT);
     HttpServer::spawn(ready, idle, move |_| {
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -22,6 +22,12 @@
 
 use crate::http_pool::set_socket_options;
 
+/// Longest wait for an address that is in use.
+const ADDRESS_WAIT: Duration = Duration::from_secs(3);
+
+/// Time from one attempt to bind an address that is in use to the next.
+const ADDRESS_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -77,6 +83,29 @@
     socket.listen(BACKLOG)
 }
 
+/// Binds an address as [`bind`] does; waits while it is in use, since a process that was there before may
+/// still be ending.
+///
+/// # Errors
+///
+/// Returns an error if the address is in use for longer than [`ADDRESS_WAIT`] or cannot be bound.
+pub async fn bind_when_free(address: SocketAddr) -> io::Result<TcpListener> {
+    let give_up_at = Instant::now() + ADDRESS_WAIT;
+    let mut has_waited = false;
+    loop {
+        match bind(address) {
+            Err(err) if err.kind() == io::ErrorKind::AddrInUse && Instant::now() < give_up_at => {
+                if !has_waited {
+                    log::warn!("event=address_in_use address={address}");
+                }
+                has_waited = true;
+                tokio::time::sleep(ADDRESS_POLL_INTERVAL).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Running HTTP server; dropping it leaves it running.
 pub struct HttpServer {
     accepting: JoinHandle<()>,
--- a/daemon/tests/test_direct_stops.rs
+++ b/daemon/tests/test_direct_stops.rs
@@ -1,13 +1,18 @@
-//! What an entry that stops does with requests on its open connections, with real processes.
+//! What an entry that stops does with requests on its open connections, and how a process starts while
+//! the one before it still ends, with real processes.
 
+use std::path::Path;
 use std::time::Duration;
 
 use rosemarymoor_platform_standins::caller::{Answer, Caller};
 use rosemarymoor_platform_standins::fixtures::{
     all_events, call, events, fleet, stream_request, target,
 };
-use rosemarymoor_platform_standins::fleet::PlatformFleet;
+use rosemarymoor_platform_standins::fleet::{LogOutput, PlatformFleet};
+use rosemarymoor_platform_standins::process::{budget_server_settings, free_address, spawn};
+use rosemarymoor_platform_standins::store::StoreStandIn;
 use rosemarymoor_platform_standins::target::TargetStandIn;
+use rosemarymoor_testutils::temp_folder::TempFolder;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
 
@@ -54,3 +59,20 @@
     let ran = target.received().iter().any(|received| received.attempt_id() == "after");
     assert!(!ran, "it reached the target");
 }
+
+/// A process that starts while one before it still has its address, as after a stop that takes long.
+#[tokio::test]
+async fn a_budget_server_waits_for_its_address() {
+    let store = StoreStandIn::spawn().await.unwrap();
+    let internal = free_address().unwrap();
+    let predecessor = std::net::TcpListener::bind(internal).unwrap();
+    let folder = TempFolder::open().unwrap();
+    let path = folder.path().join("side-1.ini");
+    std::fs::write(&path, budget_server_settings("side-1", store.address(), internal)).unwrap();
+    let log = folder.path().join("side-1.log");
+    let _server = spawn(Path::new(BINARY), &path, &log, LogOutput::File).unwrap();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    drop(predecessor);
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    assert!(tokio::net::TcpStream::connect(internal).await.is_ok(), "it has not started");
+}
