dispatch: two circles of modules less

catalog and urgency used each other, as did choice and placement_cost. PriorityRanks takes the priorities alone, what a target is selected by is a module of its own (criteria.rs), and the work of a prefill belongs to the prompt. Only names and places change; the tests of urgency state priorities instead of whole routes.

--- a/bench/src/measures/choice.rs
+++ b/bench/src/measures/choice.rs
@@ -3,7 +3,8 @@
 use std::hint::black_box;
 use std::time::Instant;
 
-use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria};
+use rosemarymoor_lib::dispatch::choice;
+use rosemarymoor_lib::dispatch::criteria::SelectionCriteria;
 use rosemarymoor_lib::dispatch::load::known::{Dated, KnownLoad, LoadReport, SentWork};
 use rosemarymoor_lib::dispatch::prompt::PromptPart;
 use rosemarymoor_lib::dispatch::targets::{Registration, TargetTable};
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -12,7 +12,7 @@
 //!   yet, [`target_limit`] how many a target takes, and [`send_permits`] issues the permits to send them;
 //!   [`refusal_backoff`] spares targets that turn requests away.
 //! - **Who goes first**: [`order`].
-//! - **Where**: [`choice`] selects a target by its [`placement_cost`], with the rendezvous order of [`rank`],
+//! - **Where**: [`choice`] selects a target by a request's [`criteria`] and its [`placement_cost`], with the rendezvous order of [`rank`],
 //!   what [`cache_belief`] says of the [`prompt`] and the rates that [`prefill_rate`] learns.
 //! - **After a failure**: [`retry_budget`] limits retries, [`rerun`] decides when a request leaves a target
 //!   that does not answer, [`crash`] finds what crashes targets, and [`retry_after`] computes the delay that
@@ -25,6 +25,7 @@
 pub mod cold_start;
 pub mod cold_targets;
 pub mod crash;
+pub mod criteria;
 pub mod evacuations;
 pub mod event_stream;
 pub mod heard_targets;
--- a/lib/src/dispatch/catalog.rs
+++ b/lib/src/dispatch/catalog.rs
@@ -154,7 +154,9 @@
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         services.sort_by(|a, b| a.name.cmp(&b.name));
         keys.sort_by(|a, b| a.key.cmp(&b.key));
-        let ranks = PriorityRanks::new(&routes, &workspaces);
+        let of_routes = routes.iter().map(|route| route.priority).collect();
+        let of_workspaces = workspaces.iter().map(|workspace| workspace.priority).collect();
+        let ranks = PriorityRanks::new(of_routes, of_workspaces);
         Catalog { version, routes, services, workspaces, keys, ranks, limits }
     }
 
@@ -192,7 +194,7 @@
 
     /// Returns the rank of a request by its priorities, 0 is the highest; `None` if it has none.
     pub fn rank(&self, route: &Route, workspace: Option<&Workspace>) -> Option<u8> {
-        self.ranks.rank(route, workspace)
+        self.ranks.rank(route.priority, workspace.and_then(|workspace| workspace.priority))
     }
 
     /// Returns the number of routes.
--- a/lib/src/dispatch/choice.rs
+++ b/lib/src/dispatch/choice.rs
@@ -6,16 +6,14 @@
 //! order, some that hold the part, and some that its random number picks.
 
 use super::cache_belief;
+use super::criteria::SelectionCriteria;
 use super::placement_cost::{self, PlacementCost};
 use super::prefill_rate::Pace;
-use super::prompt::{self, PromptPart};
+use super::prompt;
 use super::rank;
 use super::targets::{Target, TargetKey, TargetTable};
 use crate::time::Millis;
 
-/// Tokens whose prefill takes as long as the attention of a million token pairs.
-const TOKENS_PER_M_PAIRS: f64 = 30.0;
-
 /// Number of targets in a part's order that are always compared.
 const FIRST_RANKS: usize = 1;
 
@@ -28,29 +26,6 @@
 /// Smallest gain for which a later target in the order is chosen, in milliseconds.
 const MIN_GAIN_MS: f64 = 2.0;
 
-/// Properties of a request that its target is selected by.
-#[derive(Clone, Copy, Debug)]
-pub struct SelectionCriteria<'a> {
-    /// Service whose targets are candidates.
-    pub service: &'a str,
-    /// Software version that the target must have; `None` if any will do.
-    pub software: Option<&'a str>,
-    /// Data centres that the target may be in, sorted; `None` if any will do.
-    pub allowed_data_centers: Option<&'a [String]>,
-    /// Data centre of this entry.
-    pub data_center: &'a str,
-    /// Parts of the prompt in their order; empty for calls without a prompt.
-    pub prompt: &'a [PromptPart],
-    /// Largest number of tokens that the request keeps in a target's memory; 0 if not known.
-    pub tokens: u64,
-    /// Random number that orders the targets of calls and draws the further candidates.
-    pub random: u64,
-    /// Whether targets are left out for which a permit would have to be asked for.
-    pub without_asking: bool,
-    /// Number of entries, whose unobserved requests add to the targets' load.
-    pub entry_count: u64,
-}
-
 /// Chosen target, with what is expected there.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -104,16 +79,6 @@
     Some(placement_cost::estimate(target, *rank, pace, &criteria, now))
 }
 
-/// Estimates the work to prefill the new tokens of a prompt, as the number of tokens of a short
-/// prompt that take as long.
-///
-/// It grows faster than the prompt, since each token attends to all earlier ones.
-pub fn prefill_work(new_tokens: u64, all_tokens: u64) -> u64 {
-    let (new, all) = (new_tokens as f64, all_tokens as f64);
-    let pairs = new * (all - new / 2.0);
-    (new + pairs / 1e6 * TOKENS_PER_M_PAIRS) as u64
-}
-
 /// Target with its place in the order of the prompt's last shared part.
 #[derive(Clone, Copy)]
 struct RankedTarget<'a> {
--- a/lib/src/dispatch/order/urgency.rs
+++ b/lib/src/dispatch/order/urgency.rs
@@ -7,8 +7,6 @@
 //! A stream that is taken up again goes before the new requests of its rank: its caller already
 //! waits in the middle of an answer.
 
-use super::super::catalog::{Route, Workspace};
-
 /// Lowest urgency that a target knows.
 const LOWEST: u8 = 9;
 
@@ -37,14 +35,14 @@
 }
 
 impl PriorityRanks {
-    /// Ranks the priorities of all workspaces and routes, requests without a workspace included.
-    pub fn new(routes: &[Route], workspaces: &[Workspace]) -> PriorityRanks {
-        let mut of_workspaces: Vec<Option<u8>> =
-            workspaces.iter().map(|workspace| workspace.priority).collect();
+    /// Ranks the priorities of all routes and workspaces, requests without a workspace included.
+    pub fn new(
+        mut of_routes: Vec<Option<u8>>,
+        mut of_workspaces: Vec<Option<u8>>,
+    ) -> PriorityRanks {
         of_workspaces.push(None);
         of_workspaces.sort_unstable();
         of_workspaces.dedup();
-        let mut of_routes: Vec<Option<u8>> = routes.iter().map(|route| route.priority).collect();
         of_routes.sort_unstable();
         of_routes.dedup();
         let mut pairs: Vec<Priorities> = Vec::new();
@@ -55,10 +53,10 @@
         PriorityRanks { pairs }
     }
 
-    /// Returns the rank of a request, 0 is the highest; `None` if neither its workspace nor its route
-    /// has a priority.
-    pub fn rank(&self, route: &Route, workspace: Option<&Workspace>) -> Option<u8> {
-        let pair = pair(workspace.and_then(|workspace| workspace.priority), route.priority)?;
+    /// Returns the rank of a request with these priorities, 0 is the highest; `None` if neither its route
+    /// nor its workspace has one.
+    pub fn rank(&self, of_route: Option<u8>, of_workspace: Option<u8>) -> Option<u8> {
+        let pair = pair(of_workspace, of_route)?;
         let at = self.pairs.binary_search(&pair).ok()?;
         Some(u8::try_from(at).unwrap_or(u8::MAX))
     }
--- a/lib/src/dispatch/placement_cost.rs
+++ b/lib/src/dispatch/placement_cost.rs
@@ -8,7 +8,7 @@
 //! A call without a prompt costs the calls that run at the target.
 
 use super::cache_belief;
-use super::choice::{SelectionCriteria, prefill_work};
+use super::criteria::SelectionCriteria;
 use super::load::known::{LoadReport, SentWork};
 use super::prefill_rate::Pace;
 use super::prompt;
@@ -107,7 +107,7 @@
     }
     let rate = tokens_per_ms(target, pace, now);
     let uncached = cache_belief::uncached_tokens(target, rank, criteria.prompt, now);
-    cost.prefill_tokens = prefill_work(uncached, prompt::all_tokens(criteria.prompt));
+    cost.prefill_tokens = prompt::prefill_work(uncached, prompt::all_tokens(criteria.prompt));
     cost.prefill_ms = cost.prefill_tokens as f64 / rate;
     cost.others_ms = cost.prefill_tokens as f64 / pace.tokens_per_ms * DELAYED_REQUESTS;
     cost.wait_ms = load.pending_tokens / rate;
--- a/lib/tests/choice_world/mod.rs
+++ b/lib/tests/choice_world/mod.rs
@@ -1,9 +1,10 @@
 //! Entries that choose targets in a closed loop: their choices fill the targets' queues and caches,
 //! and the news of that reach them late.
 
-use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria, prefill_work};
+use rosemarymoor_lib::dispatch::choice;
+use rosemarymoor_lib::dispatch::criteria::SelectionCriteria;
 use rosemarymoor_lib::dispatch::load::known::{Dated, KnownLoad, LoadReport, SentWork};
-use rosemarymoor_lib::dispatch::prompt::{PromptPart, all_tokens};
+use rosemarymoor_lib::dispatch::prompt::{PromptPart, all_tokens, prefill_work};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::targets::{Observation, Registration, TargetTable};
 use rosemarymoor_lib::time::Millis;
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -6,9 +6,10 @@
 use rosemarymoor_lib::dispatch::catalog::{
     Backend, CallKind, CallerKey, CallerLimits, Catalog, Route, Service, Workspace,
 };
-use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria};
+use rosemarymoor_lib::dispatch::choice;
+use rosemarymoor_lib::dispatch::criteria::SelectionCriteria;
 use rosemarymoor_lib::dispatch::event_stream::EventSplitter;
-use rosemarymoor_lib::dispatch::prompt::PromptPart;
+use rosemarymoor_lib::dispatch::prompt::{self, PromptPart};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::retry_after::RetryAfter;
 use rosemarymoor_lib::dispatch::retry_budget::{FleetRetryLimits, RetryBudget};
@@ -348,7 +349,7 @@
     let mut used = Vec::new();
     for _ in 0..30 {
         let key = choose(&table, Some(1), 0);
-        table.start(key, choice::prefill_work(17_000, 17_000), &[1], NOW);
+        table.start(key, prompt::prefill_work(17_000, 17_000), &[1], NOW);
         used.push(key);
     }
     used.sort_unstable();
@@ -435,13 +436,13 @@
 #[test]
 fn prefill_time_grows_faster_than_the_prompt() {
     let (short, long) =
-        (choice::prefill_work(17_000, 17_000), choice::prefill_work(51_000, 51_000));
+        (prompt::prefill_work(17_000, 17_000), prompt::prefill_work(51_000, 51_000));
     assert!(long > short * 4, "{long} for the long prompt, {short} for the short one");
-    let cached = choice::prefill_work(3_700, 17_000);
+    let cached = prompt::prefill_work(3_700, 17_000);
     assert!(cached < short / 2, "{cached} with cached parts, {short} without");
     let mut table = table(4);
     let first = choose(&table, Some(1), 0);
-    table.start(first, choice::prefill_work(51_000, 51_000), &[2], NOW);
+    table.start(first, prompt::prefill_work(51_000, 51_000), &[2], NOW);
     assert_ne!(choose(&table, Some(1), 0), first);
 }
 
--- a/lib/tests/test_places.rs
+++ b/lib/tests/test_places.rs
@@ -1,8 +1,9 @@
 //! Where requests may go: evacuated data centres, cold targets and allowed regions.
 
 use proptest::prelude::*;
-use rosemarymoor_lib::dispatch::choice::{self, SelectionCriteria};
+use rosemarymoor_lib::dispatch::choice;
 use rosemarymoor_lib::dispatch::cold_start::{ColdReason, ColdReport, ColdStart};
+use rosemarymoor_lib::dispatch::criteria::SelectionCriteria;
 use rosemarymoor_lib::dispatch::evacuations::{EvacuationChange, Evacuations};
 use rosemarymoor_lib::dispatch::prompt::PromptPart;
 use rosemarymoor_lib::dispatch::regions::RegionMap;
--- a/lib/tests/test_urgency.rs
+++ b/lib/tests/test_urgency.rs
@@ -1,38 +1,15 @@
 //! Tests of the urgency of requests at a target.
 
-use std::time::Duration;
-
-use rosemarymoor_lib::dispatch::catalog::{CallKind, Route, Workspace};
 use rosemarymoor_lib::dispatch::order::urgency::{Beginning, PriorityRanks, urgency_of};
 
-fn route(priority: Option<u8>) -> Route {
-    Route {
-        name: "r".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: CallKind::Stream { resumable: true },
-        timeout: Duration::from_secs(5),
-        latency_objective: Duration::from_secs(1),
-        backends: Vec::new(),
-        max_attempts: 2,
-        priority,
-        public: false,
-        allowed_regions: Vec::new(),
-    }
-}
-
-fn workspace(priority: Option<u8>) -> Workspace {
-    Workspace { name: "w".to_owned(), prepaid: None, priority, allowed_regions: Vec::new() }
-}
-
 macro_rules! rank_cases {
     ($($name:ident: $first:expr, $second:expr;)*) => {
         $(#[test]
         fn $name() {
-            let routes: Vec<Route> = [None, Some(0), Some(1), Some(3)].map(route).into();
-            let workspaces: Vec<Workspace> = [None, Some(1), Some(4)].map(workspace).into();
-            let ranks = PriorityRanks::new(&routes, &workspaces);
-            let rank = |(of_workspace, of_route)| ranks.rank(&route(of_route), Some(&workspace(of_workspace)));
+            let routes = vec![None, Some(0), Some(1), Some(3)];
+            let workspaces = vec![None, Some(1), Some(4)];
+            let ranks = PriorityRanks::new(routes, workspaces);
+            let rank = |(of_workspace, of_route)| ranks.rank(of_route, of_workspace);
             let (first, second) = (rank($first).unwrap(), rank($second).unwrap());
             assert!(first < second, "{first} before {second}");
         })*
@@ -49,16 +26,14 @@
 
 #[test]
 fn a_request_without_any_priority_has_no_rank() {
-    let ranks = PriorityRanks::new(&[route(None), route(Some(1))], &[workspace(None)]);
-    assert_eq!(ranks.rank(&route(None), Some(&workspace(None))), None);
-    assert_eq!(ranks.rank(&route(None), None), None);
+    let ranks = PriorityRanks::new(vec![None, Some(1)], vec![None]);
+    assert_eq!(ranks.rank(None, None), None);
 }
 
 #[test]
 fn a_configuration_with_few_priorities_uses_the_first_levels() {
-    let routes = [route(Some(0)), route(Some(1)), route(Some(2))];
-    let ranks = PriorityRanks::new(&routes, &[workspace(Some(1)), workspace(Some(1))]);
-    let of = |at: usize| ranks.rank(&routes[at], Some(&workspace(Some(1))));
+    let ranks = PriorityRanks::new(vec![Some(0), Some(1), Some(2)], vec![Some(1), Some(1)]);
+    let of = |route: u8| ranks.rank(Some(route), Some(1));
     assert_eq!([of(0), of(1), of(2)], [Some(0), Some(1), Some(2)]);
 }
 
