--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -68,7 +68,7 @@
     pub(super) logged_ready: AtomicBool,
     /// Time of the store's last answer about targets, in milliseconds on the entry's clock.
     pub(super) updated_at_ms: AtomicU64,
-    /// Time of the last reply with targets' load of targets' load on the entry's clock, in milliseconds; 0
+    /// Time of the last reply with targets' load on the entry's clock, in milliseconds; 0
     /// before the first.
     pub(super) load_news_at_ms: AtomicU64,
     pub metrics: DirectMetrics,
@@ -120,7 +120,7 @@
         self.now().since(Millis(self.updated_at_ms.load(Ordering::Relaxed)))
     }
 
-    /// Returns the time since the last reply with targets' load of targets' load, in milliseconds; 0 if there
+    /// Returns the time since the last reply with targets' load, in milliseconds; 0 if there
     /// were none.
     pub fn load_news_age_ms(&self) -> u64 {
         match self.load_news_at_ms.load(Ordering::Relaxed) {
--- a/daemon/src/direct/poison_reports.rs
+++ b/daemon/src/direct/poison_reports.rs
@@ -29,8 +29,8 @@
 /// Longest wait for the answer to a request for a trial; a caller waits for it.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time after which the crash of a target is known, if it has ended a connection, in milliseconds.
-const CRASH_NEWS_DELAY_MS: u64 = 300;
+/// Time after which the crash of a target is known, if it has ended a connection.
+const CRASH_NEWS_DELAY: Duration = Duration::from_millis(300);
 
 /// Name by which the budget servers are ranked that hear what the fleet's own list lacks or has wrong.
 const LISTED: &str = "fleet";
@@ -117,7 +117,7 @@
     /// of the crash.
     async fn record_uncertain(&self, service: &str, mut completion: Completion) {
         let ended_at = self.clock.now();
-        tokio::time::sleep(Duration::from_millis(CRASH_NEWS_DELAY_MS)).await;
+        tokio::time::sleep(CRASH_NEWS_DELAY).await;
         let mut is_sound = true;
         for server in self.servers(service) {
             completion.ended_ago_ms = Some(self.clock.now().since(ended_at));
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -12,8 +12,9 @@
 //!   yet, [`target_limit`] how many a target takes, and [`send_permits`] issues the permits to send them;
 //!   [`refusal_backoff`] spares targets that turn requests away.
 //! - **Who goes first**: [`order`].
-//! - **Where**: [`choice`] selects a target by a request's [`criteria`] and its [`placement_cost`], with the rendezvous order of [`rank`],
-//!   what [`cache_belief`] says of the [`prompt`] and the rates that [`prefill_rate`] learns.
+//! - **Where**: [`choice`] selects a target by a request's [`criteria`] and its [`placement_cost`], with
+//!   the rendezvous order of [`rank`], what [`cache_belief`] says of the [`prompt`] and the rates that
+//!   [`prefill_rate`] learns.
 //! - **After a failure**: [`retry_budget`] limits retries, [`rerun`] decides when a request leaves a target
 //!   that does not answer, [`crash`] finds what crashes targets, and [`retry_after`] computes the delay that
 //!   refused callers are given; [`event_stream`] splits an answer into server-sent events, and
