direct: a stop is one object, and says what it admits and when its listener closes

Change, without another decision: daemon/src/direct/stop.rs keeps the moments of a stop, that were three fields and a sleep. Each request that arrives during one is logged (stop_decision) and counted (stop_decisions_total) with the phase, the times since the signal and until the cut, its limit, and how many requests its connection has carried. listener_closes says when, with how many open connections. cut_by_stop names how long after the signal it had come.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -46,6 +46,7 @@
 pub mod settings;
 pub mod settlement_queue;
 pub mod shared_watch;
+pub mod stop;
 pub mod store_path;
 pub mod stream;
 pub mod target_limits;
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -1,7 +1,6 @@
 //! Request that an entry has admitted.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -133,17 +132,17 @@
 impl Drop for Call {
     fn drop(&mut self) {
         if !self.ended {
-            let is_cut = self.entry.cutting.load(Ordering::Relaxed);
-            let (event, outcome) = match is_cut {
+            let (event, outcome) = match self.entry.stop.is_cutting() {
                 true => ("event=cut_by_stop", "cut"),
                 false => ("event=caller_left", "left"),
             };
             log::info!(
-                "{event} request={} route={} after_ms={} left_ms={}",
+                "{event} request={} route={} after_ms={} left_ms={} arrived_after_stop_ms={:?}",
                 self.head.attempt_id,
                 self.route.name,
                 self.arrived_at.elapsed().as_millis(),
-                self.time_left().as_millis()
+                self.time_left().as_millis(),
+                self.entry.stop.age_at(self.arrived_at).map(|age| age.as_millis())
             );
             self.record_end(outcome);
         }
--- a/daemon/src/direct/entry.rs
+++ b/daemon/src/direct/entry.rs
@@ -1,8 +1,7 @@
 //! State that all requests of an entry for direct delivery share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::Instant;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use rosemarymoor_lib::dispatch::catalog::Catalog;
@@ -21,6 +20,7 @@
 use super::peers::Peers;
 use super::poison_reports::PoisonReports;
 use super::send_permits::PermitClient;
+use super::stop::Stop;
 use super::traffic::Traffic;
 use super::waiting::Waiting;
 use crate::answer_memory::AnswerMemory;
@@ -57,11 +57,7 @@
     pub clock: MonotonicClock,
     /// How long answers took lately.
     pub(super) answer_times: Mutex<AnswerTimes>,
-    pub(super) stopping: AtomicBool,
-    /// When the connections that are still open will be cut, once the process stops.
-    pub(super) cuts_at: OnceLock<Instant>,
-    /// Whether the process has begun to cut them.
-    pub(super) cutting: AtomicBool,
+    pub stop: Stop,
     /// Whether the list of targets has been read once.
     pub(super) has_targets: AtomicBool,
     /// Readiness as last logged.
@@ -112,7 +108,7 @@
 
     /// Returns whether the process was requested to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop.has_begun()
     }
 
     /// Returns the time since the store's last answer about targets, in milliseconds.
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -1,8 +1,8 @@
 //! Process of an entry for direct delivery: its start and its stop.
 
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -25,19 +25,13 @@
 use super::poison_reports::PoisonReports;
 use super::send_permits::PermitClient;
 use super::settings::DirectSettings;
+use super::stop::Stop;
 use super::store_path::{DirectPath, RelayedPath};
 use super::waiting::Waiting;
 use super::{entry_feeds, entry_metrics, listener, load_client};
 use crate::answer_memory::AnswerMemory;
 use crate::http_server::HttpServer;
 
-/// Time after a request to stop in which new connections are still served: the balancer
-/// checks readiness once a second and stops sending after two failed checks.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
-
-/// Part of the stop's time limit that is kept for returning tokens and for the exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(1_300);
-
 /// Runs an entry until it is requested to stop; returns the exit code.
 pub async fn run(settings: DirectSettings, path: PathBuf) -> i32 {
     let cx = ProcessContext::open();
@@ -84,9 +78,7 @@
         waiting: Waiting::default(),
         clock: cx.clock,
         answer_times: Mutex::default(),
-        stopping: AtomicBool::new(false),
-        cuts_at: OnceLock::new(),
-        cutting: AtomicBool::new(false),
+        stop: Stop::default(),
         has_targets: AtomicBool::new(false),
         logged_ready: AtomicBool::new(false),
         updated_at_ms: AtomicU64::new(0),
@@ -120,15 +112,19 @@
 /// Stops an entry: fails readiness checks, finishes open requests and returns tokens.
 async fn stop(entry: &Entry, callers: HttpServer, grace: Duration) {
     let started = Instant::now();
-    // Nothing else sets it.
-    let _ = entry.cuts_at.set(started + grace.saturating_sub(EXIT_RESERVE));
-    entry.stopping.store(true, Ordering::Relaxed);
+    entry.stop.begin(grace);
     log::warn!("event=stopping role=direct-entry host={}", entry.name);
     entry.log_readiness();
-    tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2)).await;
-    let close_timeout = grace.saturating_sub(EXIT_RESERVE).saturating_sub(started.elapsed());
+    entry.stop.accepted().await;
+    log::warn!(
+        "event=listener_closes host={} open_connections={} after_ms={}",
+        entry.name,
+        callers.open_connections(),
+        started.elapsed().as_millis()
+    );
+    let close_timeout = entry.stop.progress().map_or(Duration::ZERO, |progress| progress.left);
     let open = callers.close(close_timeout).await;
-    entry.cutting.store(true, Ordering::Relaxed);
+    entry.stop.begin_cut();
     entry.budgets.close().await;
     let took_ms = started.elapsed().as_millis();
     log::warn!(
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -24,7 +24,7 @@
 use super::overload;
 use super::refusal;
 use super::resumption;
-use crate::http_server::AnswerBody;
+use crate::http_server::{AnswerBody, ServedConnection};
 
 /// Name of the one budget that a workspace has on the platform.
 const BUDGET_NAME: &str = "prepaid";
@@ -107,7 +107,7 @@
     let load = entry.load.track_request();
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived_at + time_limit;
-    if !ends_before_stop(entry, &route) {
+    if !ends_before_stop(entry, &route, &parts, &head, time_limit) {
         let refusal =
             Refusal::new(ResultCode::ShuttingDown, "it would hardly end before the entry does");
         return Err(refusal.retry_after(STOPPING_RETRY_AFTER_MS));
@@ -209,10 +209,26 @@
 }
 
 /// Returns whether a request is likely to end before the process does; it is if that does not stop.
-fn ends_before_stop(entry: &Entry, route: &Route) -> bool {
-    let Some(cuts_at) = entry.cuts_at.get() else { return true };
-    let left = cuts_at.saturating_duration_since(Instant::now());
-    entry.answer_times().ends_within(&route.name, left.as_millis() as u64)
+fn ends_before_stop(
+    entry: &Entry,
+    route: &Route,
+    parts: &Parts,
+    head: &CallerHead,
+    time_limit: Duration,
+) -> bool {
+    let Some(progress) = entry.stop.progress() else { return true };
+    let ends = entry.answer_times().ends_within(&route.name, progress.left.as_millis() as u64);
+    let outcome = if ends { "admitted" } else { "refused" };
+    entry.metrics.count_stop_decision(progress.phase.label(), outcome);
+    let requests =
+        parts.extensions.get::<ServedConnection>().map_or(0, |connection| connection.requests);
+    log::info!(
+        "event=stop_decision request={} route={} outcome={outcome} {progress} limit_ms={} connection_requests={requests}",
+        head.attempt_id,
+        route.name,
+        time_limit.as_millis()
+    );
+    ends
 }
 
 /// Reads the body up to the size limit, until the request's deadline at the latest.
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -46,6 +46,7 @@
     reruns: Counter<u64>,
     room_decisions: Counter<u64>,
     shed: Counter<u64>,
+    stop_decisions: Counter<u64>,
     unfinished_events: Counter<u64>,
     taken_up: Counter<u64>,
     target_notices: Counter<u64>,
@@ -78,6 +79,7 @@
             reruns: counter("reruns"),
             room_decisions: counter("room_decisions"),
             shed: counter("shed"),
+            stop_decisions: counter("stop_decisions"),
             unfinished_events: counter("unfinished_events"),
             taken_up: counter("streams_taken_up"),
             target_notices: counter("target_notices"),
@@ -145,6 +147,13 @@
         self.shed.add(1, &[KeyValue::new("class", i64::from(class))]);
     }
 
+    /// Counts a request that arrived while the entry stops, by the phase of the stop and whether it was
+    /// `admitted` or `refused`.
+    pub fn count_stop_decision(&self, phase: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("phase", phase), KeyValue::new("outcome", outcome)];
+        self.stop_decisions.add(1, &labels);
+    }
+
     /// Counts a stream that ended inside an event, by what marked the end of its body.
     pub fn count_unfinished_event(&self, body_end: &'static str) {
         self.unfinished_events.add(1, &[KeyValue::new("body_end", body_end)]);
--- /dev/null
+++ b/daemon/src/direct/stop.rs
@@ -0,0 +1,118 @@
+//! Stop of an entry: its times since the signal.
+//!
+//! For a while the balancer still sends callers, so the entry goes on accepting. Then its listener closes,
+//! and only what has begun to arrive is still read. What runs at the end of the stop's time limit is cut.
+
+use std::fmt;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Time after the signal in which new connections are still served: the balancer checks readiness
+/// once a second and stops sending after two failed checks.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
+
+/// Part of the stop's time limit that is kept for returning tokens and for the exit.
+const EXIT_RESERVE: Duration = Duration::from_millis(1_300);
+
+/// Phase of a stop that still reads requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopPhase {
+    /// The balancer may still send callers.
+    Accepting,
+    /// The listener closes; only what is on its way arrives.
+    Closing,
+}
+
+impl StopPhase {
+    /// Returns the name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            StopPhase::Accepting => "accepting",
+            StopPhase::Closing => "closing",
+        }
+    }
+}
+
+/// Moments of a stop.
+#[derive(Clone, Copy, Debug)]
+struct StopTimes {
+    signalled_at: Instant,
+    closes_at: Instant,
+    cuts_at: Instant,
+}
+
+/// How far a stop is.
+#[derive(Clone, Copy, Debug)]
+pub struct StopProgress {
+    pub phase: StopPhase,
+    /// Time since the signal.
+    pub age: Duration,
+    /// Time until what still runs is cut.
+    pub left: Duration,
+}
+
+impl fmt::Display for StopProgress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (age_ms, left_ms) = (self.age.as_millis(), self.left.as_millis());
+        write!(f, "phase={} stop_age_ms={age_ms} stop_left_ms={left_ms}", self.phase.label())
+    }
+}
+
+/// Stop of a process; it has not begun before the signal.
+#[derive(Default)]
+pub struct Stop {
+    times: OnceLock<StopTimes>,
+    cutting: AtomicBool,
+}
+
+impl Stop {
+    /// Begins the stop, whose time limit is `grace`; a later call has no effect.
+    pub fn begin(&self, grace: Duration) {
+        let signalled_at = Instant::now();
+        self.times.get_or_init(|| StopTimes {
+            signalled_at,
+            closes_at: signalled_at + ACCEPT_AFTER_STOP.min(grace / 2),
+            cuts_at: signalled_at + grace.saturating_sub(EXIT_RESERVE),
+        });
+    }
+
+    /// Returns whether the process was requested to stop.
+    pub fn has_begun(&self) -> bool {
+        self.times.get().is_some()
+    }
+
+    /// Returns how far the stop is; `None` before the signal.
+    pub fn progress(&self) -> Option<StopProgress> {
+        let times = self.times.get()?;
+        let now = Instant::now();
+        let phase = if now < times.closes_at { StopPhase::Accepting } else { StopPhase::Closing };
+        Some(StopProgress {
+            phase,
+            age: now.duration_since(times.signalled_at),
+            left: times.cuts_at.saturating_duration_since(now),
+        })
+    }
+
+    /// Returns how far the stop was when a request arrived; `None` if that was before the signal.
+    pub fn age_at(&self, arrived_at: Instant) -> Option<Duration> {
+        arrived_at.checked_duration_since(self.times.get()?.signalled_at)
+    }
+
+    /// Waits until the listener is due to close; returns at once before the signal.
+    pub async fn accepted(&self) {
+        if let Some(times) = self.times.get() {
+            tokio::time::sleep_until(times.closes_at.into()).await;
+        }
+    }
+
+    /// Marks that the process cuts what still runs.
+    pub fn begin_cut(&self) {
+        self.cutting.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the process has begun to cut what still runs.
+    pub fn is_cutting(&self) -> bool {
+        self.cutting.load(Ordering::Relaxed)
+    }
+}
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -68,6 +68,13 @@
     }
 }
 
+/// Connection on which a request came; an extension of the request.
+#[derive(Clone, Copy, Debug)]
+pub struct ServedConnection {
+    /// Number of requests read from it, this one included.
+    pub requests: u32,
+}
+
 /// Binds an address, even while connections of an earlier process at it are still closing.
 ///
 /// # Errors
@@ -142,6 +149,12 @@
         HttpServer { accepting, closing }
     }
 
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        // The task that accepts them has a receiver of its own and one to wait with.
+        self.closing.receiver_count().saturating_sub(2)
+    }
+
     /// Stops accepting and waits until the open connections have ended, at most for `timeout`.
     ///
     /// Returns the number of connections that were still open then.
@@ -211,7 +224,10 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let ends_with_connection = AtomicBool::new(false);
-    let service = service_fn(|req: Request<Incoming>| {
+    let requests = AtomicU32::new(0);
+    let service = service_fn(|mut req: Request<Incoming>| {
+        let requests = requests.fetch_add(1, Ordering::Relaxed) + 1;
+        req.extensions_mut().insert(ServedConnection { requests });
         ends_with_connection.store(req.version() == Version::HTTP_10, Ordering::Relaxed);
         let answer = handle(req);
         async move { Ok::<_, Infallible>(answer.await) }
