daemon tests: what a stopping entry takes after its listener has closed, and calls that outlast the stop

A stream whose head is complete 3.5 s after SIGTERM, of a route whose latest answers were short: answered 200, sent to the target, cut at 6.7 s. It is the users' case with another way to come late: theirs came in the 50 ms in which open connections are still read after the listener has closed, which a test cannot hit for certain.

A call that runs at a target when the entry ends: its connection was closed without an answer.

--- a/daemon/tests/test_direct_stops.rs
+++ b/daemon/tests/test_direct_stops.rs
@@ -4,14 +4,14 @@
 use std::path::Path;
 use std::time::Duration;
 
-use rosemarymoor_platform_standins::caller::{Answer, Caller};
+use rosemarymoor_platform_standins::caller::{Answer, Caller, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{
     all_events, call, events, fleet, stream_request, target,
 };
 use rosemarymoor_platform_standins::fleet::{LogOutput, PlatformFleet};
 use rosemarymoor_platform_standins::process::{budget_server_settings, free_address, spawn};
 use rosemarymoor_platform_standins::store::StoreStandIn;
-use rosemarymoor_platform_standins::target::TargetStandIn;
+use rosemarymoor_platform_standins::target::{Step, TargetStandIn};
 use rosemarymoor_testutils::temp_folder::TempFolder;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
@@ -23,6 +23,9 @@
 /// Time after the signal at which the balancer still sends requests.
 const LATE: Duration = Duration::from_millis(2_700);
 
+/// Time after the signal at which the entry has closed its listener.
+const CLOSED: Duration = Duration::from_millis(3_500);
+
 /// Starts an entry that has served one stream.
 async fn entry_that_served() -> (TargetStandIn, PlatformFleet) {
     let target = target(|received| events(received, 0, EVENTS, EVENT_INTERVAL)).await;
@@ -60,6 +63,47 @@
     assert!(!ran, "it reached the target");
 }
 
+/// Returns the answer to a stream whose head begins before the listener closes and ends after that.
+async fn answer_to_slow_head(fleet: &PlatformFleet) -> Option<Answer> {
+    let bytes = stream_request("/stream/1", "after").bytes();
+    let (begin, end) = bytes.split_at(bytes.len() / 2);
+    fleet.entry.terminate();
+    tokio::time::sleep(LATE).await;
+    let mut caller = Caller::connect(fleet.callers).await.unwrap();
+    caller.send(begin).await.unwrap();
+    tokio::time::sleep(CLOSED - LATE).await;
+    caller.send(end).await.ok()?;
+    caller.answer().await
+}
+
+#[tokio::test]
+async fn a_stream_taken_after_the_listener_closed_is_not_cut() {
+    let target = target(|received| match received.attempt_id() {
+        "after" => events(received, 0, EVENTS, EVENT_INTERVAL),
+        _ => events(received, 0, 1, Duration::ZERO),
+    })
+    .await;
+    let fleet = fleet(BINARY, &target).await;
+    for id in ["s1", "s2", "s3"] {
+        assert!(call(&fleet, &stream_request("/stream/1", id)).await.complete);
+    }
+    let answer = answer_to_slow_head(&fleet).await.expect("an answer");
+    assert!(answer.complete, "{} cut after {:?}", answer.status, answer.text());
+    assert_eq!(answer.status, 503, "{}", answer.text());
+}
+
+#[tokio::test]
+async fn a_call_that_outlasts_the_stop_is_answered_and_not_cut() {
+    let target = target(|_| vec![Step::Wait(Duration::from_secs(15))]).await;
+    let fleet = fleet(BINARY, &target).await;
+    let mut caller = Caller::connect(fleet.callers).await.unwrap();
+    let call = CallerRequest { deadline_ms: 15_000, ..CallerRequest::post("/unsafe/1", "u1") };
+    fleet.entry.terminate();
+    tokio::time::sleep(LATE).await;
+    let answer = caller.call(&call).await.expect("an answer");
+    assert_eq!((answer.status, answer.complete), (502, true), "{}", answer.text());
+}
+
 /// A process that starts while one before it still has its address, as after a stop that takes long.
 #[tokio::test]
 async fn a_budget_server_waits_for_its_address() {
