direct: after its listener has closed an entry takes only what certainly ends in time

Cause: the listener closes 3.0 s after the signal, when the balancer sends nobody any more, but open connections are read for 50 ms more, and a head or a body that comes in parts for longer. What came then was admitted by the rule for the time before: that half of its route's latest answers would have ended in time. An estimate decided on a promise that nothing kept afterwards.

Change: lib/src/dispatch/order/stop_admission.rs decides by the phase: while the balancer may still send callers, what is likely to end in time; once the listener closes, only what its own limit ends in time. The rest is refused as not run (3005, come again at once). The phase is the clock's, not that of a task which may run late, and the check stands behind the body, so that a slow body is no way to come late.

--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -12,6 +12,7 @@
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::crash::suspect::{Suspect, suspects_of};
 use rosemarymoor_lib::dispatch::crash::tracker::Decision;
+use rosemarymoor_lib::dispatch::order::stop_admission::{self, StopDemand};
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::id::{BudgetId, digest128};
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
@@ -107,14 +108,10 @@
     let load = entry.load.track_request();
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived_at + time_limit;
-    if !ends_before_stop(entry, &route, &parts, &head, time_limit) {
-        let refusal =
-            Refusal::new(ResultCode::ShuttingDown, "it would hardly end before the entry does");
-        return Err(refusal.retry_after(STOPPING_RETRY_AFTER_MS));
-    }
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
     let uri = uri.map_err(|_| Refusal::new(ResultCode::BadRequest, "the path cannot be read"))?;
     let body = read_body(body, &catalog, deadline).await?;
+    check_stop(entry, &route, &parts, &head, deadline)?;
     let key = head.key.as_deref().unwrap_or_default();
     let suspects = suspects(&parts, key, &head, &body);
     if entry.poison.own().decide(&suspects) == Decision::Refuse {
@@ -208,17 +205,23 @@
     entry.regions.load().allowed_data_centers(&[&route.allowed_regions, by_workspace])
 }
 
-/// Returns whether a request is likely to end before the process does; it is if that does not stop.
-fn ends_before_stop(
+/// Refuses a request that a stopping entry does not take; logs and counts the decision.
+fn check_stop(
     entry: &Entry,
     route: &Route,
     parts: &Parts,
     head: &CallerHead,
-    time_limit: Duration,
-) -> bool {
-    let Some(progress) = entry.stop.progress() else { return true };
-    let ends = entry.answer_times().ends_within(&route.name, progress.left.as_millis() as u64);
-    let outcome = if ends { "admitted" } else { "refused" };
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    let Some(progress) = entry.stop.progress() else { return Ok(()) };
+    let left_ms = progress.left.as_millis() as u64;
+    let demand = StopDemand {
+        left_ms,
+        limit_ms: deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+        is_likely_in_time: entry.answer_times().ends_within(&route.name, left_ms),
+    };
+    let is_taken = stop_admission::takes(progress.phase, &demand);
+    let outcome = if is_taken { "admitted" } else { "refused" };
     entry.metrics.count_stop_decision(progress.phase.label(), outcome);
     let requests =
         parts.extensions.get::<ServedConnection>().map_or(0, |connection| connection.requests);
@@ -226,9 +229,13 @@
         "event=stop_decision request={} route={} outcome={outcome} {progress} limit_ms={} connection_requests={requests}",
         head.attempt_id,
         route.name,
-        time_limit.as_millis()
+        demand.limit_ms
     );
-    ends
+    if is_taken {
+        return Ok(());
+    }
+    let detail = "it might not end before the entry does";
+    Err(Refusal::new(ResultCode::ShuttingDown, detail).retry_after(STOPPING_RETRY_AFTER_MS))
 }
 
 /// Reads the body up to the size limit, until the request's deadline at the latest.
--- a/daemon/src/direct/stop.rs
+++ b/daemon/src/direct/stop.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use rosemarymoor_lib::dispatch::order::stop_admission::StopPhase;
+
 /// Time after the signal in which new connections are still served: the balancer checks readiness
 /// once a second and stops sending after two failed checks.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
@@ -15,25 +17,6 @@
 /// Part of the stop's time limit that is kept for returning tokens and for the exit.
 const EXIT_RESERVE: Duration = Duration::from_millis(1_300);
 
-/// Phase of a stop that still reads requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StopPhase {
-    /// The balancer may still send callers.
-    Accepting,
-    /// The listener closes; only what is on its way arrives.
-    Closing,
-}
-
-impl StopPhase {
-    /// Returns the name in logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            StopPhase::Accepting => "accepting",
-            StopPhase::Closing => "closing",
-        }
-    }
-}
-
 /// Moments of a stop.
 #[derive(Clone, Copy, Debug)]
 struct StopTimes {
