direct: what has no answer when an entry ends gets a refusal

What callers saw: a call that a target still ran when a stopping entry ended, or that waited in it, lost its connection without a word.

Cause: at the end of its grace the process just exited, and the runtime dropped what ran.

Change: the end is an event. Stop::cut tells requests; one that was not sent yet is refused as not run (3005), one that was sent with 4001, which promises nothing, and begun streams break off. 200 ms are left for these answers to be written. HttpServer tells begin_close from wait_closed, since the connections are waited for twice.

--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -32,6 +32,9 @@
 use crate::answer_memory::AnswerMemory;
 use crate::http_server::HttpServer;
 
+/// Longest wait for what callers get when the rest is cut.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Runs an entry until it is requested to stop; returns the exit code.
 pub async fn run(settings: DirectSettings, path: PathBuf) -> i32 {
     let cx = ProcessContext::open();
@@ -109,7 +112,8 @@
     0
 }
 
-/// Stops an entry: fails readiness checks, finishes open requests and returns tokens.
+/// Stops an entry: fails readiness checks, finishes open requests, cuts the rest, settles and returns
+/// tokens.
 async fn stop(entry: &Entry, callers: HttpServer, grace: Duration) {
     let started = Instant::now();
     entry.stop.begin(grace);
@@ -122,9 +126,11 @@
         callers.open_connections(),
         started.elapsed().as_millis()
     );
-    let close_timeout = entry.stop.progress().map_or(Duration::ZERO, |progress| progress.left);
-    let open = callers.close(close_timeout).await;
+    callers.begin_close();
+    let time_to_cut = entry.stop.progress().map_or(Duration::ZERO, |progress| progress.left);
+    let open = callers.wait_closed(time_to_cut).await;
     entry.stop.begin_cut();
+    callers.wait_closed(LAST_ANSWER_TIME).await;
     entry.budgets.close().await;
     let took_ms = started.elapsed().as_millis();
     log::warn!(
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -61,10 +61,24 @@
         Err(err) => return refuse(entry, NO_IDENTITY, &malformed_head(err), arrived_at),
     };
     let attempt_id = head.attempt_id.clone();
-    match admit(entry, head, parts, body, arrived_at).await {
-        Ok(call) => deliver::deliver(entry, call).await,
-        Err(refusal) => refuse(entry, &attempt_id, &refusal, arrived_at),
-    }
+    let mut cut = entry.stop.cut();
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(entry, head, parts, body, arrived_at) => admitted,
+        () = cut.begun() => Err(Refusal::new(ResultCode::ShuttingDown, "the entry ends")
+            .retry_after(STOPPING_RETRY_AFTER_MS)),
+    };
+    let delivered = match admitted {
+        Ok(call) => tokio::select! {
+            biased;
+            resp = deliver::deliver(entry, call) => Ok(resp),
+            () = cut.begun() => {
+                Err(Refusal::new(ResultCode::FateUnknown, "the entry ends before the target answers"))
+            }
+        },
+        Err(refusal) => Err(refusal),
+    };
+    delivered.unwrap_or_else(|refusal| refuse(entry, &attempt_id, &refusal, arrived_at))
 }
 
 /// Counts and logs the refusal of a request that was not admitted, and returns its answer.
--- a/daemon/src/direct/stop.rs
+++ b/daemon/src/direct/stop.rs
@@ -1,21 +1,22 @@
 //! Stop of an entry: its times since the signal.
 //!
 //! For a while the balancer still sends callers, so the entry goes on accepting. Then its listener closes,
-//! and only what has begun to arrive is still read. What runs at the end of the stop's time limit is cut.
+//! and only what has begun to arrive is still read. Before the stop's time limit the rest is cut: what
+//! has no answer yet gets a refusal, and begun streams break off. Then the process settles and exits.
 
 use std::fmt;
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use rosemarymoor_lib::dispatch::order::stop_admission::StopPhase;
+use tokio::sync::watch;
 
 /// Time after the signal in which new connections are still served: the balancer checks readiness
 /// once a second and stops sending after two failed checks.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
 
-/// Part of the stop's time limit that is kept for returning tokens and for the exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(1_300);
+/// Part of the stop's time limit that is kept for what follows the cut.
+const CUT_RESERVE: Duration = Duration::from_millis(1_300);
 
 /// Moments of a stop.
 #[derive(Clone, Copy, Debug)]
@@ -46,7 +47,20 @@
 #[derive(Default)]
 pub struct Stop {
     times: OnceLock<StopTimes>,
-    cutting: AtomicBool,
+    cutting: watch::Sender<bool>,
+}
+
+/// Tells when the process cuts what still runs.
+#[derive(Clone)]
+pub struct CutWatch(watch::Receiver<bool>);
+
+impl CutWatch {
+    /// Waits until the process cuts what still runs.
+    pub async fn begun(&mut self) {
+        if self.0.wait_for(|cutting| *cutting).await.is_err() {
+            std::future::pending().await
+        }
+    }
 }
 
 impl Stop {
@@ -56,7 +70,7 @@
         self.times.get_or_init(|| StopTimes {
             signalled_at,
             closes_at: signalled_at + ACCEPT_AFTER_STOP.min(grace / 2),
-            cuts_at: signalled_at + grace.saturating_sub(EXIT_RESERVE),
+            cuts_at: signalled_at + grace.saturating_sub(CUT_RESERVE),
         });
     }
 
@@ -89,13 +103,18 @@
         }
     }
 
-    /// Marks that the process cuts what still runs.
+    /// Cuts what still runs.
     pub fn begin_cut(&self) {
-        self.cutting.store(true, Ordering::Relaxed);
+        self.cutting.send_replace(true);
     }
 
     /// Returns whether the process has begun to cut what still runs.
     pub fn is_cutting(&self) -> bool {
-        self.cutting.load(Ordering::Relaxed)
+        *self.cutting.borrow()
+    }
+
+    /// Returns a watch of the cut.
+    pub fn cut(&self) -> CutWatch {
+        CutWatch(self.cutting.subscribe())
     }
 }
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -78,9 +78,16 @@
         events: 0,
         finished: false,
     };
-    let frames = stream::unfold(relay, |mut relay| async move {
-        let frame = relay.next_frame().await?;
-        Some((frame, relay))
+    let frames = stream::unfold((relay, entry.stop.cut()), |(mut relay, mut cut)| async move {
+        let frame = tokio::select! {
+            biased;
+            frame = relay.next_frame() => frame?,
+            () = cut.begun() => {
+                relay.finished = true;
+                Err(io::Error::other("the entry ends"))
+            }
+        };
+        Some((frame, (relay, cut)))
     });
     let mut resp = Response::new(StreamBody::new(frames).boxed_unsync());
     *resp.status_mut() = status;
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -18,7 +18,6 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
 use crate::http_pool::set_socket_options;
 
@@ -115,7 +114,6 @@
 
 /// Running HTTP server; dropping it leaves it running.
 pub struct HttpServer {
-    accepting: JoinHandle<()>,
     closing: watch::Sender<bool>,
 }
 
@@ -133,7 +131,7 @@
     {
         let (closing, closed) = watch::channel(false);
         let handle = Arc::new(handle);
-        let accepting = tokio::spawn(async move {
+        tokio::spawn(async move {
             let mut closing = closed.clone();
             loop {
                 let stream = tokio::select! {
@@ -146,7 +144,7 @@
                 tokio::spawn(serve(stream, limits(), handle.clone(), closed.clone()));
             }
         });
-        HttpServer { accepting, closing }
+        HttpServer { closing }
     }
 
     /// Returns the number of open connections.
@@ -159,13 +157,20 @@
     ///
     /// Returns the number of connections that were still open then.
     pub async fn close(self, timeout: Duration) -> usize {
+        self.begin_close();
+        self.wait_closed(timeout).await
+    }
+
+    /// Stops accepting and closes connections when they have answered what has arrived.
+    pub fn begin_close(&self) {
         self.closing.send_replace(true);
-        let closing = async {
-            // A task that has ended is no reason to wait less for the connections.
-            let _ = self.accepting.await;
-            self.closing.closed().await;
-        };
-        let _ = tokio::time::timeout(timeout, closing).await;
+    }
+
+    /// Waits until the open connections have ended after [`HttpServer::begin_close`], at most for
+    /// `timeout`; returns the number of those that are still open then.
+    pub async fn wait_closed(&self, timeout: Duration) -> usize {
+        // Connections that outlast the timeout are counted below.
+        let _ = tokio::time::timeout(timeout, self.closing.closed()).await;
         self.closing.receiver_count()
     }
 }
