direct: an entry that ends waits until its settlements are confirmed

What callers saw: after a stop had cut their stream, their budget was short of the whole reservation, and the next request could be refused for good (402) though tokens were left.

Cause: the reservations of what ran were dropped with the runtime, after the last line of the process. Their settlements were logged (money_settled) and never sent, so that the budget server counted them as spent when their time was over. The close of the budgets returned the entry's own ceilings only, and might take 1.5 s of the 1.3 s that were left.

Change: with the cut all reservations settle before the exit. BudgetClient::close waits until the queue of settlements is empty, beside returning the ceilings, until 100 ms before the end of the grace; what is left then is logged (settlements_left).

The test failed before with 402 instead of 200: «1100 tokens do not fit into what is left» of 2,150, after a stream that got 1,036 at most.

--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -178,9 +178,18 @@
         self.store_backoff_until().is_some_and(|until| Instant::now() < until)
     }
 
-    /// Returns the tokens of the entry's own ceilings, for a graceful stop.
-    pub async fn close(&self) {
-        self.local_ceilings.close().await;
+    /// Delivers the settlements that wait and returns the tokens of the entry's own ceilings, for a
+    /// graceful stop; gives up after `timeout`.
+    pub async fn close(&self, timeout: Duration) {
+        let closing =
+            async { tokio::join!(self.settlements.delivered(), self.local_ceilings.close()) };
+        if tokio::time::timeout(timeout, closing).await.is_err() {
+            let waiting = self.settlements.waiting();
+            log::warn!(
+                "event=settlements_left waiting={waiting} timeout_ms={}",
+                timeout.as_millis()
+            );
+        }
     }
 
     /// Logs a granted reservation and returns its guard.
--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -131,7 +131,7 @@
     let open = callers.wait_closed(time_to_cut).await;
     entry.stop.begin_cut();
     callers.wait_closed(LAST_ANSWER_TIME).await;
-    entry.budgets.close().await;
+    entry.budgets.close(entry.stop.time_to_exit()).await;
     let took_ms = started.elapsed().as_millis();
     log::warn!(
         "event=stop role=direct-entry host={} open_connections={open} took_ms={took_ms}",
--- a/daemon/src/direct/stop.rs
+++ b/daemon/src/direct/stop.rs
@@ -18,12 +18,16 @@
 /// Part of the stop's time limit that is kept for what follows the cut.
 const CUT_RESERVE: Duration = Duration::from_millis(1_300);
 
+/// Part of the stop's time limit that is kept for the exit.
+const EXIT_RESERVE: Duration = Duration::from_millis(100);
+
 /// Moments of a stop.
 #[derive(Clone, Copy, Debug)]
 struct StopTimes {
     signalled_at: Instant,
     closes_at: Instant,
     cuts_at: Instant,
+    exits_at: Instant,
 }
 
 /// How far a stop is.
@@ -71,6 +75,7 @@
             signalled_at,
             closes_at: signalled_at + ACCEPT_AFTER_STOP.min(grace / 2),
             cuts_at: signalled_at + grace.saturating_sub(CUT_RESERVE),
+            exits_at: signalled_at + grace.saturating_sub(EXIT_RESERVE),
         });
     }
 
@@ -103,6 +108,12 @@
         }
     }
 
+    /// Returns the time until the process has to exit; zero before the signal.
+    pub fn time_to_exit(&self) -> Duration {
+        let exits_at = self.times.get().map(|times| times.exits_at);
+        exits_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()))
+    }
+
     /// Cuts what still runs.
     pub fn begin_cut(&self) {
         self.cutting.send_replace(true);
--- a/daemon/tests/test_direct_stops.rs
+++ b/daemon/tests/test_direct_stops.rs
@@ -6,7 +6,7 @@
 
 use rosemarymoor_platform_standins::caller::{Answer, Caller, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{
-    all_events, call, events, fleet, stream_request, target,
+    all_events, call, events, fleet, fleet_with_budget, stream_request, target,
 };
 use rosemarymoor_platform_standins::fleet::{LogOutput, PlatformFleet};
 use rosemarymoor_platform_standins::process::{budget_server_settings, free_address, spawn};
@@ -104,6 +104,23 @@
     assert_eq!((answer.status, answer.complete), (502, true), "{}", answer.text());
 }
 
+/// Prepaid tokens for one stream of 1,100 besides one that got 1,036 at most.
+const TOKENS_OF_TWO_STREAMS: u64 = 2_150;
+
+#[tokio::test]
+async fn a_stream_that_a_stop_cuts_is_charged_what_its_caller_got() {
+    let target = target(|received| events(received, 0, EVENTS, EVENT_INTERVAL)).await;
+    let mut fleet = fleet_with_budget(BINARY, &target, TOKENS_OF_TWO_STREAMS).await;
+    let _server = fleet.start_budget_server("side-1").await.unwrap();
+    let other = fleet.start_entry("entry-2").await.unwrap();
+    let cut = answer_after_signal(&fleet, LATE).await.unwrap();
+    assert_eq!((cut.status, cut.complete), (200, false));
+    assert_eq!(fleet.entry.wait_exit_code().await, Some(0));
+    let mut caller = Caller::connect(other.callers).await.unwrap();
+    let answer = caller.call(&stream_request("/stream/1", "next")).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
 /// A process that starts while one before it still has its address, as after a stop that takes long.
 #[tokio::test]
 async fn a_budget_server_waits_for_its_address() {
