direct: the start of an entry, its reservations and its stop's question in functions of their own

Reserving the tokens of a request and asking whether a stopping entry takes it stand in modules of their own; the state that requests share is opened by open_entry.

--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -57,10 +57,42 @@
         local_ceilings.epoch()
     );
     metrics::observe_ceilings(&meter, &local_ceilings);
-    let load = LoadMonitor::spawn(cx.clock);
     let client = PeerClient::open(cx.pool.clone(), cx.peers.clone());
-    let load_client = client.clone();
-    let entry = Arc::new(Entry {
+    let entry = open_entry(&settings, &cx, &client, local_ceilings, DirectMetrics::open(&meter));
+    entry_metrics::observe(&meter, &entry);
+    let callers = match listener::spawn(&settings, entry.clone()).await {
+        Ok(callers) => callers,
+        Err(err) => {
+            log::error!("event=stop reason=bind_failed {err}");
+            return 1;
+        }
+    };
+    let reloaded = entry.clone();
+    reload_on_hangup(path, move |settings| {
+        reloaded.retries().set_limits(settings.retries);
+        reloaded.regions.store(Arc::new(settings.regions.clone()));
+    });
+    entry.budgets.clone().report_after_restores(store.era(), settings.data_center.clone());
+    entry.poison.report_after_restores(store.era());
+    entry_feeds::spawn(&entry, store.clone());
+    load_client::spawn(entry.clone(), client);
+    cx.watch_peers(store.clone(), entry.poison.clone());
+    cx.register(&settings, store);
+    cx.stop_requested().await;
+    stop(&entry, callers, settings.grace).await;
+    0
+}
+
+/// Opens the state that all requests share.
+fn open_entry(
+    settings: &DirectSettings,
+    cx: &ProcessContext,
+    client: &PeerClient,
+    local_ceilings: Ceilings,
+    metrics: DirectMetrics,
+) -> Arc<Entry> {
+    let load = LoadMonitor::spawn(cx.clock);
+    Arc::new(Entry {
         name: settings.name.clone(),
         data_center: settings.data_center.clone(),
         regions: ArcSwap::from_pointee(settings.regions.clone()),
@@ -75,7 +107,7 @@
         permits: PermitClient::open(client.clone()),
         streams: StreamDirectory::open(BegunStreams::open(cx.clock), client.clone()),
         peers: cx.peers.clone(),
-        poison: PoisonReports::open(PoisonedRequests::open(cx.clock), client, cx.clock),
+        poison: PoisonReports::open(PoisonedRequests::open(cx.clock), client.clone(), cx.clock),
         load,
         traffic: Mutex::default(),
         waiting: Waiting::default(),
@@ -86,30 +118,8 @@
         logged_ready: AtomicBool::new(false),
         updated_at_ms: AtomicU64::new(0),
         load_news_at_ms: AtomicU64::new(0),
-        metrics: DirectMetrics::open(&meter),
-    });
-    entry_metrics::observe(&meter, &entry);
-    let callers = match listener::spawn(&settings, entry.clone()).await {
-        Ok(callers) => callers,
-        Err(err) => {
-            log::error!("event=stop reason=bind_failed {err}");
-            return 1;
-        }
-    };
-    let reloaded = entry.clone();
-    reload_on_hangup(path, move |settings| {
-        reloaded.retries().set_limits(settings.retries);
-        reloaded.regions.store(Arc::new(settings.regions.clone()));
-    });
-    entry.budgets.clone().report_after_restores(store.era(), settings.data_center.clone());
-    entry.poison.report_after_restores(store.era());
-    entry_feeds::spawn(&entry, store.clone());
-    load_client::spawn(entry.clone(), load_client);
-    cx.watch_peers(store.clone(), entry.poison.clone());
-    cx.register(&settings, store);
-    cx.stop_requested().await;
-    stop(&entry, callers, settings.grace).await;
-    0
+        metrics,
+    })
 }
 
 /// Stops an entry: fails readiness checks, finishes open requests, cuts the rest, settles and returns
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -12,40 +12,21 @@
 use rosemarymoor_lib::dispatch::catalog::{Catalog, Route, Workspace};
 use rosemarymoor_lib::dispatch::crash::suspect::{Suspect, suspects_of};
 use rosemarymoor_lib::dispatch::crash::tracker::Decision;
-use rosemarymoor_lib::dispatch::order::stop_admission::{self, StopDemand};
 use rosemarymoor_lib::dispatch::rank;
-use rosemarymoor_lib::id::{BudgetId, digest128};
+use rosemarymoor_lib::id::digest128;
 use rosemarymoor_lib::result_code::{FAILURE_LOG, Refusal, ResultCode};
 use rosemarymoor_platform::request::{self, CallerHead, HeadError};
 
-use super::budget_client::{Reservation, ReservationDenied, ReservationParams};
 use super::call::Call;
 use super::deliver;
 use super::entry::Entry;
 use super::overload;
-use super::refusal;
-use super::resumption;
-use crate::http_server::{AnswerBody, ServedConnection};
-
-/// Name of the one budget that a workspace has on the platform.
-const BUDGET_NAME: &str = "prepaid";
-
-/// Divisor of the latency objective that gives the longest wait for a reservation.
-const RESERVATION_WAIT_DIVISOR: u32 = 3;
-
-/// Longest wait for a reservation at one holder of the budget.
-const MAX_RESERVATION_WAIT: Duration = Duration::from_millis(250);
-
-/// Retry delay reported while other holders have the remaining tokens: within this time
-/// they return what they do not need.
-const SHORT_RETRY_AFTER_MS: u64 = 1_800;
+use super::{refusal, reserving, resumption, stop_check};
+use crate::http_server::AnswerBody;
 
 /// Retry delay reported while the entry is not configured or a route has no service.
 const NOT_CONFIGURED_RETRY_AFTER_MS: u64 = 400;
 
-/// Retry delay reported by an entry that stops: another one serves the caller at once.
-const STOPPING_RETRY_AFTER_MS: u64 = 10;
-
 /// Identity in the log of a request whose head cannot be read.
 const NO_IDENTITY: &str = "none";
 
@@ -65,8 +46,7 @@
     let admitted = tokio::select! {
         biased;
         admitted = admit(entry, head, parts, body, arrived_at) => admitted,
-        () = cut.begun() => Err(Refusal::new(ResultCode::ShuttingDown, "the entry ends")
-            .retry_after(STOPPING_RETRY_AFTER_MS)),
+        () = cut.begun() => Err(stop_check::refusal("the entry ends")),
     };
     let delivered = match admitted {
         Ok(call) => tokio::select! {
@@ -125,7 +105,7 @@
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
     let uri = uri.map_err(|_| Refusal::new(ResultCode::BadRequest, "the path cannot be read"))?;
     let body = read_body(body, &catalog, deadline).await?;
-    check_stop(entry, &route, &parts, &head, deadline)?;
+    stop_check::check(entry, &route, &parts, &head, deadline)?;
     let key = head.key.as_deref().unwrap_or_default();
     let suspects = suspects(&parts, key, &head, &body);
     if entry.poison.own().decide(&suspects) == Decision::Refuse {
@@ -147,7 +127,9 @@
     let engine = catalog.service(&service).and_then(|service| service.engine.as_ref());
     let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event);
     let reservation = match &workspace {
-        Some(workspace) => reserve(entry, &catalog, &route, &head, workspace, deadline).await?,
+        Some(workspace) => {
+            reserving::reserve(entry, &catalog, &route, &head, workspace, deadline).await?
+        }
         None => None,
     };
     log::info!(
@@ -219,39 +201,6 @@
     entry.regions.load().allowed_data_centers(&[&route.allowed_regions, by_workspace])
 }
 
-/// Refuses a request that a stopping entry does not take; logs and counts the decision.
-fn check_stop(
-    entry: &Entry,
-    route: &Route,
-    parts: &Parts,
-    head: &CallerHead,
-    deadline: Instant,
-) -> Result<(), Refusal> {
-    let Some(progress) = entry.stop.progress() else { return Ok(()) };
-    let left_ms = progress.left.as_millis() as u64;
-    let demand = StopDemand {
-        left_ms,
-        limit_ms: deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
-        is_likely_in_time: entry.answer_times().ends_within(&route.name, left_ms),
-    };
-    let is_taken = stop_admission::takes(progress.phase, &demand);
-    let outcome = if is_taken { "admitted" } else { "refused" };
-    entry.metrics.count_stop_decision(progress.phase.label(), outcome);
-    let requests =
-        parts.extensions.get::<ServedConnection>().map_or(0, |connection| connection.requests);
-    log::info!(
-        "event=stop_decision request={} route={} outcome={outcome} {progress} limit_ms={} connection_requests={requests}",
-        head.attempt_id,
-        route.name,
-        demand.limit_ms
-    );
-    if is_taken {
-        return Ok(());
-    }
-    let detail = "it might not end before the entry does";
-    Err(Refusal::new(ResultCode::ShuttingDown, detail).retry_after(STOPPING_RETRY_AFTER_MS))
-}
-
 /// Reads the body up to the size limit, until the request's deadline at the latest.
 async fn read_body(body: Incoming, catalog: &Catalog, deadline: Instant) -> Result<Bytes, Refusal> {
     let limits = catalog.limits;
@@ -270,64 +219,6 @@
     }
 }
 
-/// Reserves the worst case of a request; returns `None` for a workspace without a budget or
-/// a request without a token bound.
-async fn reserve(
-    entry: &Entry,
-    catalog: &Catalog,
-    route: &Route,
-    head: &CallerHead,
-    workspace: &Workspace,
-    deadline: Instant,
-) -> Result<Option<Reservation>, Refusal> {
-    let (Some(prepaid), Some(tokens)) = (workspace.prepaid, head.tokens) else { return Ok(None) };
-    let lifetime = deadline.saturating_duration_since(Instant::now());
-    let max_wait = (route.latency_objective / RESERVATION_WAIT_DIVISOR)
-        .min(MAX_RESERVATION_WAIT)
-        .min(lifetime);
-    let params = ReservationParams {
-        request: head.attempt_id.clone(),
-        budget: BudgetId { workspace: workspace.name.clone(), name: BUDGET_NAME.to_owned() },
-        prepaid,
-        prepaid_version: catalog.version,
-        tokens: tokens.total(),
-        max_wait,
-        lifetime,
-    };
-    let started = Instant::now();
-    let answer = entry.budgets.reserve(&params).await;
-    let outcome = match &answer {
-        Ok(_) => "granted",
-        Err(ReservationDenied::Exhausted) => "exhausted",
-        Err(ReservationDenied::Short) => "short",
-        Err(ReservationDenied::Unavailable) => "unavailable",
-    };
-    entry.metrics.record_reservation(outcome, started.elapsed());
-    match answer {
-        Ok(reservation) => {
-            entry.budget_retry_after().record_success();
-            Ok(Some(reservation))
-        }
-        Err(ReservationDenied::Exhausted) => {
-            let detail = format!("{} tokens do not fit into what is left", params.tokens);
-            Err(Refusal::new(ResultCode::BudgetExhausted, detail))
-        }
-        Err(ReservationDenied::Short) => {
-            let refusal = Refusal::new(ResultCode::BudgetUnavailable, "other holders have it");
-            Err(refusal.retry_after(SHORT_RETRY_AFTER_MS))
-        }
-        Err(ReservationDenied::Unavailable) => {
-            let refusal = Refusal::new(ResultCode::BudgetUnavailable, "no holder has the money");
-            let random = rank::key_of(&head.attempt_id);
-            let time_left_ms =
-                deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
-            let retry_after_ms =
-                entry.budget_retry_after().record_failure(entry.now(), time_left_ms, random);
-            Err(refusal.retry_after(retry_after_ms))
-        }
-    }
-}
-
 fn no_service() -> Refusal {
     Refusal::new(ResultCode::NoTarget, "the route has no service")
         .retry_after(NOT_CONFIGURED_RETRY_AFTER_MS)
