http_server: an entry that ends drops the connections whose callers do not read

What callers saw: a caller that did not read its stream when its entry ended was charged its whole reservation, and its next request could be refused with 402.

Cause: the cut is noticed when the next event of a stream is asked for. A connection whose buffers are full does not ask, so its stream and reservation ended with the runtime.

Change: HttpServer::abort drops what is still open 200 ms after the cut. An answer that ends with its connection is reset then, so that it does not look complete; at the exit of the process it would have been closed as if it were.

a_stream_whose_caller_does_not_read_is_settled_at_the_end failed before with 402, «2000 tokens do not fit into what is left».

--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -35,6 +35,9 @@
 /// Longest wait for what callers get when the rest is cut.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 
+/// Longest wait for connections to be dropped, whose callers do not read.
+const ABORT_TIME: Duration = Duration::from_millis(50);
+
 /// Runs an entry until it is requested to stop; returns the exit code.
 pub async fn run(settings: DirectSettings, path: PathBuf) -> i32 {
     let cx = ProcessContext::open();
@@ -141,6 +144,7 @@
     let open = callers.wait_closed(time_to_cut).await;
     entry.stop.begin_cut();
     callers.wait_closed(LAST_ANSWER_TIME).await;
+    callers.abort(ABORT_TIME).await;
     entry.budgets.close(entry.stop.time_to_exit()).await;
     let took_ms = started.elapsed().as_millis();
     log::warn!(
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -112,9 +112,19 @@
     }
 }
 
+/// How far a server is with its close.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum CloseStage {
+    Serving,
+    /// No connection is accepted; open ones end with their answers.
+    Closing,
+    /// Open connections are dropped.
+    Aborted,
+}
+
 /// Running HTTP server; dropping it leaves it running.
 pub struct HttpServer {
-    closing: watch::Sender<bool>,
+    stage: watch::Sender<CloseStage>,
 }
 
 impl HttpServer {
@@ -129,28 +139,28 @@
         B::Data: Send,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let (closing, closed) = watch::channel(false);
+        let (stage, stages) = watch::channel(CloseStage::Serving);
         let handle = Arc::new(handle);
         tokio::spawn(async move {
-            let mut closing = closed.clone();
+            let mut closing = stages.clone();
             loop {
                 let stream = tokio::select! {
                     stream = accept(&listener) => stream,
-                    () = close_requested(&mut closing) => break,
+                    () = reached(&mut closing, CloseStage::Closing) => break,
                 };
-                tokio::spawn(serve(stream, limits(), handle.clone(), closed.clone()));
+                tokio::spawn(serve(stream, limits(), handle.clone(), stages.clone()));
             }
             for stream in waiting(listener) {
-                tokio::spawn(serve(stream, limits(), handle.clone(), closed.clone()));
+                tokio::spawn(serve(stream, limits(), handle.clone(), stages.clone()));
             }
         });
-        HttpServer { closing }
+        HttpServer { stage }
     }
 
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         // The task that accepts them has a receiver of its own and one to wait with.
-        self.closing.receiver_count().saturating_sub(2)
+        self.stage.receiver_count().saturating_sub(2)
     }
 
     /// Stops accepting and waits until the open connections have ended, at most for `timeout`.
@@ -163,15 +173,22 @@
 
     /// Stops accepting and closes connections when they have answered what has arrived.
     pub fn begin_close(&self) {
-        self.closing.send_replace(true);
+        self.stage.send_replace(CloseStage::Closing);
+    }
+
+    /// Drops the connections that are still open after [`HttpServer::begin_close`], with what they answer,
+    /// and waits until that is done, at most for `timeout`.
+    pub async fn abort(&self, timeout: Duration) {
+        self.stage.send_replace(CloseStage::Aborted);
+        self.wait_closed(timeout).await;
     }
 
     /// Waits until the open connections have ended after [`HttpServer::begin_close`], at most for
     /// `timeout`; returns the number of those that are still open then.
     pub async fn wait_closed(&self, timeout: Duration) -> usize {
         // Connections that outlast the timeout are counted below.
-        let _ = tokio::time::timeout(timeout, self.closing.closed()).await;
-        self.closing.receiver_count()
+        let _ = tokio::time::timeout(timeout, self.stage.closed()).await;
+        self.stage.receiver_count()
     }
 }
 
@@ -220,7 +237,7 @@
     stream: TcpStream,
     limits: ConnectionLimits,
     handle: Arc<H>,
-    mut closed: watch::Receiver<bool>,
+    mut stages: watch::Receiver<CloseStage>,
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -245,15 +262,24 @@
     }
     let mut connection = http.serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
-        ended = &mut connection => ended,
-        () = close_after_arrived(&mut closed) => {
+        ended = &mut connection => Some(ended),
+        () = close_after_arrived(&mut stages) => {
             Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+            tokio::select! {
+                ended = &mut connection => Some(ended),
+                () = reached(&mut stages, CloseStage::Aborted) => None,
+            }
+        }
+    };
+    let is_cut = match ended {
+        Some(Ok(())) => return,
+        Some(Err(err)) => {
+            log::debug!("event=served_connection_ended reason={err}");
+            err.is_user()
         }
+        None => true,
     };
-    let Err(err) = ended else { return };
-    log::debug!("event=served_connection_ended reason={err}");
-    if err.is_user() && ends_with_connection.load(Ordering::Relaxed) {
+    if is_cut && ends_with_connection.load(Ordering::Relaxed) {
         reset(&connection.into_parts().io.into_inner());
     }
 }
@@ -266,15 +292,15 @@
 }
 
 /// Waits until the server is closed and requests that had arrived by then have been read.
-async fn close_after_arrived(closed: &mut watch::Receiver<bool>) {
-    close_requested(closed).await;
+async fn close_after_arrived(stages: &mut watch::Receiver<CloseStage>) {
+    reached(stages, CloseStage::Closing).await;
     tokio::time::sleep(READ_TIME).await;
 }
 
-/// Waits until the server is closed.
-async fn close_requested(closed: &mut watch::Receiver<bool>) {
+/// Waits until the server's close has reached a stage.
+async fn reached(stages: &mut watch::Receiver<CloseStage>, stage: CloseStage) {
     // The sender is gone when the `HttpServer` was dropped; the connections continue then.
-    if closed.wait_for(|closed| *closed).await.is_err() {
+    if stages.wait_for(|reached| *reached >= stage).await.is_err() {
         std::future::pending().await
     }
 }
--- a/daemon/tests/test_direct_stops.rs
+++ b/daemon/tests/test_direct_stops.rs
@@ -11,7 +11,7 @@
 use rosemarymoor_platform_standins::fleet::{LogOutput, PlatformFleet};
 use rosemarymoor_platform_standins::process::{budget_server_settings, free_address, spawn};
 use rosemarymoor_platform_standins::store::StoreStandIn;
-use rosemarymoor_platform_standins::target::{Step, TargetStandIn};
+use rosemarymoor_platform_standins::target::{Step, TargetStandIn, chunk, event, stream_head};
 use rosemarymoor_testutils::temp_folder::TempFolder;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
@@ -121,6 +121,44 @@
     assert_eq!(answer.status, 200, "{}", answer.text());
 }
 
+/// Size and number of events that more than fill the buffers between an entry and a caller that does
+/// not read.
+const LARGE_EVENT_BYTES: usize = 128 << 10;
+const LARGE_EVENTS: u64 = 120;
+
+/// Time before the large events, so that the caller does not read for less than the time after which its
+/// connection is given up.
+const SMALL_EVENT_TIME: Duration = Duration::from_millis(2_800);
+
+/// Prepaid tokens for less than two reservations of 2,000 each.
+const TOKENS_OF_LESS_THAN_TWO: u64 = 3_900;
+
+#[tokio::test]
+async fn a_stream_whose_caller_does_not_read_is_settled_at_the_end() {
+    let target = target(|received| {
+        let large_event = |id| format!("id: {id}\ndata: {}\n\n", "x".repeat(LARGE_EVENT_BYTES));
+        let first = Step::Send(chunk(&event(1)));
+        let mut steps =
+            vec![Step::Send(stream_head(received)), first, Step::Wait(SMALL_EVENT_TIME)];
+        steps.extend((2..=LARGE_EVENTS).map(|id| Step::Send(chunk(&large_event(id)))));
+        steps
+    })
+    .await;
+    let mut fleet = fleet_with_budget(BINARY, &target, TOKENS_OF_LESS_THAN_TWO).await;
+    let _server = fleet.start_budget_server("side-1").await.unwrap();
+    let other = fleet.start_entry("entry-2").await.unwrap();
+    let large =
+        |id| CallerRequest { tokens: Some((1_000, 1_000)), ..stream_request("/stream/1", id) };
+    fleet.entry.terminate();
+    tokio::time::sleep(LATE).await;
+    let mut silent = Caller::connect(fleet.callers).await.unwrap();
+    silent.send(&large("silent").bytes()).await.unwrap();
+    assert_eq!(fleet.entry.wait_exit_code().await, Some(0));
+    let mut caller = Caller::connect(other.callers).await.unwrap();
+    let answer = caller.call_until(&large("next"), "id: 1").await.unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
 /// A process that starts while one before it still has its address, as after a stop that takes long.
 #[tokio::test]
 async fn a_budget_server_waits_for_its_address() {
--- a/daemon/tests/test_http_server.rs
+++ b/daemon/tests/test_http_server.rs
@@ -6,7 +6,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hyper::StatusCode;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::{Response, StatusCode};
 use rosemarymoor_daemon::health::{Health, Metrics, Probe, text_answer};
 use rosemarymoor_daemon::http_server::{self, ConnectionLimits, HttpServer};
 use rosemarymoor_lib::http_client::{self, ConnectionReuse};
@@ -190,3 +194,25 @@
     server.close(http_server::CLOSE_TIMEOUT).await;
     assert_eq!(count_answered(callers), CALLERS);
 }
+
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_does_not_look_complete_after_an_abort() {
+    let address = free_address();
+    let listener = http_server::bind(address).unwrap();
+    let idle = || ConnectionLimits::idle(IDLE);
+    let server = HttpServer::spawn(listener, idle, |_| {
+        let begin =
+            stream::once(async { Ok::<_, std::io::Error>(Frame::data(Bytes::from("part"))) });
+        std::future::ready(Response::new(StreamBody::new(begin.chain(stream::pending()).boxed())))
+    });
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(b"GET / HTTP/1.0\r\n\r\n").await.unwrap();
+    let mut received = Vec::new();
+    while !received.ends_with(b"part") {
+        assert_ne!(caller.read_buf(&mut received).await.unwrap(), 0, "it ended early");
+    }
+    server.begin_close();
+    assert_eq!(server.wait_closed(ANSWER_TIME).await, 1, "it has not ended by itself");
+    server.abort(IDLE).await;
+    assert!(caller.read_buf(&mut received).await.is_err(), "it looks complete");
+}
