direct: an entry takes requests on an estimate for 2.7 s after its signal, not for 3 s

An entry that notices SIGTERM 150 ms late counted its phases from then, so that a stream sent 3.05 s after the signal was still taken on an estimate and cut.

Cause: the estimate ended with the listener, at the time by which the balancer has stopped to send, without a margin.

Change: the estimate ends 300 ms earlier than the listener closes. Until then new connections get an answer, and a request whose limit does not end it in time is refused (3005). With a short grace both moments lie before the cut, at half of the time until it; the estimate could be asked with no time left before.

--- a/daemon/src/direct/stop.rs
+++ b/daemon/src/direct/stop.rs
@@ -15,6 +15,10 @@
 /// once a second and stops sending after two failed checks.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
 
+/// Time after the signal in which a request is taken on an estimate. It is shorter, since a process may
+/// notice the signal late.
+const ESTIMATE_AFTER_STOP: Duration = Duration::from_millis(2_700);
+
 /// Part of the stop's time limit that is kept for what follows the cut.
 const CUT_RESERVE: Duration = Duration::from_millis(1_300);
 
@@ -25,6 +29,7 @@
 #[derive(Clone, Copy, Debug)]
 struct StopTimes {
     signalled_at: Instant,
+    estimates_until: Instant,
     closes_at: Instant,
     cuts_at: Instant,
     exits_at: Instant,
@@ -71,10 +76,12 @@
     /// Begins the stop, whose time limit is `grace`; a later call has no effect.
     pub fn begin(&self, grace: Duration) {
         let signalled_at = Instant::now();
+        let time_to_cut = grace.saturating_sub(CUT_RESERVE);
         self.times.get_or_init(|| StopTimes {
             signalled_at,
-            closes_at: signalled_at + ACCEPT_AFTER_STOP.min(grace / 2),
-            cuts_at: signalled_at + grace.saturating_sub(CUT_RESERVE),
+            estimates_until: signalled_at + ESTIMATE_AFTER_STOP.min(time_to_cut / 2),
+            closes_at: signalled_at + ACCEPT_AFTER_STOP.min(time_to_cut / 2),
+            cuts_at: signalled_at + time_to_cut,
             exits_at: signalled_at + grace.saturating_sub(EXIT_RESERVE),
         });
     }
@@ -88,7 +95,10 @@
     pub fn progress(&self) -> Option<StopProgress> {
         let times = self.times.get()?;
         let now = Instant::now();
-        let phase = if now < times.closes_at { StopPhase::Accepting } else { StopPhase::Closing };
+        let phase = match now < times.estimates_until {
+            true => StopPhase::Accepting,
+            false => StopPhase::Closing,
+        };
         Some(StopProgress {
             phase,
             age: now.duration_since(times.signalled_at),
--- a/lib/src/dispatch/order/stop_admission.rs
+++ b/lib/src/dispatch/order/stop_admission.rs
@@ -1,15 +1,16 @@
 //! Which requests an entry that stops still takes.
 //!
 //! While the balancer may still send callers, a refused caller may meet the next entry that stops, so what
-//! is likely to end in time is taken. Once the listener closes, nobody is sent any more; what still arrives is
-//! taken only if its own limit ends it in time. What is refused has not run, and its caller goes elsewhere.
+//! is likely to end in time is taken. Shortly before the listener closes nobody is sent any more; what still
+//! arrives is taken only if its own limit ends it in time. What is refused has not run, and its caller goes
+//! elsewhere.
 
 /// Phase of a stop that still reads requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopPhase {
     /// The balancer may still send callers.
     Accepting,
-    /// The listener closes; only what is on its way arrives.
+    /// The listener is about to close or has closed; what is on its way arrives.
     Closing,
 }
 
