direct: what has arrived by the cut is passed on, also by an entry that runs late

A stream whose target had ended it before the cut lost its last events, if the entry was held up around the cut: the stop was polled first on waking, before the bytes were read.

Change: the cut comes 50 ms after its time is up, in which the process reads and passes on what has arrived.

--- a/daemon/src/direct/entry_process.rs
+++ b/daemon/src/direct/entry_process.rs
@@ -32,6 +32,9 @@
 use crate::answer_memory::AnswerMemory;
 use crate::http_server::HttpServer;
 
+/// Time before the cut in which a process that runs late passes on what has arrived.
+const ARRIVAL_TIME: Duration = Duration::from_millis(50);
+
 /// Longest wait for what callers get when the rest is cut.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 
@@ -141,7 +144,8 @@
     );
     callers.begin_close();
     let time_to_cut = entry.stop.progress().map_or(Duration::ZERO, |progress| progress.left);
-    let open = callers.wait_closed(time_to_cut).await;
+    callers.wait_closed(time_to_cut).await;
+    let open = callers.wait_closed(ARRIVAL_TIME).await;
     entry.stop.begin_cut();
     callers.wait_closed(LAST_ANSWER_TIME).await;
     callers.abort(ABORT_TIME).await;
--- a/daemon/tests/test_direct_stops.rs
+++ b/daemon/tests/test_direct_stops.rs
@@ -11,7 +11,9 @@
 use rosemarymoor_platform_standins::fleet::{LogOutput, PREPAID, PlatformFleet, manifest};
 use rosemarymoor_platform_standins::process::{budget_server_settings, free_address, spawn};
 use rosemarymoor_platform_standins::store::StoreStandIn;
-use rosemarymoor_platform_standins::target::{Step, TargetStandIn, chunk, event, stream_head};
+use rosemarymoor_platform_standins::target::{
+    Step, TargetStandIn, chunk, event, last_chunk, stream_head,
+};
 use rosemarymoor_testutils::temp_folder::TempFolder;
 use tokio::time::Instant;
 
@@ -150,6 +152,38 @@
     assert!(answer.is_none_or(|answer| answer.complete), "it was cut");
 }
 
+/// Time after the signal at which a target ends its stream, and in which the entry is held up.
+const LAST_EVENT_TIME: Duration = Duration::from_millis(6_600);
+const HELD_UP_FROM: Duration = Duration::from_millis(6_550);
+const HELD_UP_UNTIL: Duration = Duration::from_millis(7_250);
+
+#[tokio::test]
+async fn a_stream_that_arrived_before_the_cut_is_passed_on_by_an_entry_that_runs_late() {
+    let target = target(|received| {
+        let last = format!("{}{}", event(2), event(3));
+        vec![
+            Step::Send(stream_head(received)),
+            Step::Send(chunk(&event(1))),
+            Step::Wait(LAST_EVENT_TIME - ACCEPTING),
+            Step::Send(chunk(&last)),
+            Step::Send(last_chunk()),
+        ]
+    })
+    .await;
+    let fleet = fleet_before(&target).await;
+    let signalled_at = Instant::now();
+    fleet.entry.terminate();
+    tokio::time::sleep_until(signalled_at + ACCEPTING).await;
+    let mut caller = Caller::connect(fleet.callers).await.unwrap();
+    caller.send(&long_request("late").bytes()).await.unwrap();
+    tokio::time::sleep_until(signalled_at + HELD_UP_FROM).await;
+    fleet.entry.pause();
+    tokio::time::sleep_until(signalled_at + HELD_UP_UNTIL).await;
+    fleet.entry.resume();
+    let answer = caller.answer().await.expect("an answer");
+    assert_eq!((answer.complete, answer.text()), (true, all_events(3)));
+}
+
 #[tokio::test]
 async fn a_call_that_outlasts_the_stop_is_answered_and_not_cut() {
     let target = target(|_| vec![Step::Wait(Duration::from_secs(15))]).await;
