direct: a request that was not sent when the entry ends is refused as not run

A request that still waited for room, a permit, a trial or a connection at the cut got 502 (4001, may have run), after which a caller must not repeat what may not repeat.

Cause: everything behind the admission counted as sent.

Change: a call notes when it is handed to a connection; one that was not is refused with 3005.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
@@ -257,6 +258,7 @@
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = call.uri.clone();
     *req.headers_mut() = target_headers(&call.headers, &head);
+    call.sent.store(true, Ordering::Relaxed);
     let sending = entry.pool.send(address, req, CONNECT_TIMEOUT);
     let exchange = match tokio::time::timeout(timeout, sending).await {
         Ok(Ok(exchange)) => exchange,
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -1,6 +1,7 @@
 //! Request that an entry has admitted.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -50,6 +51,8 @@
     pub reservation: Option<Reservation>,
     /// Upper bound of the tokens in one event of the answer.
     pub tokens_per_event: u64,
+    /// Whether it may have been sent to a target.
+    pub sent: Arc<AtomicBool>,
     /// Whether the end has been counted.
     pub(super) ended: bool,
     pub(super) _load: LoadGuard,
--- a/daemon/src/direct/handler.rs
+++ b/daemon/src/direct/handler.rs
@@ -2,6 +2,7 @@
 //! tokens. Admitted requests go on to [`deliver`].
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use super::deliver;
 use super::entry::Entry;
 use super::overload;
+use super::stop::CutWatch;
 use super::{refusal, reserving, resumption, stop_check};
 use crate::http_server::AnswerBody;
 
@@ -49,18 +51,29 @@
         () = cut.begun() => Err(stop_check::refusal("the entry ends")),
     };
     let delivered = match admitted {
-        Ok(call) => tokio::select! {
-            biased;
-            resp = deliver::deliver(entry, call) => Ok(resp),
-            () = cut.begun() => {
-                Err(Refusal::new(ResultCode::FateUnknown, "the entry ends before the target answers"))
-            }
-        },
+        Ok(call) => deliver_until_cut(entry, call, &mut cut).await,
         Err(refusal) => Err(refusal),
     };
     delivered.unwrap_or_else(|refusal| refuse(entry, &attempt_id, &refusal, arrived_at))
 }
 
+/// Delivers a request; returns the refusal of one that the entry cuts before its answer begins.
+async fn deliver_until_cut(
+    entry: &Arc<Entry>,
+    call: Call,
+    cut: &mut CutWatch,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let sent = call.sent.clone();
+    tokio::select! {
+        biased;
+        resp = deliver::deliver(entry, call) => Ok(resp),
+        () = cut.begun() => match sent.load(Ordering::Relaxed) {
+            true => Err(Refusal::new(ResultCode::FateUnknown, "the entry ends before the target answers")),
+            false => Err(stop_check::refusal("the entry ends")),
+        }
+    }
+}
+
 /// Counts and logs the refusal of a request that was not admitted, and returns its answer.
 fn refuse(
     entry: &Entry,
@@ -161,6 +174,7 @@
         deadline,
         reservation,
         tokens_per_event,
+        sent: Arc::default(),
         ended: false,
         _load: load,
         entry: entry.clone(),
--- a/daemon/tests/test_direct_stops.rs
+++ b/daemon/tests/test_direct_stops.rs
@@ -6,13 +6,13 @@
 
 use rosemarymoor_platform_standins::caller::{Answer, Caller, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{
-    all_events, call, events, fleet, fleet_with_budget, stream_request, target,
+    all_events, call, events, fleet, fleet_with_budget, ok, stream_request, target,
 };
 use rosemarymoor_platform_standins::fleet::{LogOutput, PREPAID, PlatformFleet, manifest};
 use rosemarymoor_platform_standins::process::{budget_server_settings, free_address, spawn};
 use rosemarymoor_platform_standins::store::StoreStandIn;
 use rosemarymoor_platform_standins::target::{
-    Step, TargetStandIn, chunk, event, last_chunk, stream_head,
+    Step, TargetStandIn, chunk, event, last_chunk, not_run_with_pause, stream_head,
 };
 use rosemarymoor_testutils::temp_folder::TempFolder;
 use tokio::time::Instant;
@@ -48,8 +48,13 @@
 async fn allow_long_requests(fleet: &PlatformFleet, prepaid: u64) {
     let text = manifest(2, prepaid).to_string();
     let text = text.replace("\"timeout_ms\":5000", &format!("\"timeout_ms\":{LIMIT_MS}"));
-    fleet.store.put("op/config", &serde_json::from_str(&text).unwrap());
-    while !fleet.entry.log().contains("event=catalog_in_force version=2") {
+    put_manifest(fleet, 2, &text).await;
+}
+
+/// Writes a configuration and waits until the entry applies it.
+async fn put_manifest(fleet: &PlatformFleet, version: u64, text: &str) {
+    fleet.store.put("op/config", &serde_json::from_str(text).unwrap());
+    while !fleet.entry.log().contains(&format!("event=catalog_in_force version={version} ")) {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
@@ -196,6 +201,26 @@
     assert_eq!((answer.status, answer.complete), (502, true), "{}", answer.text());
 }
 
+#[tokio::test]
+async fn a_request_that_waits_unsent_at_the_cut_is_refused_as_not_run() {
+    let target = target(|received| match received.attempt_id() {
+        "first" => vec![Step::Send(not_run_with_pause(9))],
+        _ => ok(received),
+    })
+    .await;
+    let fleet = fleet_before(&target).await;
+    let text = manifest(3, PREPAID).to_string();
+    let text = text.replace("\"goal_ms\":400", "\"goal_ms\":40000");
+    let text = text.replace("\"timeout_ms\":5000", "\"timeout_ms\":30000");
+    put_manifest(&fleet, 3, &text).await;
+    fleet.entry.terminate();
+    let call = |id| CallerRequest { deadline_ms: 30_000, ..CallerRequest::post("/unsafe/1", id) };
+    assert_eq!(fleet.call(&call("first")).await.unwrap().status, 503);
+    let answer = fleet.call(&call("waits")).await.expect("an answer");
+    assert!(answer.text().contains("3005"), "{}", answer.text());
+    assert!(target.received().iter().all(|received| received.attempt_id() != "waits"));
+}
+
 /// Prepaid tokens for one stream of 1,100 besides one that got 1,048 at most.
 const TOKENS_OF_TWO_STREAMS: u64 = 2_160;
 
