direct: an entry that ends waits for all that it tells budget servers

What callers would see: a stream that had just begun when its entry ended could not be taken up, since nobody had been told what began it; a crash of a target was counted by nobody.

Cause: each kind of report ran in a task of its own, and only settlements were waited for, by a queue that does not count those in a call.

Change: PeerClient tracks the reports that run (tokio-util's TaskTracker, a crate that was in the tree already): settlements, crashes and completions, origins of streams, limits. The end of the entry waits for all of them, within the grace, and logs how many are left (reports_left); tokens that were not returned are logged apart (money_kept).

--- a/daemon/src/direct/begun_streams.rs
+++ b/daemon/src/direct/begun_streams.rs
@@ -105,7 +105,7 @@
     /// Records what began a stream, and reports it in the background.
     pub fn record(&self, stream: BegunStream) {
         self.own.record(&stream);
-        tokio::spawn(self.clone().report(stream));
+        self.client.spawn_report(self.clone().report(stream));
     }
 
     /// Returns what began a stream, from this entry or the first server that knows it.
--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -178,17 +178,17 @@
         self.store_backoff_until().is_some_and(|until| Instant::now() < until)
     }
 
-    /// Delivers the settlements that wait and returns the tokens of the entry's own ceilings, for a
-    /// graceful stop; gives up after `timeout`.
+    /// Waits until what is told to budget servers has been, settlements above all, and returns the tokens
+    /// of the entry's own ceilings, for a graceful stop; gives up after `timeout`.
     pub async fn close(&self, timeout: Duration) {
-        let closing =
-            async { tokio::join!(self.settlements.delivered(), self.local_ceilings.close()) };
-        if tokio::time::timeout(timeout, closing).await.is_err() {
-            let waiting = self.settlements.waiting();
-            log::warn!(
-                "event=settlements_left waiting={waiting} timeout_ms={}",
-                timeout.as_millis()
-            );
+        let returning = tokio::time::timeout(timeout, self.local_ceilings.close());
+        let (returned, left) = tokio::join!(returning, self.client.finish_reports(timeout));
+        let timeout_ms = timeout.as_millis();
+        if returned.is_err() {
+            log::warn!("event=money_kept reason=process_ends timeout_ms={timeout_ms}");
+        }
+        if left > 0 {
+            log::warn!("event=reports_left count={left} timeout_ms={timeout_ms}");
         }
     }
 
@@ -324,7 +324,7 @@
             Holder::Server(server) => {
                 let settlement = Settlement { id, budget: budget.clone(), used };
                 if self.settlements.push(server.internal, settlement) {
-                    tokio::spawn(self.clone().deliver_settlements(server.clone()));
+                    self.client.spawn_report(self.clone().deliver_settlements(server.clone()));
                 }
             }
         }
--- a/daemon/src/direct/peer_client.rs
+++ b/daemon/src/direct/peer_client.rs
@@ -8,6 +8,7 @@
 use hyper::header::{HOST, HeaderMap};
 use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
+use tokio_util::task::TaskTracker;
 
 use super::peers::{PeerRecord, Peers};
 use crate::http_pool::{HttpPool, SendError};
@@ -22,13 +23,28 @@
 #[derive(Clone)]
 pub struct PeerClient {
     pool: HttpPool,
+    /// What is told to the servers in the background.
+    reports: TaskTracker,
     pub peers: Arc<Peers>,
 }
 
 impl PeerClient {
     /// Opens a client of the listed budget servers.
     pub fn open(pool: HttpPool, peers: Arc<Peers>) -> PeerClient {
-        PeerClient { pool, peers }
+        PeerClient { pool, reports: TaskTracker::new(), peers }
+    }
+
+    /// Runs a report to the servers in the background; the process waits for it when it ends.
+    pub fn spawn_report(&self, report: impl Future<Output = ()> + Send + 'static) {
+        self.reports.spawn(report);
+    }
+
+    /// Waits until all reports have ended; returns how many have not within `timeout`.
+    pub async fn finish_reports(&self, timeout: Duration) -> usize {
+        self.reports.close();
+        // Those that are left are counted below.
+        let _ = tokio::time::timeout(timeout, self.reports.wait()).await;
+        self.reports.len()
     }
 
     /// Posts a message; an answer with any status but 200 counts as a broken connection.
--- a/daemon/src/direct/poison_reports.rs
+++ b/daemon/src/direct/poison_reports.rs
@@ -69,7 +69,7 @@
             self.record_alone(&crash);
             return reported;
         }
-        tokio::spawn(async move {
+        self.client.spawn_report(async move {
             let answers = reports.post_to_all(&servers, CRASH_PATH, &crash).await;
             if answers.is_empty() {
                 reports.record_alone(&crash);
@@ -109,7 +109,8 @@
             self.own.unproven(&completion.suspects).iter().any(|suspect| suspect.is_part());
         if was_reported || is_unproven || self.own.is_suspected(&completion.suspects) {
             let (reports, service) = (self.clone(), service.to_owned());
-            tokio::spawn(async move { reports.record_uncertain(&service, completion).await });
+            let report = async move { reports.record_uncertain(&service, completion).await };
+            self.client.spawn_report(report);
         }
     }
 
@@ -191,7 +192,9 @@
         message: T,
     ) {
         let (reports, servers) = (self.clone(), self.servers(service));
-        tokio::spawn(async move { reports.post_to_all(&servers, path, &message).await });
+        self.client.spawn_report(async move {
+            reports.post_to_all(&servers, path, &message).await;
+        });
     }
 
     /// Posts a message to servers; returns the answers of those that have it.
--- a/daemon/src/direct/send_permits.rs
+++ b/daemon/src/direct/send_permits.rs
@@ -82,7 +82,7 @@
     /// Reports in the background what a target has said of its limit.
     pub fn report(&self, report: LimitReport) {
         let client = self.client.clone();
-        tokio::spawn(async move {
+        self.client.spawn_report(async move {
             let key = rank::key_of(&report.target.id);
             for (_, server) in client.peers.permit_issuers(key) {
                 if let Err(err) = client.post(&server, LIMIT_PATH, &report, REPORT_TIMEOUT).await {
--- a/daemon/src/direct/settlement_queue.rs
+++ b/daemon/src/direct/settlement_queue.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use rosemarymoor_lib::budget::ceiling::Settlement;
-use tokio::sync::Notify;
 
 /// Most settlements in one call, far below the size limit of its body.
 const MAX_SETTLEMENTS_PER_CALL: usize = 256;
@@ -19,7 +18,6 @@
 #[derive(Clone, Default)]
 pub struct SettlementQueue {
     queues: Arc<Mutex<Vec<ServerQueue>>>,
-    delivered: Arc<Notify>,
 }
 
 impl SettlementQueue {
@@ -44,31 +42,12 @@
         let at = queues.iter().position(|queue| queue.server == server)?;
         if queues[at].waiting.is_empty() {
             queues.swap_remove(at);
-            if queues.is_empty() {
-                self.delivered.notify_waiters();
-            }
             return None;
         }
         let count = queues[at].waiting.len().min(MAX_SETTLEMENTS_PER_CALL);
         Some(queues[at].waiting.drain(..count).collect())
     }
 
-    /// Waits until no delivery is in progress.
-    pub async fn delivered(&self) {
-        loop {
-            let delivered = self.delivered.notified();
-            if self.lock().is_empty() {
-                return;
-            }
-            delivered.await;
-        }
-    }
-
-    /// Returns the number of settlements that wait while an earlier call is in progress.
-    pub fn waiting(&self) -> usize {
-        self.lock().iter().map(|queue| queue.waiting.len()).sum()
-    }
-
     fn lock(&self) -> MutexGuard<'_, Vec<ServerQueue>> {
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/daemon/tests/test_direct_stops.rs
+++ b/daemon/tests/test_direct_stops.rs
@@ -239,6 +239,23 @@
     assert_eq!(answer.status, 200, "{}", answer.text());
 }
 
+#[tokio::test]
+async fn a_settlement_that_is_not_confirmed_at_the_end_is_logged_as_left() {
+    let target = target(|received| events(received, 0, LONG_EVENTS, EVENT_INTERVAL)).await;
+    let mut fleet = fleet_with_budget(BINARY, &target, PREPAID).await;
+    allow_long_requests(&fleet, PREPAID).await;
+    let server = fleet.start_budget_server("side-1").await.unwrap();
+    let mut caller = Caller::connect(fleet.callers).await.unwrap();
+    fleet.entry.terminate();
+    tokio::time::sleep(ACCEPTING).await;
+    caller.send(&long_request("s").bytes()).await.unwrap();
+    tokio::time::sleep(ACCEPTING).await;
+    server.pause();
+    assert_eq!(fleet.entry.wait_exit_code().await, Some(0));
+    server.resume();
+    assert!(fleet.entry.log().contains("event=reports_left count=1 "), "{}", fleet.entry.log());
+}
+
 /// Size and number of events that more than fill the buffers between an entry and a caller that does
 /// not read.
 const LARGE_EVENT_BYTES: usize = 128 << 10;
