ceilings: numbers too large neither overflow nor name what is taken

What callers would see: one request whose token bound is near 2^64 while others of its budget are open ends the call that carries it where sums are checked; where they wrap, the sum is small and it is granted, beyond what is prepaid. An account of another writer whose grants do not add up ends the task that read it in the same way; one with grants out of order was written over.

Cause: committed + requested tokens, granted totals and the prepaid rest were plain sums over numbers from a caller's header and from the store.

Sums saturate now, so that a request beyond any budget is exhausted. An account whose grants are out of order, settle more than they hold or do not add up counts as malformed (account_malformed): its budget answers 503 until it can be read, and nothing is written over it. One that has more taken than prepaid is served from the rest, as before.

--- a/lib/src/budget/ceiling/budget_ceiling/replies.rs
+++ b/lib/src/budget/ceiling/budget_ceiling/replies.rs
@@ -17,7 +17,7 @@
     pub(super) fn grant_waiting(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) {
         while let Some(first) = self.waiting.front() {
             let tokens = first.req.tokens;
-            if self.committed() + tokens > self.ceiling {
+            if self.committed().saturating_add(tokens) > self.ceiling {
                 return;
             }
             let Some(WaitingRequest { req, .. }) = self.waiting.pop_front() else { return };
@@ -45,12 +45,12 @@
         effects: &mut Vec<CeilingEffect>,
     ) {
         let mut kept = VecDeque::new();
-        let mut tokens_ahead = 0;
+        let mut tokens_ahead = 0_u64;
         while let Some(waiting) = self.waiting.pop_front() {
             let reply = self.refusal(epoch, store, era, &waiting, tokens_ahead, now);
             match reply {
                 None => {
-                    tokens_ahead += waiting.req.tokens;
+                    tokens_ahead = tokens_ahead.saturating_add(waiting.req.tokens);
                     kept.push_back(waiting);
                 }
                 Some(reply) => {
@@ -112,7 +112,7 @@
             return Some(ReservationReply::Unavailable);
         }
         let stored = self.last_read.as_ref()?;
-        let needed = self.committed() + tokens_ahead + tokens;
+        let needed = self.committed().saturating_add(tokens_ahead).saturating_add(tokens);
         let has_settled = self.pending.is_none() && self.lost_ceiling.is_none();
         if has_settled && needed > self.ceiling && !era.may_raise(stored.era, now) {
             return Some(ReservationReply::Unavailable);
@@ -129,6 +129,7 @@
     /// Returns whether the tokens would not fit even if all other holders spent no more.
     pub(super) fn is_exhausted(&self, epoch: EpochId, tokens: u64) -> bool {
         let Some(stored) = self.last_read.as_ref() else { return false };
-        others_totals(&stored.account, epoch).1 + self.committed() + tokens > self.prepaid
+        let others_settled = others_totals(&stored.account, epoch).1;
+        others_settled.saturating_add(self.committed()).saturating_add(tokens) > self.prepaid
     }
 }
--- a/lib/src/budget/ceiling/budget_ceiling/store_calls.rs
+++ b/lib/src/budget/ceiling/budget_ceiling/store_calls.rs
@@ -74,11 +74,12 @@
         let is_idle = now.since(self.last_request_at) >= RETURN_AFTER_MS;
         let has_none = is_idle || self.closing || self.headroom_kind == Headroom::None;
         let headroom = if has_none { 0 } else { self.demand.headroom(free, self.prepaid, now) };
-        let requested: u64 = self.waiting.iter().map(|waiting| waiting.req.tokens).sum();
-        let desired = (committed + requested + headroom).min(max_ceiling).max(committed);
+        let tokens = self.waiting.iter().map(|waiting| waiting.req.tokens);
+        let needed = tokens.fold(committed, u64::saturating_add);
+        let desired = needed.saturating_add(headroom).min(max_ceiling).max(committed);
         if !self.waiting.is_empty() {
             let first = self.waiting.front().map_or(0, |waiting| waiting.req.tokens);
-            return (committed + first <= max_ceiling).then_some(desired);
+            return (committed.saturating_add(first) <= max_ceiling).then_some(desired);
         }
         let recently_written = now.since(self.last_write_at) < BACKGROUND_WRITE_INTERVAL_MS;
         if recently_written && !self.closing {
@@ -92,7 +93,7 @@
             let has_nothing = own.is_none() && committed == 0;
             return (!is_recorded && !has_nothing).then_some(committed);
         }
-        if remaining > headroom.max(self.largest_request_tokens) * SURPLUS_FACTOR {
+        if remaining > headroom.max(self.largest_request_tokens).saturating_mul(SURPLUS_FACTOR) {
             return Some(desired);
         }
         ((remaining as f64) < headroom as f64 * RAISE_BELOW_SHARE && desired > self.ceiling)
@@ -114,14 +115,13 @@
             era = store_era.number();
             reserve_after_restore(&mut account, self.prepaid, era);
         }
-        let total: u64 = account.grants.iter().map(|grant| grant.granted).sum();
         let lost = self.lost_ceiling.map_or(0, |_| {
             granted.saturating_sub(account.grant(epoch).map_or(0, |grant| grant.granted))
         });
         // A lowered budget may be smaller than what was granted, and so may one whose grants are
         // written again after a restore. The account then counts what was granted as prepaid, and
         // nothing is free.
-        account.prepaid = self.prepaid.max(account.settled + total + lost);
+        account.prepaid = self.prepaid.max(account.taken().saturating_add(lost));
         let grant = Grant { epoch, granted, settled: self.spending.used() };
         if !account.set_grant(grant) {
             log::warn!("event=ceiling_refused budget={} granted={granted}", self.budget);
@@ -155,7 +155,7 @@
             Some(found) => {
                 let shard = Shard::decode(&found.value);
                 let account = shard.as_ref().and_then(|shard| shard.account(&self.budget));
-                let Some(account) = account else {
+                let Some(account) = account.filter(|account| account.has_valid_grants()) else {
                     log::error!("event=account_malformed budget={}", self.budget);
                     self.record_store_failure(now);
                     return;
--- a/lib/src/budget/ceiling/stored_account.rs
+++ b/lib/src/budget/ceiling/stored_account.rs
@@ -25,7 +25,7 @@
 pub(super) fn others_totals(account: &Account, epoch: EpochId) -> (u64, u64) {
     let others = account.grants.iter().filter(|grant| grant.epoch != epoch);
     others.fold((account.settled, account.settled), |(granted, settled), grant| {
-        (granted + grant.granted, settled + grant.settled)
+        (granted.saturating_add(grant.granted), settled.saturating_add(grant.settled))
     })
 }
 
@@ -51,7 +51,7 @@
             continue;
         }
         let missing = reported - recorded.granted;
-        account.prepaid = account.prepaid.max(account.prepaid - account.free() + missing);
+        account.prepaid = account.prepaid.max(account.taken().saturating_add(missing));
         account.set_grant(Grant { granted: reported, ..recorded });
     }
 }
@@ -76,8 +76,9 @@
     if account.grants.is_empty() && account.settled == 0 {
         return;
     }
-    account.prepaid = prepaid.max(account.prepaid - account.free());
-    let granted = (prepaid * RESTORE_RESERVE_PERCENT / 100).min(account.free());
+    account.prepaid = prepaid.max(account.taken());
+    let reserve = u128::from(prepaid) * u128::from(RESTORE_RESERVE_PERCENT) / 100;
+    let granted = (reserve as u64).min(account.free());
     let epoch = restore_reserve_epoch(era);
     account.set_grant(Grant { epoch, granted, settled: 0 });
 }
--- a/lib/src/budget/ledger.rs
+++ b/lib/src/budget/ledger.rs
@@ -46,7 +46,7 @@
 impl Grant {
     /// Returns the tokens granted and not settled.
     pub fn open_tokens(&self) -> u64 {
-        self.granted - self.settled
+        self.granted.saturating_sub(self.settled)
     }
 }
 
@@ -70,15 +70,28 @@
         Account { budget, prepaid: 0, settled: 0, grants: Vec::new(), operations: Vec::new() }
     }
 
+    /// Returns whether the grants can be told apart and added up, whoever wrote the account.
+    pub fn has_valid_grants(&self) -> bool {
+        let is_sorted = self.grants.is_sorted_by(|former, grant| former.epoch < grant.epoch);
+        let granted = self.grants.iter().try_fold(self.settled, |sum, grant| {
+            sum.checked_add(grant.granted).filter(|_| grant.settled <= grant.granted)
+        });
+        is_sorted && granted.is_some()
+    }
+
+    /// Returns the tokens that are granted to an epoch or settled.
+    pub fn taken(&self) -> u64 {
+        self.grants.iter().fold(self.settled, |sum, grant| sum.saturating_add(grant.granted))
+    }
+
     /// Returns the tokens that are neither granted to an epoch nor settled.
     pub fn free(&self) -> u64 {
-        let granted: u64 = self.grants.iter().map(|grant| grant.granted).sum();
-        self.prepaid - self.settled - granted
+        self.prepaid.saturating_sub(self.taken())
     }
 
     /// Returns the tokens known to be spent, under open and closed epochs.
     pub fn spent(&self) -> u64 {
-        self.settled + self.grants.iter().map(|grant| grant.settled).sum::<u64>()
+        self.grants.iter().fold(self.settled, |sum, grant| sum.saturating_add(grant.settled))
     }
 
     /// Returns the grant of an epoch.
@@ -102,7 +115,7 @@
     /// cover it.
     pub fn set_grant(&mut self, grant: Grant) -> bool {
         let granted = self.grant(grant.epoch).map_or(0, |former| former.granted);
-        if grant.settled > grant.granted || grant.granted > granted + self.free() {
+        if grant.settled > grant.granted || grant.granted > granted.saturating_add(self.free()) {
             return false;
         }
         match self.grants.binary_search_by_key(&grant.epoch, |former| former.epoch) {
@@ -116,7 +129,7 @@
     pub fn close_grant(&mut self, epoch: EpochId) {
         if let Ok(at) = self.grants.binary_search_by_key(&epoch, |grant| grant.epoch) {
             let grant = self.grants.remove(at);
-            self.settled += grant.settled;
+            self.settled = self.settled.saturating_add(grant.settled);
         }
     }
 
--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -5,8 +5,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rosemarymoor_lib::budget::ceiling::{
-    CeilingEffect, CeilingSystem, Headroom, ReservationId, ReservationReply, ReservationRequest,
-    Settlement, account_key,
+    CeilingEffect, CeilingSystem, GrantWitness, Headroom, ReservationId, ReservationReply,
+    ReservationRequest, Settlement, account_key,
 };
 use rosemarymoor_lib::budget::{Grant, Shard};
 use rosemarymoor_lib::id::{BudgetId, EpochId};
@@ -233,6 +233,133 @@
     assert_eq!(holder.system.budgets()[0].in_doubt, 1_000);
 }
 
+/// Tokens of which two do not fit into a number.
+const HUGE: u64 = u64::MAX - 1;
+
+#[test]
+fn a_request_beyond_any_budget_is_exhausted_while_others_are_open() {
+    let mut holder = Holder::open(1, Headroom::ByRate);
+    let mut store = ModelStore::default();
+    holder.reserve(request(1, 1_000), 0);
+    holder.run_effects(&mut store, 1);
+    for (id, tokens) in [(2, u64::MAX), (3, HUGE)] {
+        holder.reserve(request(id, tokens), 2);
+        holder.run_effects(&mut store, 3);
+        assert_eq!(holder.reply(id), Some(ReservationReply::Exhausted), "{tokens}");
+    }
+    assert_eq!(holder.committed(), 1_000);
+}
+
+#[test]
+fn requests_beyond_any_budget_that_wait_together_are_exhausted() {
+    let mut holder = Holder::open(1, Headroom::ByRate);
+    let mut store = ModelStore::default();
+    for id in 1..=3 {
+        holder.reserve(request(id, HUGE), 0);
+    }
+    holder.reserve(request(4, 10), 0);
+    holder.run_effects(&mut store, 1);
+    let replies: Vec<Option<ReservationReply>> = (1..=4).map(|id| holder.reply(id)).collect();
+    let (exhausted, granted) = (ReservationReply::Exhausted, ReservationReply::Granted);
+    assert_eq!(replies, [Some(exhausted), Some(exhausted), Some(exhausted), Some(granted)]);
+}
+
+#[test]
+fn the_largest_budget_is_served() {
+    let mut holder = Holder::open(1, Headroom::ByRate);
+    let mut store = ModelStore::default();
+    for id in 1..=3 {
+        let largest = ReservationRequest { prepaid: u64::MAX, ..request(id, 1_000) };
+        holder.reserve(largest, 0);
+        holder.run_effects(&mut store, 1);
+        assert_eq!(holder.reply(id), Some(ReservationReply::Granted));
+    }
+}
+
+/// Defines a test for each account that a holder must not take tokens of.
+macro_rules! odd_accounts {
+    ($($name:ident: $prepaid:expr, $settled:expr, $grants:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            check_odd_account($prepaid, $settled, &$grants);
+        })*
+    };
+}
+
+odd_accounts! {
+    grants_that_do_not_fit_into_a_number: PREPAID, 0, [(7, HUGE, 0), (8, HUGE, 0)];
+    settled_tokens_that_do_not_fit_into_a_number: PREPAID, HUGE, [(7, HUGE, HUGE)];
+    more_settled_than_granted: PREPAID, 0, [(7, 10, 20)];
+    grants_out_of_order: PREPAID, 0, [(8, 10, 0), (7, 10, 0)];
+    two_grants_of_one_epoch: PREPAID, 0, [(7, 10, 0), (7, 10, 0)];
+}
+
+/// Returns the value of an account; grants are given as epoch, granted and settled tokens.
+fn account_value(prepaid: u64, settled: u64, grants: &[(u64, u64, u64)]) -> Vec<u8> {
+    let mut shard = Shard::default();
+    let account = shard.open_account(&budget());
+    (account.prepaid, account.settled) = (prepaid, settled);
+    let grant = |(epoch, granted, settled): &(u64, u64, u64)| Grant {
+        epoch: EpochId(*epoch),
+        granted: *granted,
+        settled: *settled,
+    };
+    account.grants = grants.iter().map(grant).collect();
+    shard.encode()
+}
+
+/// Asks a holder for tokens whose account in the store breaks the ledger's rules, and again when it
+/// is as it should be.
+fn check_odd_account(prepaid: u64, settled: u64, grants: &[(u64, u64, u64)]) {
+    let value = account_value(prepaid, settled, grants);
+    let odd = Some(Versioned { revision: Revision(5), value });
+    let mut holder = Holder::open(1, Headroom::ByRate);
+    let mut store = ModelStore { revision: 5, value: odd.clone() };
+    holder.reserve(request(1, 1_000), 0);
+    holder.run_effects(&mut store, 1);
+    assert_eq!(store.value, odd, "nothing is written over it");
+    holder.tick(200);
+    assert_eq!(holder.reply(1), Some(ReservationReply::Unavailable));
+    let value = account_value(PREPAID, 0, &[]);
+    store = ModelStore { revision: 6, value: Some(Versioned { revision: Revision(6), value }) };
+    holder.reserve(request(2, 1_000), 2_000);
+    holder.run_effects(&mut store, 2_001);
+    assert_eq!(holder.reply(2), Some(ReservationReply::Granted));
+}
+
+/// The prepaid tokens of an account follow the catalog; what others took of them counts.
+#[test]
+fn an_account_with_more_taken_than_prepaid_is_served_from_the_rest() {
+    for (settled, grants) in [(PREPAID - 10, vec![]), (0, vec![(7, PREPAID - 10, 0)])] {
+        let value = account_value(1_000, settled, &grants);
+        let found = Versioned { revision: Revision(5), value };
+        let mut store = ModelStore { revision: 5, value: Some(found) };
+        let mut holder = Holder::open(1, Headroom::ByRate);
+        holder.reserve(request(1, 10), 0);
+        holder.run_effects(&mut store, 1);
+        assert_eq!(holder.reply(1), Some(ReservationReply::Granted));
+        holder.reserve(request(2, 1), 2);
+        holder.run_effects(&mut store, 3);
+        assert_ne!(holder.reply(2), Some(ReservationReply::Granted));
+    }
+}
+
+#[test]
+fn a_report_of_more_than_any_grant_does_not_end_a_holder() {
+    let mut holder = Holder::open(1, Headroom::ByRate);
+    let mut store = ModelStore::default();
+    holder.reserve(request(1, 1_000), 0);
+    holder.run_effects(&mut store, 1);
+    for epoch in [7, 8] {
+        let witness = GrantWitness { budget: budget(), epoch: EpochId(epoch), committed: u64::MAX };
+        holder.system.apply_witness(&witness, Millis(2), &mut holder.effects);
+        holder.collect_replies();
+        holder.run_effects(&mut store, 3);
+    }
+    holder.settle(1, 300, 4);
+    assert_eq!((holder.used(), holder.committed()), (300, 300));
+}
+
 #[test]
 fn an_idle_holder_returns_its_headroom() {
     let mut holder = Holder::open(1, Headroom::ByRate);
