load: a report of prompts beyond any memory does not end its reader

What callers would see: entries choose targets without the load and the cached parts of the one beside that budget server, which reads no report any more until it starts again.

Cause: the tokens by which prompts grew between two reports of the target were a plain sum; where sums are checked, one that does not fit into a number ends the task that reads. Where they wrap the rate is wrong until the next reports.

Evidence, without the change (test_load_board): prompts_beyond_any_memory: prefill_meter.rs:73:9: attempt to add with overflow

The sum saturates.

--- a/lib/src/dispatch/load/prefill_meter.rs
+++ b/lib/src/dispatch/load/prefill_meter.rs
@@ -60,7 +60,7 @@
     let find =
         |runs: &[EngineRun], id: &str| runs.binary_search_by(|run| run.id.as_str().cmp(id)).ok();
     let is_prefilling = |run: &&EngineRun| run.events == 0;
-    let mut grown = 0;
+    let mut grown = 0_u64;
     for old in before.iter().filter(is_prefilling) {
         let new = &after[find(after, &old.id)?];
         if new.events > 0 || new.tokens < old.tokens {
@@ -70,7 +70,7 @@
         if old.tokens == 0 && new.tokens > 0 {
             return None;
         }
-        grown += new.tokens - old.tokens;
+        grown = grown.saturating_add(new.tokens - old.tokens);
     }
     let has_begun = after.iter().any(|run| find(before, &run.id).is_none() && run.tokens > 0);
     (grown > 0 && !has_begun).then_some(grown)
--- a/lib/tests/test_load_board.rs
+++ b/lib/tests/test_load_board.rs
@@ -305,5 +305,7 @@
         vec![run("a", 600, 0), run("b", 200, 1)] => None;
     a_prompt_that_has_begun: vec![run("a", 100, 0)], vec![run("a", 600, 0), run("b", 200, 0)] => None;
     a_prompt_of_which_nothing_was_read: vec![run("a", 0, 0)], vec![run("a", 600, 0)] => None;
+    prompts_beyond_any_memory: vec![run("a", 1, 0), run("b", 1, 0)],
+        vec![run("a", u64::MAX, 0), run("b", u64::MAX, 0)] => Some(u64::MAX as f64 / 100.0);
     no_prompt: vec![run("a", 100, 1)], vec![run("a", 110, 2)] => None;
 }
