logs: a control character in a name begins no line

What operators would see: lines that no process wrote, such as a start, after an entry of another writer whose key holds a line break.

Cause: names from the store are part of lines as they are.

Evidence, without the change (test_direct_logs): a_line_break_in_a_name_begins_no_line: left: "event=target_vanished target=i\r\nevent=start \u{1b}[1m\n"

Control characters in a line are escaped when it is finished; the test with an id of that kind and a real entry looks for such lines too.

--- a/daemon/src/line_log.rs
+++ b/daemon/src/line_log.rs
@@ -165,9 +165,12 @@
     fn flush(&self) {}
 }
 
-/// Truncates a line to its maximum length, then appends the number of lines dropped before it
-/// and the line end.
+/// Escapes control characters, which names from other writers may hold, and truncates a line to its
+/// maximum length; then appends the number of lines dropped before it and the line end.
 pub fn finish_line(line: &mut String, dropped: u64) {
+    if line.contains(char::is_control) {
+        *line = escape_controls(line);
+    }
     if line.len() > MAX_LINE_BYTES {
         line.truncate(line.floor_char_boundary(MAX_LINE_BYTES));
     }
@@ -177,6 +180,14 @@
     line.push('\n');
 }
 
+fn escape_controls(line: &str) -> String {
+    let escape = |char: char| match char.is_control() {
+        true => char.escape_default().to_string(),
+        false => char.to_string(),
+    };
+    line.chars().map(escape).collect()
+}
+
 /// Writes the received lines to standard output until the logger is gone.
 fn write(lines: &Receiver<Message>) {
     let mut out = io::stdout().lock();
--- a/daemon/tests/test_direct_logs.rs
+++ b/daemon/tests/test_direct_logs.rs
@@ -188,6 +188,14 @@
     }
 }
 
+/// Names in a line may come from other writers.
+#[test]
+fn a_line_break_in_a_name_begins_no_line() {
+    let mut line = "event=target_vanished target=i\r\nevent=start \u{1b}[1m".to_owned();
+    finish_line(&mut line, 0);
+    assert_eq!(line, "event=target_vanished target=i\\r\\nevent=start \\u{1b}[1m\n");
+}
+
 #[test]
 fn the_count_of_left_out_lines_is_never_cut_off() {
     let mut line = "ü".repeat(2_000);
--- a/daemon/tests/test_odd_entries.rs
+++ b/daemon/tests/test_odd_entries.rs
@@ -10,7 +10,6 @@
 use rosemarymoor_platform_standins::fleet::{PREPAID, PlatformFleet, Process, manifest_for};
 use rosemarymoor_platform_standins::store::StoreStandIn;
 use rosemarymoor_platform_standins::target::{ReceivedRequest, Step, TargetStandIn};
-
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
 
 /// Time within which a change in the store is in force everywhere.
@@ -269,9 +268,11 @@
     let cases = malformed_registrations();
     world.check_cases(&cases).await;
     for case in &cases {
-        let id = case.key.trim_start_matches("servers/").lines().next().unwrap();
+        let id = case.key.trim_start_matches("servers/").escape_default();
         world.wait_logged(&format!("event=registration_malformed target={id}")).await;
     }
+    let log = world.fleet.entry.log();
+    assert!(!log.lines().any(|line| line.starts_with("event=")), "{log}");
     let metrics = world.fleet.scrape().await;
     let counted = metrics.lines().find(|line| line.starts_with("malformed_inputs_total"));
     let counted = counted.expect("malformed registrations are counted");
