direct: the largest limit of a manifest ends no listener

What callers would see: where sums are checked, an entry takes no new connection once such a manifest is in force.

Cause: the size of a connection's buffer was the limit of a request's head plus 8 KiB, a plain sum in the task that accepts connections.

Evidence, without the change (test_odd_entries): a_manifest_of_extreme_numbers_stops_no_entry: extreme numbers: the target registered last is not used

The sum saturates. The test's manifest has the largest times, weights, attempts, prepaid tokens and cold times as well; they did no harm.

--- a/daemon/src/direct/listener.rs
+++ b/daemon/src/direct/listener.rs
@@ -127,6 +127,6 @@
 /// there is none.
 fn caller_limits(entry: &Entry) -> ConnectionLimits {
     let limits = entry.catalog.load().as_ref().map(|catalog| catalog.limits).unwrap_or_default();
-    let max_buffer_bytes = Some(limits.max_header_bytes + EXTRA_BUFFER_BYTES);
+    let max_buffer_bytes = Some(limits.max_header_bytes.saturating_add(EXTRA_BUFFER_BYTES));
     ConnectionLimits { idle_timeout: limits.idle_timeout, max_buffer_bytes }
 }
--- a/daemon/tests/test_odd_entries.rs
+++ b/daemon/tests/test_odd_entries.rs
@@ -10,6 +10,8 @@
 use rosemarymoor_platform_standins::fleet::{PREPAID, PlatformFleet, Process, manifest_for};
 use rosemarymoor_platform_standins::store::StoreStandIn;
 use rosemarymoor_platform_standins::target::{ReceivedRequest, Step, TargetStandIn};
+use serde_json::json;
+
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
 
 /// Time within which a change in the store is in force everywhere.
@@ -323,6 +325,33 @@
     world.check_new_entry().await;
 }
 
+/// Numbers that decode may be as large as their types.
+#[tokio::test]
+async fn a_manifest_of_extreme_numbers_stops_no_entry() {
+    let mut world = World::open().await;
+    let mut manifest = manifest_for(100, &[("shop", "key-1", u64::MAX)]);
+    for route in manifest["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = json!(1e300);
+        route["goal_ms"] = json!(1e300);
+        route["max_attempts"] = json!(u32::MAX);
+        route["backends"] = json!([{"service": route["service"], "weight": 1e300}]);
+    }
+    for service in manifest["services"].as_array_mut().unwrap() {
+        service["cold_start_s"] = json!(1e300);
+        service["cold_per_s"] = json!(1e300);
+    }
+    manifest["limits"] = json!({"max_header_bytes": u64::MAX, "max_body_bytes": u64::MAX,
+        "idle_timeout_ms": u64::MAX});
+    world.fleet.store.put("op/config", &manifest);
+    world.wait_logged("event=catalog_in_force version=100").await;
+    world.register_next();
+    world.check_follows(world.fleet.callers, "extreme numbers").await;
+    for id in ["s1", "s2"] {
+        assert_eq!(call(&world.fleet, &stream_request("/stream/1", id)).await.status, 200);
+    }
+    world.check_new_entry().await;
+}
+
 /// An account in the store that cannot be read concerns its own budget alone.
 #[tokio::test]
 async fn an_odd_account_stops_no_holder_and_no_other_budget() {
