dispatch: a prompt beyond any memory is work like any other

What callers would see: where sums are checked, a request whose parts name more tokens than fit into a number gets no answer; its connection ends. So does any other that is placed while two of them are pending.

Cause: the tokens of a prompt's parts, and the work pending at a target, were plain sums over numbers from callers' headers.

Evidence, without the change: test_dispatch, a_prompt_beyond_any_memory_is_work_like_any_other: attempt to add with overflow test_odd_entries, a_prompt_beyond_any_memory_stops_no_entry: the request gets an answer

The sums saturate.

--- a/daemon/tests/test_odd_entries.rs
+++ b/daemon/tests/test_odd_entries.rs
@@ -352,6 +352,19 @@
     world.check_new_entry().await;
 }
 
+#[tokio::test]
+async fn a_prompt_beyond_any_memory_stops_no_entry() {
+    let mut world = World::open().await;
+    for at in 0..3 {
+        let headers = format!("Prompt-Prefix: a:{0},b:{0},c:{0}\r\n", u64::MAX);
+        let huge = CallerRequest { headers, ..CallerRequest::post("/stream/1", &format!("h{at}")) };
+        assert_eq!(call(&world.fleet, &huge).await.status, 200);
+        let served = stream_request("/stream/1", &format!("s{at}"));
+        assert_eq!(call(&world.fleet, &served).await.status, 200);
+    }
+    world.check_entry_lives();
+}
+
 /// An account in the store that cannot be read concerns its own budget alone.
 #[tokio::test]
 async fn an_odd_account_stops_no_holder_and_no_other_budget() {
--- a/lib/src/dispatch/prompt.rs
+++ b/lib/src/dispatch/prompt.rs
@@ -22,9 +22,9 @@
     parts[..shared_count(parts)].last().copied()
 }
 
-/// Returns the tokens of all parts.
+/// Returns the tokens of all parts, at most [`u64::MAX`].
 pub fn all_tokens(parts: &[PromptPart]) -> u64 {
-    parts.iter().map(|part| part.tokens).sum()
+    parts.iter().map(|part| part.tokens).fold(0, u64::saturating_add)
 }
 
 /// Estimates the work to prefill the new tokens of a prompt, as the number of tokens of a short
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -458,7 +458,7 @@
     pub fn start(&mut self, key: TargetKey, new_tokens: u64, parts: &[u64], now: Millis) {
         let Some(target) = self.get_mut(key) else { return };
         target.running += 1;
-        target.pending_tokens += new_tokens;
+        target.pending_tokens = target.pending_tokens.saturating_add(new_tokens);
         for part in parts {
             match target.cached_parts.binary_search_by_key(part, |cached| cached.0) {
                 Ok(at) => target.cached_parts[at].1 = now,
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -340,6 +340,24 @@
     assert!(counts.iter().all(|count| (50..200).contains(count)), "{counts:?}");
 }
 
+/// Callers name the tokens of their prompts.
+#[test]
+fn a_prompt_beyond_any_memory_is_work_like_any_other() {
+    let huge = [1, 2].map(|id| PromptPart { id, tokens: u64::MAX });
+    assert_eq!(prompt::all_tokens(&huge), u64::MAX);
+    let work = prompt::prefill_work(u64::MAX, prompt::all_tokens(&huge));
+    let mut table = table(1);
+    let key = choose(&table, Some(1), 0);
+    for _ in 0..2 {
+        table.start(key, work, &[1], NOW);
+    }
+    assert_eq!(choose(&table, Some(1), 0), key);
+    for _ in 0..2 {
+        table.prefill_done(key, work);
+    }
+    assert_eq!(table.get(key).unwrap().pending_tokens, 0);
+}
+
 /// Requests for one prompt part go to further targets as soon as the queue of the first target
 /// would cost more time than a prefill of the part elsewhere.
 #[test]
