host list: an odd item leaves the other hosts

What callers would see on the product's own interface: entries and sidecars go on with the last list, or with none after a start; a host that joins is not used and one that leaves is.

Cause: the list was decoded as a whole, so that one item with a number too large, a port out of range, another role or deep nesting was as good as no answer.

Items are decoded one by one. How many name no host is logged when it changes (hosts_malformed).

--- a/lib/src/host_list_http.rs
+++ b/lib/src/host_list_http.rs
@@ -4,13 +4,14 @@
 //! with the fleet but rarely changes.
 
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use reqwest::header::{ETAG, HeaderMap, IF_NONE_MATCH};
 use reqwest::{Client, StatusCode};
 
-use crate::host_list::{Host, HostList};
+use crate::host_list::{self, DecodedHosts, Host, HostList};
 use crate::http_client::{self, ConnectionReuse};
 
 /// Timeout for a read of the list.
@@ -22,6 +23,8 @@
     url: String,
     client: Client,
     last: Mutex<Option<TaggedList>>,
+    /// Malformed items in the last list, of which only a change is logged.
+    malformed: AtomicUsize,
 }
 
 /// List as last read, with its entity tag.
@@ -38,6 +41,7 @@
             url: url.to_owned(),
             client: http_client::open(ConnectionReuse::Pooled),
             last: Mutex::default(),
+            malformed: AtomicUsize::new(0),
         }
     }
 
@@ -45,6 +49,14 @@
         self.last.lock().expect("no holder panics").clone()
     }
 
+    fn decode(&self, body: &[u8]) -> Option<Vec<Host>> {
+        let DecodedHosts { hosts, malformed } = host_list::decode(body).ok()?;
+        if self.malformed.swap(malformed, Ordering::Relaxed) != malformed {
+            log::warn!("event=hosts_malformed count={malformed}");
+        }
+        Some(hosts)
+    }
+
     /// Stores the list for conditional reads, if the response has an entity tag.
     fn store_last(&self, headers: &HeaderMap, hosts: &[Host]) {
         let tag = headers.get(ETAG).and_then(|tag| tag.to_str().ok());
@@ -66,8 +78,7 @@
             return last.map(|last| last.hosts);
         }
         let headers = resp.headers().clone();
-        let mut hosts: Vec<Host> = resp.json().await.ok()?;
-        hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        let hosts = self.decode(&resp.bytes().await.ok()?)?;
         self.store_last(&headers, &hosts);
         Some(hosts)
     }
