platform: the target stand-in names the request that it turns away

Test change: the stand-in's refusals had no Attempt-Id. The stand-in now echoes it too, so that tests of kept connections see what real targets send.

--- a/daemon/tests/test_direct_endless.rs
+++ b/daemon/tests/test_direct_endless.rs
@@ -163,7 +163,7 @@
     a_failure_without_end: safe_call,
         |received| flood(signed_head(received, "500 Failed", "Connection: close\r\n"), "body");
     a_refusal_without_end: safe_call,
-        |_| flood(not_run_until_close(), "body");
+        |received| flood(not_run_until_close(received), "body");
     an_event_without_end: stream, |received| flood(stream_head_until_close(received), "data: a\n");
     a_later_event_without_end: resumable_stream, |received| {
         let head = [stream_head_until_close(received), event(1).into_bytes()].concat();
--- a/daemon/tests/test_direct_entry.rs
+++ b/daemon/tests/test_direct_entry.rs
@@ -199,7 +199,7 @@
 }
 
 first_target_cases! {
-    a_call_refused_by_a_full_target_is_retried: "/unsafe/1", |_: &ReceivedRequest| vec![Step::Send(not_run())] => 200, 2;
+    a_call_refused_by_a_full_target_is_retried: "/unsafe/1", |received: &ReceivedRequest| vec![Step::Send(not_run(received))] => 200, 2;
     a_safe_call_is_retried_after_a_reset: "/safe/1", |_: &ReceivedRequest| vec![Step::Reset] => 200, 2;
     an_unsafe_call_is_not_retried_after_a_reset:
         "/unsafe/1", |_: &ReceivedRequest| vec![Step::Reset] => 502, 1;
@@ -226,7 +226,7 @@
 
 #[tokio::test]
 async fn a_refusal_has_a_retry_after_header() {
-    let target = target(|_| vec![Step::Send(not_run())]).await;
+    let target = target(|received| vec![Step::Send(not_run(received))]).await;
     let fleet = fleet(BINARY, &target).await;
     let answer = call(&fleet, &CallerRequest::post("/unsafe/1", "r1")).await;
     assert_eq!(answer.status, 503);
--- a/daemon/tests/test_direct_limits.rs
+++ b/daemon/tests/test_direct_limits.rs
@@ -139,7 +139,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_limit_named_in_refusals_is_kept() {
     let limits = NamedLimits::default();
-    let needy = limited_target(&limits, |_| vec![Step::Send(not_run())]).await;
+    let needy = limited_target(&limits, |received| vec![Step::Send(not_run(received))]).await;
     let other = target(ok).await;
     let fleet = FleetGroup::open(BINARY, 3, 2, &[&needy, &other]).await;
     limits.set(Some("1"));
--- a/daemon/tests/test_direct_notices.rs
+++ b/daemon/tests/test_direct_notices.rs
@@ -30,8 +30,8 @@
 }
 
 /// Rejects the request and asks for a pause of 2 s.
-fn pause(_received: &ReceivedRequest) -> Vec<Step> {
-    vec![Step::Send(not_run_with_pause(2))]
+fn pause(received: &ReceivedRequest) -> Vec<Step> {
+    vec![Step::Send(not_run_with_pause(received, 2))]
 }
 
 /// Sends `count` safe calls, one after the other; returns how many succeeded.
--- a/daemon/tests/test_direct_refusals.rs
+++ b/daemon/tests/test_direct_refusals.rs
@@ -19,7 +19,7 @@
 async fn refusing_target(is_refusing: &Arc<AtomicBool>) -> TargetStandIn {
     let is_refusing = is_refusing.clone();
     target(move |received| match is_refusing.load(Ordering::Relaxed) {
-        true => vec![Step::Send(not_run())],
+        true => vec![Step::Send(not_run(received))],
         false => ok(received),
     })
     .await
@@ -66,7 +66,7 @@
 async fn a_target_that_refuses_now_and_then_keeps_its_share() {
     let moment = Instant::now();
     let sometimes = target(move |received| match moment.elapsed().as_millis() % 1_000 < 150 {
-        true => vec![Step::Send(not_run())],
+        true => vec![Step::Send(not_run(received))],
         false => vec![Step::Wait(Duration::from_millis(5)), ok(received).remove(0)],
     })
     .await;
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -133,7 +133,8 @@
             };
             let steps = answer(received, corruption, form);
             let is_draining = drain.lock().unwrap_or_else(PoisonError::into_inner).is_some();
-            let steps = if notices { add_notices(steps, corruption, is_draining) } else { steps };
+            let steps =
+                if notices { add_notices(received, steps, corruption, is_draining) } else { steps };
             add_limit(steps, current(&named))
         });
         let stand_in = TargetStandIn::spawn(answer).await?;
@@ -218,9 +219,14 @@
 }
 
 /// Adds to the head of an answer what the target says about itself.
-fn add_notices(steps: Vec<Step>, corruption: Option<Corruption>, is_draining: bool) -> Vec<Step> {
+fn add_notices(
+    received: &ReceivedRequest,
+    steps: Vec<Step>,
+    corruption: Option<Corruption>,
+    is_draining: bool,
+) -> Vec<Step> {
     if corruption == Some(Corruption::NotRun) {
-        return vec![Step::Send(not_run_with_pause(PAUSE.as_secs()))];
+        return vec![Step::Send(not_run_with_pause(received, PAUSE.as_secs()))];
     }
     let mut is_head = is_draining;
     let add = |step| match step {
@@ -252,7 +258,7 @@
     let usage = received.header("token-usage").and_then(|usage| usage.split_once(','));
     let output = usage.and_then(|(_, output)| output.parse::<u64>().ok());
     match corruption {
-        Some(Corruption::NotRun) => return vec![Step::Send(not_run())],
+        Some(Corruption::NotRun) => return vec![Step::Send(not_run(received))],
         Some(Corruption::Reset) if output.is_some() && form.cut_in.is_some() => {}
         Some(Corruption::Reset) => return vec![Step::Wait(CALL_DURATION), Step::Reset],
         Some(Corruption::Failed) => {
