requests: a refusal without an id counts only on a new connection

Callers saw: 503, "not run", for a call or stream that its target was running, or it ran at a second target as well, after a faulty target had sent a refusal without an Attempt-Id once more on a kept connection.

Cause: an answer with Not-Executed, or of status 421, and without an id counted as one to the request that was under way, whatever its connection had carried before. Bytes that come while a connection is idle close it; those that come once the next request is written do not. The connection was kept besides, so that the request ran on at the target that it had left.

Evidence: test_direct_stale_refusals without the change, status and number of runs with one target and with two, 8 of 19 cases:

a_503_without_an_id_while_a_call_runs left: [(503, 1), (200, 2)] right: [(502, 1), (502, 1)]

the same for 421, 429, 400 and streams; calls and streams that may be repeated: (503, 1) alone. a_refusal_that_crosses_the_next_call_does_not_deny_it: "n7: 503". a_call_that_is_not_certainly_refused_ends_at_its_target: left [], right ["next"]. Passed before: refusals that name another request, and those in the same write as the answer or on an idle connection.

Change: the pool says whether a connection has carried an earlier exchange. If it has, an answer without an id may be to that one and counts as foreign: the request may have run (502, or again where it may be repeated), the connection is closed, and nothing that the answer says of the target is applied. On a new connection it is a refusal as before. Foreign answers are logged and counted.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -18,7 +18,7 @@
 use rosemarymoor_lib::limit_notice::LimitNotice;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_lib::time::Millis;
-use rosemarymoor_platform::answer::{self, AnswerKind, TargetNotice};
+use rosemarymoor_platform::answer::{self, AnswerKind, ConnectionAge, TargetNotice};
 use rosemarymoor_platform::request::{TargetHead, strip_connection_headers, target_headers};
 
 use super::begun_stream_guard::BegunStreamGuard;
@@ -205,6 +205,17 @@
         log::warn!(target: FAILURE_LOG, "event=answer_too_large target={}", self.target_id);
     }
 
+    /// Counts and logs an answer that is not certainly one to the request.
+    fn record_foreign_answer(&self, request: &str, status: StatusCode, connection: ConnectionAge) {
+        self.entry.metrics.count_malformed_input("foreign_answer");
+        log::info!(
+            target: FAILURE_LOG,
+            "event=foreign_answer request={request} target={} status={} connection={connection:?}",
+            self.target_id,
+            status.as_u16()
+        );
+    }
+
     /// Opens a share of the memory for answers.
     pub fn open_memory(&self) -> MemoryShare {
         self.entry.answer_memory.open_share()
@@ -325,7 +336,8 @@
     in_flight: InFlightAttempt,
 ) -> Result<(StartedAnswer, AnswerKind), AttemptError> {
     let head = &exchange.head;
-    let kind = answer::classify(head.status, &head.headers, &call.head.attempt_id);
+    let attempt_id = &call.head.attempt_id;
+    let kind = answer::classify(head.status, &head.headers, attempt_id, exchange.connection);
     if !matches!(kind, AnswerKind::OtherTarget | AnswerKind::Foreign) {
         let notice = answer::notice(head.status, &head.headers, SystemTime::now());
         in_flight.apply_notice(notice);
@@ -344,6 +356,7 @@
             Err(AttemptError::TurnedAway)
         }
         AnswerKind::Foreign => {
+            in_flight.record_foreign_answer(attempt_id, head.status, exchange.connection);
             in_flight.observe(Observation::Failed);
             Err(AttemptError::Broken)
         }
@@ -364,7 +377,7 @@
     deadline: Instant,
 ) -> Result<CompleteAnswer, AttemptError> {
     let body_end = started.exchange.body_end();
-    let StartedAnswer { exchange: Exchange { head, body, lease }, mut in_flight } = started;
+    let StartedAnswer { exchange: Exchange { head, body, lease, .. }, mut in_flight } = started;
     let reading = in_flight.entry.answer_memory.read(body);
     let body = match tokio::time::timeout_at(deadline.into(), reading).await {
         Ok(Ok(body)) => body,
--- a/daemon/src/http_pool.rs
+++ b/daemon/src/http_pool.rs
@@ -18,6 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rosemarymoor_lib::answer_traffic::{CountedBody, CountedStream, Traffic};
+use rosemarymoor_platform::answer::ConnectionAge;
 use rosemarymoor_platform::request::keep_alive_timeout;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
@@ -126,6 +127,8 @@
 pub struct Exchange {
     pub head: Parts,
     pub body: CountedBody,
+    /// Whether the connection carried an earlier exchange.
+    pub connection: ConnectionAge,
     /// Holds the connection until the body has been read.
     pub lease: ConnectionLease,
 }
@@ -133,6 +136,7 @@
 /// Connection in use; dropping it closes the connection.
 pub struct ConnectionLease {
     connection: Option<Connection>,
+    age: ConnectionAge,
     pool: HttpPool,
     address: SocketAddr,
     idle_timeout: Duration,
@@ -175,12 +179,14 @@
     ) -> Result<Exchange, SendError> {
         let mut req = req;
         loop {
-            let (mut connection, is_reused) = match self.take_idle(address) {
-                Some(connection) => (connection, true),
-                None => (connect(address, connect_timeout).await?, false),
+            let (mut connection, age) = match self.take_idle(address) {
+                Some(connection) => (connection, ConnectionAge::Kept),
+                None => (connect(address, connect_timeout).await?, ConnectionAge::New),
             };
+            let is_reused = age == ConnectionAge::Kept;
             let mut lease = ConnectionLease {
                 connection: None,
+                age,
                 pool: self.clone(),
                 address,
                 idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -275,7 +281,7 @@
         }
         let traffic = self.connection.as_ref().map(|connection| connection.traffic.clone());
         let body = CountedBody::new(body, traffic.unwrap_or_default());
-        Exchange { head, body, lease: self }
+        Exchange { head, body, connection: self.age, lease: self }
     }
 
     /// Returns the connection to the pool after its answer has been read to the end.
--- a/daemon/tests/test_direct_entry.rs
+++ b/daemon/tests/test_direct_entry.rs
@@ -8,7 +8,7 @@
 use rosemarymoor_platform_standins::fixtures::{SMUGGLED_REQUEST, call, fleet, ok, script, target};
 use rosemarymoor_platform_standins::fleet::PlatformFleet;
 use rosemarymoor_platform_standins::target::{
-    ReceivedRequest, Script, Step, TargetStandIn, not_run, signed,
+    ReceivedRequest, Script, Step, TargetStandIn, not_run, refusal, signed,
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
@@ -200,6 +200,8 @@
 
 first_target_cases! {
     a_call_refused_by_a_full_target_is_retried: "/unsafe/1", |received: &ReceivedRequest| vec![Step::Send(not_run(received))] => 200, 2;
+    a_call_refused_without_its_id_on_a_new_connection_is_retried:
+        "/unsafe/1", |_: &ReceivedRequest| vec![Step::Send(refusal("503 Full", None))] => 200, 2;
     a_safe_call_is_retried_after_a_reset: "/safe/1", |_: &ReceivedRequest| vec![Step::Reset] => 200, 2;
     an_unsafe_call_is_not_retried_after_a_reset:
         "/unsafe/1", |_: &ReceivedRequest| vec![Step::Reset] => 502, 1;
--- /dev/null
+++ b/daemon/tests/test_direct_stale_refusals.rs
@@ -0,0 +1,240 @@
+//! Faulty targets that send an earlier refusal once more on a kept connection.
+//!
+//! No caller is told that a request did not run which a target runs, and what may not be repeated
+//! runs once.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use rosemarymoor_platform_standins::caller::CallerRequest;
+use rosemarymoor_platform_standins::fixtures::{call, events, stream_request, target};
+use rosemarymoor_platform_standins::fleet::PlatformFleet;
+use rosemarymoor_platform_standins::target::{
+    ReceivedRequest, Step, TargetStandIn, not_run, refusal, signed,
+};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_rosemarymoord");
+
+/// Id of the request that is turned away.
+const EARLIER: &str = "earlier";
+
+/// Time for which a target runs a request.
+const RUN_TIME: Duration = Duration::from_millis(250);
+
+/// Pause in which a connection becomes usable again.
+const IDLE: Duration = Duration::from_millis(250);
+
+/// When a target sends one refusal too many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Moment {
+    /// At once, in the same write.
+    AtOnce,
+    /// After a pause, while the connection is idle.
+    Idle,
+    /// While it runs the next request.
+    Running,
+}
+
+/// Returns a request with an id.
+type Next = fn(&str) -> CallerRequest;
+
+fn unsafe_call(id: &str) -> CallerRequest {
+    CallerRequest::post("/unsafe/1", id)
+}
+
+fn safe_call(id: &str) -> CallerRequest {
+    CallerRequest::get("/safe/1", id)
+}
+
+fn stream(id: &str) -> CallerRequest {
+    stream_request("/stream/1", id)
+}
+
+fn resumable_stream(id: &str) -> CallerRequest {
+    stream_request("/resume/1", id)
+}
+
+/// Answers a request that has run.
+fn run(received: &ReceivedRequest) -> Vec<Step> {
+    let mut steps = vec![Step::Wait(RUN_TIME)];
+    match received.header("token-usage") {
+        Some(_) => steps.extend(events(received, 0, 2, Duration::ZERO)),
+        None => steps.push(Step::Send(signed(received, "200 OK", "done"))),
+    }
+    steps
+}
+
+/// Script of the targets of a test: they turn the earlier request away, run all others and send one
+/// refusal too many.
+struct Faulty {
+    stale: Vec<u8>,
+    moment: Moment,
+    /// Whether the refusal has been sent during a run.
+    is_sent: AtomicBool,
+}
+
+impl Faulty {
+    fn answer(&self, received: &ReceivedRequest) -> Vec<Step> {
+        let is_earlier = received.attempt_id() == EARLIER;
+        let stale = Step::Send(self.stale.clone());
+        match self.moment {
+            Moment::AtOnce if is_earlier => {
+                vec![Step::Send([not_run(received), self.stale.clone()].concat())]
+            }
+            Moment::Idle if is_earlier => {
+                vec![Step::Send(not_run(received)), Step::Wait(Duration::from_millis(20)), stale]
+            }
+            Moment::Running if is_earlier => vec![Step::Send(not_run(received))],
+            Moment::Running if !self.is_sent.swap(true, Ordering::Relaxed) => {
+                [vec![stale], run(received)].concat()
+            }
+            _ => run(received),
+        }
+    }
+}
+
+/// Starts targets with one script, and an entry before them.
+async fn fleet_of(faulty: Faulty, count: usize) -> (PlatformFleet, Vec<TargetStandIn>) {
+    let faulty = Arc::new(faulty);
+    let mut targets = Vec::new();
+    for _ in 0..count {
+        let faulty = faulty.clone();
+        targets.push(target(move |received| faulty.answer(received)).await);
+    }
+    let services = ["calls", "models"];
+    let listed: Vec<_> =
+        targets.iter().flat_map(|target| services.map(|service| (service, target))).collect();
+    (PlatformFleet::open(Path::new(BINARY), &listed).await.unwrap(), targets)
+}
+
+/// Returns the requests with an id that reached the targets.
+fn with_id(targets: &[TargetStandIn], id: &str) -> Vec<ReceivedRequest> {
+    let received = targets.iter().flat_map(TargetStandIn::received);
+    received.filter(|received| received.attempt_id() == id).collect()
+}
+
+/// Has a request turned away by all targets, and sends another one on the connections that are
+/// kept. Returns its status, and the requests with its id that reached a target.
+async fn call_after_refusal(
+    next: Next,
+    faulty: Faulty,
+    targets: usize,
+) -> (u16, Vec<ReceivedRequest>) {
+    let (fleet, targets) = fleet_of(faulty, targets).await;
+    assert_eq!(call(&fleet, &next(EARLIER)).await.status, 503);
+    assert_eq!(with_id(&targets, EARLIER).len(), targets.len());
+    tokio::time::sleep(IDLE).await;
+    let answer = call(&fleet, &next("next")).await;
+    tokio::time::sleep(IDLE).await;
+    (answer.status, with_id(&targets, "next"))
+}
+
+/// Refusal that names the request that was turned away.
+fn named(status: &str) -> Vec<u8> {
+    refusal(status, Some(EARLIER))
+}
+
+/// Refusal that names no request.
+fn unnamed(status: &str) -> Vec<u8> {
+    refusal(status, None)
+}
+
+/// Defines a test for each refusal too many: the status of the next request and the number of targets
+/// that it reaches, if there is one target, and if there is another one.
+macro_rules! stale_refusals {
+    ($($name:ident: $next:ident, $moment:ident, $stale:expr => $alone:expr, $beside_another:expr;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let mut outcomes = Vec::new();
+            for targets in 1..=2 {
+                let moment = Moment::$moment;
+                let faulty = Faulty { stale: $stale, moment, is_sent: AtomicBool::new(false) };
+                let (status, received) = call_after_refusal($next, faulty, targets).await;
+                let is_kept = received[0].connection == 0;
+                assert_eq!(is_kept, moment == Moment::Running, "with {targets} targets");
+                outcomes.push((status, received.len()));
+            }
+            assert_eq!(outcomes, [$alone, $beside_another]);
+        })*
+    };
+}
+
+stale_refusals! {
+    a_503_without_an_id_while_a_call_runs: unsafe_call, Running, unnamed("503 Full") => (502, 1), (502, 1);
+    a_421_without_an_id_while_a_call_runs: unsafe_call, Running, unnamed("421 Other") => (502, 1), (502, 1);
+    a_429_without_an_id_while_a_call_runs: unsafe_call, Running, unnamed("429 Full") => (502, 1), (502, 1);
+    a_400_without_an_id_while_a_call_runs: unsafe_call, Running, unnamed("400 Bad") => (502, 1), (502, 1);
+    a_503_with_its_id_while_a_call_runs: unsafe_call, Running, named("503 Full") => (502, 1), (502, 1);
+    a_421_with_its_id_while_a_call_runs: unsafe_call, Running, named("421 Other") => (502, 1), (502, 1);
+    a_429_with_its_id_while_a_call_runs: unsafe_call, Running, named("429 Full") => (502, 1), (502, 1);
+    a_503_without_an_id_while_a_stream_runs: stream, Running, unnamed("503 Full") => (502, 1), (502, 1);
+    a_421_without_an_id_while_a_stream_runs: stream, Running, unnamed("421 Other") => (502, 1), (502, 1);
+    a_503_with_its_id_while_a_stream_runs: stream, Running, named("503 Full") => (502, 1), (502, 1);
+    a_503_without_an_id_while_a_safe_call_runs: safe_call, Running, unnamed("503 Full") => (502, 1), (200, 2);
+    a_503_with_its_id_while_a_safe_call_runs: safe_call, Running, named("503 Full") => (502, 1), (200, 2);
+    a_503_without_an_id_while_a_resumable_stream_runs:
+        resumable_stream, Running, unnamed("503 Full") => (502, 1), (200, 2);
+    a_503_without_an_id_in_the_same_write: unsafe_call, AtOnce, unnamed("503 Full") => (200, 1), (200, 1);
+    a_421_without_an_id_in_the_same_write: unsafe_call, AtOnce, unnamed("421 Other") => (200, 1), (200, 1);
+    a_503_without_an_id_in_the_same_write_before_a_stream:
+        stream, AtOnce, unnamed("503 Full") => (200, 1), (200, 1);
+    a_503_without_an_id_on_an_idle_connection: unsafe_call, Idle, unnamed("503 Full") => (200, 1), (200, 1);
+    a_503_with_its_id_on_an_idle_connection: unsafe_call, Idle, named("503 Full") => (200, 1), (200, 1);
+    a_503_without_an_id_on_an_idle_connection_before_a_stream:
+        stream, Idle, unnamed("503 Full") => (200, 1), (200, 1);
+}
+
+/// Answers the first request of each connection, and sends a refusal without an id instead of the
+/// answer to the next one, which then runs until its connection ends.
+fn refuse_and_run(received: &ReceivedRequest) -> Vec<Step> {
+    match received.attempt_id() {
+        "next" if received.connection == 0 => {
+            vec![Step::Send(unnamed("503 Full")), Step::AwaitClose(2 * RUN_TIME)]
+        }
+        _ => vec![Step::Send(signed(received, "200 OK", "done"))],
+    }
+}
+
+#[tokio::test]
+async fn a_call_that_is_not_certainly_refused_ends_at_its_target() {
+    let target = target(refuse_and_run).await;
+    let fleet = PlatformFleet::open(Path::new(BINARY), &[("calls", &target)]).await.unwrap();
+    assert_eq!(call(&fleet, &safe_call(EARLIER)).await.status, 200);
+    tokio::time::sleep(IDLE).await;
+    call(&fleet, &safe_call("next")).await;
+    tokio::time::sleep(3 * RUN_TIME).await;
+    assert_eq!(target.abandoned(), ["next"]);
+}
+
+/// Answers all requests; sends a refusal without an id after each whose id begins with `e`, when its
+/// connection is about to be used again.
+fn send_again_later(received: &ReceivedRequest) -> Vec<Step> {
+    let Some(round) = received.attempt_id().strip_prefix('e') else {
+        return [run(received), vec![Step::Close]].concat();
+    };
+    let pause = Duration::from_millis(40 + 2 * round.parse::<u64>().unwrap());
+    let answer = Step::Send(signed(received, "200 OK", "done"));
+    vec![answer, Step::Wait(pause), Step::Send(unnamed("503 Full"))]
+}
+
+#[tokio::test]
+async fn a_refusal_that_crosses_the_next_call_does_not_deny_it() {
+    let targets = [target(send_again_later).await];
+    let listed = [("calls", &targets[0])];
+    let fleet = PlatformFleet::open(Path::new(BINARY), &listed).await.unwrap();
+    let mut kept = 0;
+    for round in 0..24 {
+        let (earlier, id) = (format!("e{round}"), format!("n{round}"));
+        call(&fleet, &unsafe_call(&earlier)).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let status = call(&fleet, &unsafe_call(&id)).await.status;
+        assert!([200, 502].contains(&status), "{id}: {status}");
+        let received = with_id(&targets, &id);
+        assert!(received.len() <= 1, "{id} reaches the target {} times", received.len());
+        let connection = with_id(&targets, &earlier)[0].connection;
+        kept += received.iter().filter(|received| received.connection == connection).count();
+    }
+    assert!(kept > 0, "no connection was kept");
+}
