requests: a request that comes again to an address takes a new connection

Callers saw: 503, "not run", for a call or stream that its target was running, or a resumed stream broke off, after a faulty target had sent its refusal of the same request once more.

Cause: a request keeps its Attempt-Id over its attempts. A target gets it once only, but one that is listed anew while the request is elsewhere counts as another target at the same address, and the pool offers the connection on which the request was turned away. Its refusal, sent once more there, bears the right id and counted as the answer to the second attempt.

Change: the attempts keep their addresses; an attempt at one where the request has been before opens a connection, on which nothing earlier can arrive.

Cost: a connection for each such attempt, which needs a target to be listed anew, or two entries of one address, within the time of one request.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -15,6 +15,7 @@
 use rosemarymoor_lib::dispatch::order::urgency::{Beginning, urgency_of};
 use rosemarymoor_lib::dispatch::placement_cost::{self, PlacementCost};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
+use rosemarymoor_lib::http_client::ConnectionReuse;
 use rosemarymoor_lib::limit_notice::LimitNotice;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_lib::time::Millis;
@@ -246,13 +247,14 @@
 /// Sends a request to a target and waits for the head of its answer.
 ///
 /// `last_event` is the event after which a stream is resumed; `timeout` includes the time to
-/// connect. Returns a success or the target's own failure; every other outcome is an error.
+/// connect, and `reuse` says whether the connection may have carried other requests. Returns a success or the target's own failure; every other outcome is an error.
 pub async fn send(
     entry: &Arc<Entry>,
     call: &Call,
     target: TargetKey,
     last_event: Option<u64>,
     timeout: Duration,
+    reuse: ConnectionReuse,
 ) -> Result<(StartedAnswer, AnswerKind), AttemptError> {
     let Some((in_flight, address)) = start(entry, call, target) else {
         return Err(AttemptError::Unreachable);
@@ -268,7 +270,7 @@
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = call.uri.clone();
     *req.headers_mut() = target_headers(&call.headers, &head);
-    let sending = entry.pool.send(address, req, CONNECT_TIMEOUT);
+    let sending = entry.pool.send(address, req, CONNECT_TIMEOUT, reuse);
     let exchange = match tokio::time::timeout(timeout, sending).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(SendError::NotSent)) => {
--- a/daemon/src/direct/attempts.rs
+++ b/daemon/src/direct/attempts.rs
@@ -2,12 +2,14 @@
 //!
 //! A request that may have run is sent to another target only if its route is idempotent.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rosemarymoor_lib::dispatch::cache_belief;
 use rosemarymoor_lib::dispatch::choice::{self, Choice};
 use rosemarymoor_lib::dispatch::placement_cost;
 use rosemarymoor_lib::dispatch::targets::{Target, TargetKey};
+use rosemarymoor_lib::http_client::ConnectionReuse;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 
 use super::attempt::AttemptError;
@@ -34,6 +36,8 @@
 pub struct Attempts {
     /// Targets of all attempts, the latest one last.
     pub targets: Vec<TargetKey>,
+    /// Their addresses; a target that was listed anew is another one with the same address.
+    addresses: Vec<SocketAddr>,
     /// Number of attempts that ran or may have run.
     pub may_have_run: u32,
     /// Number of attempts that certainly did not run.
@@ -61,6 +65,24 @@
         }
     }
 
+    /// Returns whether the latest attempt may go over a connection that is kept.
+    ///
+    /// At an address where the request has been before, the earlier answer may come once more, and
+    /// both bear the id of the request.
+    pub fn connection_reuse(&self) -> ConnectionReuse {
+        match self.addresses.split_last() {
+            Some((latest, earlier)) if earlier.contains(latest) => ConnectionReuse::Never,
+            _ => ConnectionReuse::Pooled,
+        }
+    }
+
+    /// Adds an attempt at a target.
+    fn push(&mut self, entry: &Entry, key: TargetKey) {
+        let address = entry.targets().get(key).map(|target| target.registration.address);
+        self.targets.push(key);
+        self.addresses.extend(address);
+    }
+
     /// Returns whether the request may be sent to one more target.
     pub fn may_retry(&self, call: &Call) -> bool {
         if call.time_left() < MIN_TIME_LEFT || self.not_run > MAX_NOT_RUN_ATTEMPTS {
@@ -104,7 +126,7 @@
             Ok(Some(_)) if !may_receive(entry, key) => excluded.push(key),
             Ok(Some(latest)) => {
                 attempts.latest = Some(latest);
-                attempts.targets.push(key);
+                attempts.push(entry, key);
                 log_placement(entry, call, &chosen, attempts.targets.len());
                 return Some(key);
             }
--- a/daemon/src/direct/deliver.rs
+++ b/daemon/src/direct/deliver.rs
@@ -53,7 +53,8 @@
     while let Some(target) = next_target(entry, &call, &mut attempts).await {
         let timeout = attempt_timeout(&call, &attempts);
         let wait = Wait::open(entry, &call, target);
-        let sending = attempt::send(entry, &call, target, None, timeout);
+        let reuse = attempts.connection_reuse();
+        let sending = attempt::send(entry, &call, target, None, timeout, reuse);
         let sent = match may_stay(&call) {
             true => wait.until_answered(entry, &call, &attempts, sending).await,
             false => sending.await,
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -227,9 +227,10 @@
     /// Requests the rest of the stream from a target.
     async fn resume_at(&self, target: TargetKey) -> Result<StartedAnswer, AttemptError> {
         let timeout = self.call.time_left();
-        let sent =
-            attempt::send(&self.entry, &self.call, target, self.last_event_id, timeout).await;
-        let (mut answer, kind) = sent?;
+        let reuse = self.attempts.connection_reuse();
+        let sending =
+            attempt::send(&self.entry, &self.call, target, self.last_event_id, timeout, reuse);
+        let (mut answer, kind) = sending.await?;
         if kind != AnswerKind::Success {
             if answer.exchange.head.status.is_server_error() {
                 answer.in_flight.observe(Observation::Failed);
--- a/daemon/src/http_pool.rs
+++ b/daemon/src/http_pool.rs
@@ -18,6 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rosemarymoor_lib::answer_traffic::{CountedBody, CountedStream, Traffic};
+use rosemarymoor_lib::http_client::ConnectionReuse;
 use rosemarymoor_platform::answer::ConnectionAge;
 use rosemarymoor_platform::request::keep_alive_timeout;
 use socket2::{SockRef, TcpKeepalive};
@@ -166,7 +167,7 @@
     ///
     /// `connect_timeout` limits the opening of a new connection; the caller has to limit the
     /// wait for the answer. An idle connection that closed before it carried the request is
-    /// replaced by another.
+    /// replaced by another. With [`ConnectionReuse::Never`] no idle connection is used.
     ///
     /// # Errors
     ///
@@ -176,10 +177,15 @@
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
+        reuse: ConnectionReuse,
     ) -> Result<Exchange, SendError> {
         let mut req = req;
         loop {
-            let (mut connection, age) = match self.take_idle(address) {
+            let idle = match reuse {
+                ConnectionReuse::Pooled => self.take_idle(address),
+                ConnectionReuse::Never => None,
+            };
+            let (mut connection, age) = match idle {
                 Some(connection) => (connection, ConnectionAge::Kept),
                 None => (connect(address, connect_timeout).await?, ConnectionAge::New),
             };
@@ -224,7 +230,8 @@
         connect_timeout: Duration,
         max_bytes: usize,
     ) -> Result<(StatusCode, HeaderMap, Bytes), SendError> {
-        let exchange = self.send(address, req, connect_timeout).await?;
+        let reuse = ConnectionReuse::Pooled;
+        let exchange = self.send(address, req, connect_timeout, reuse).await?;
         let body = Limited::new(exchange.body, max_bytes).collect().await;
         let body = body.map_err(|_| SendError::Broken)?.to_bytes();
         exchange.lease.finish();
--- a/daemon/tests/test_direct_stale_refusals.rs
+++ b/daemon/tests/test_direct_stale_refusals.rs
@@ -4,11 +4,11 @@
 //! runs once.
 
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use rosemarymoor_platform_standins::caller::CallerRequest;
+use rosemarymoor_platform_standins::caller::{Answer, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{call, events, stream_request, target};
 use rosemarymoor_platform_standins::fleet::PlatformFleet;
 use rosemarymoor_platform_standins::target::{
@@ -238,3 +238,94 @@
     }
     assert!(kept > 0, "no connection was kept");
 }
+
+/// Time for which the other target keeps a request before it turns it away.
+const HELD: Duration = Duration::from_millis(1_000);
+
+/// Turns each request away; if it comes again on the same connection, does so once more and runs it.
+fn refuse_again_and_run(
+    received: &ReceivedRequest,
+    first: &Mutex<Vec<(String, usize)>>,
+) -> Vec<Step> {
+    let mut first = first.lock().unwrap();
+    let id = received.attempt_id().to_owned();
+    let Some((_, connection)) = first.iter().find(|(earlier, _)| *earlier == id) else {
+        first.push((id, received.connection));
+        return vec![Step::Send(not_run(received))];
+    };
+    let mut steps = run(received);
+    if *connection == received.connection {
+        steps.insert(0, Step::Send(not_run(received)));
+    }
+    steps
+}
+
+/// Keeps each request for a while and turns it away.
+fn hold(received: &ReceivedRequest) -> Vec<Step> {
+    vec![Step::Wait(HELD), Step::Send(not_run(received))]
+}
+
+/// Keeps each stream for a while after its first event and breaks it off.
+fn break_off(received: &ReceivedRequest) -> Vec<Step> {
+    let mut steps = events(received, 0, 1, HELD);
+    steps.pop();
+    steps.push(Step::Reset);
+    steps
+}
+
+/// Sends a request that one target turns away, that the other one has for a while, and that then
+/// comes to the first one again, which has been listed anew. Returns its status, and how often it came
+/// to the first target.
+async fn call_that_comes_again(
+    next: Next,
+    other: fn(&ReceivedRequest) -> Vec<Step>,
+) -> (Answer, usize) {
+    let first = Mutex::new(Vec::new());
+    let refusing = target(move |received| refuse_again_and_run(received, &first)).await;
+    let other = target(other).await;
+    let listed =
+        [("calls", &refusing), ("models", &other), ("calls", &other), ("models", &refusing)];
+    let fleet = Arc::new(PlatformFleet::open(Path::new(BINARY), &listed).await.unwrap());
+    for number in 0..20 {
+        tokio::time::sleep(IDLE).await;
+        let id = format!("r{number}");
+        let calling = tokio::spawn({
+            let (fleet, req) = (fleet.clone(), next(&id));
+            async move { call(&fleet, &req).await }
+        });
+        tokio::time::sleep(HELD / 10).await;
+        let is_first = refusing.received().iter().any(|received| received.attempt_id() == id);
+        for (target, service) in [("t0", "calls"), ("t3", "models")] {
+            fleet.store.unregister(target);
+            tokio::time::sleep(HELD / 10).await;
+            fleet.register(target, service, refusing.address(), "ready");
+        }
+        let answer = calling.await.unwrap();
+        if is_first {
+            let received = refusing.received();
+            return (
+                answer,
+                received.iter().filter(|received| received.attempt_id() == id).count(),
+            );
+        }
+    }
+    panic!("no request went to the refusing target first");
+}
+
+/// Defines a test for each kind of request that comes again to a target that turned it away.
+macro_rules! requests_that_come_again {
+    ($($name:ident: $next:ident, $other:ident;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let (answer, received) = call_that_comes_again($next, $other).await;
+            assert_eq!((answer.status, answer.complete, received), (200, true, 2));
+        })*
+    };
+}
+
+requests_that_come_again! {
+    a_call_that_comes_again_is_not_denied: unsafe_call, hold;
+    a_safe_call_that_comes_again_is_not_denied: safe_call, hold;
+    a_stream_that_comes_again_is_not_denied: stream, hold;
+    a_stream_that_is_resumed_where_it_was_turned_away_goes_on: resumable_stream, break_off;
+}
