requests: a foreign answer is no crash of its target

Callers saw: sound streams refused with 422 (3007), after three targets had each sent a stale refusal instead of the answer to a stream with the same part in its prompt.

Cause: an answer that is not certainly one to the request ended the attempt as broken, as a reset does, and counted as a crash that the request may have caused. Refusals without an id count so since they are foreign, and answers that name another request did before. A target that sends a whole answer head is alive.

Evidence: both cases without the change, statuses of six streams one after the other:

refusals_with_their_id_change_nothing_for_later_requests left: [502, 502, 502, 422, 422, 422] right: [502, 502, 502, 502, 502, 200]

the same for refusals without an id. The refusals also ask for a pause, which is not applied.

Change: such an attempt ends as foreign, in the log and in tries_total too: the request may have run, and no crash is recorded. Before it counted in tries_total as broken.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -50,6 +50,8 @@
     TurnedAway,
     /// The connection broke or the answer was invalid; the request may have run.
     Broken,
+    /// The answer was not certainly one to the request, which may have run.
+    Foreign,
     /// No answer arrived in time, or the request left for another target; it may have run.
     Silent,
     /// The target answered with a failure status; the request may have run.
@@ -65,6 +67,7 @@
             AttemptError::Unreachable => "unreachable",
             AttemptError::TurnedAway => "turned_away",
             AttemptError::Broken => "broken",
+            AttemptError::Foreign => "foreign",
             AttemptError::Silent => "silent",
             AttemptError::Failed => "failed",
             AttemptError::OtherVersion => "other_version",
@@ -360,7 +363,7 @@
         AnswerKind::Foreign => {
             in_flight.record_foreign_answer(attempt_id, head.status, exchange.connection);
             in_flight.observe(Observation::Failed);
-            Err(AttemptError::Broken)
+            Err(AttemptError::Foreign)
         }
     }
 }
--- a/daemon/tests/test_direct_stale_refusals.rs
+++ b/daemon/tests/test_direct_stale_refusals.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use rosemarymoor_platform_standins::caller::{Answer, CallerRequest};
 use rosemarymoor_platform_standins::fixtures::{call, events, stream_request, target};
 use rosemarymoor_platform_standins::fleet::PlatformFleet;
@@ -103,10 +104,15 @@
         let faulty = faulty.clone();
         targets.push(target(move |received| faulty.answer(received)).await);
     }
+    (fleet_before(&targets).await, targets)
+}
+
+/// Starts an entry before targets that offer all services.
+async fn fleet_before(targets: &[TargetStandIn]) -> PlatformFleet {
     let services = ["calls", "models"];
     let listed: Vec<_> =
         targets.iter().flat_map(|target| services.map(|service| (service, target))).collect();
-    (PlatformFleet::open(Path::new(BINARY), &listed).await.unwrap(), targets)
+    PlatformFleet::open(Path::new(BINARY), &listed).await.unwrap()
 }
 
 /// Returns the requests with an id that reached the targets.
@@ -329,3 +335,52 @@
     a_stream_that_comes_again_is_not_denied: stream, hold;
     a_stream_that_is_resumed_where_it_was_turned_away_goes_on: resumable_stream, break_off;
 }
+
+/// Answers calls and the stream `sound`; sends a refusal that asks for a pause instead of the answers
+/// to other streams.
+fn refuse_streams(received: &ReceivedRequest, stale: &[u8]) -> Vec<Step> {
+    let is_call = received.header("token-usage").is_none();
+    if is_call || received.attempt_id() == "sound" {
+        return run(received);
+    }
+    let stale = String::from_utf8_lossy(stale);
+    let stale = stale.replacen("Not-Executed", "Retry-After: 5\r\nNot-Executed", 1);
+    vec![Step::Send(stale.into_bytes()), Step::AwaitClose(RUN_TIME)]
+}
+
+/// Sends streams with a common prompt, which get a stale refusal each on a connection that is kept,
+/// and one that is answered; returns the statuses.
+async fn call_after_stale_refusals(stale: Vec<u8>) -> Vec<u16> {
+    let mut targets = Vec::new();
+    for _ in 0..3 {
+        let stale = stale.clone();
+        targets.push(target(move |received| refuse_streams(received, &stale)).await);
+    }
+    let fleet = fleet_before(&targets).await;
+    let mut statuses = Vec::new();
+    for round in 0..5 {
+        let calls: Vec<_> = (0..6).map(|at| safe_call(&format!("e{round}-{at}"))).collect();
+        join_all(calls.iter().map(|req| call(&fleet, req))).await;
+        tokio::time::sleep(IDLE).await;
+        statuses.push(call(&fleet, &stream(&format!("n{round}"))).await.status);
+    }
+    statuses.push(call(&fleet, &stream("sound")).await.status);
+    statuses
+}
+
+/// Defines a test for each form of the refusals.
+macro_rules! refusals_before_later_requests {
+    ($($name:ident: $stale:expr;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            assert_eq!(call_after_stale_refusals($stale).await, [502, 502, 502, 502, 502, 200]);
+        })*
+    };
+}
+
+// Guards against sound requests that are refused as the cause of crashes, as stale refusals were
+// taken for broken connections.
+refusals_before_later_requests! {
+    refusals_without_an_id_change_nothing_for_later_requests: unnamed("503 Full");
+    refusals_with_their_id_change_nothing_for_later_requests: named("503 Full");
+}
