--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -16,10 +16,11 @@
 use rosemarymoor_lib::dispatch::order::urgency::{Beginning, urgency_of};
 use rosemarymoor_lib::dispatch::placement_cost::{self, PlacementCost};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
+use rosemarymoor_lib::http_client::ConnectionReuse;
 use rosemarymoor_lib::limit_notice::LimitNotice;
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_lib::time::Millis;
-use rosemarymoor_platform::answer::{self, AnswerKind, TargetNotice};
+use rosemarymoor_platform::answer::{self, AnswerKind, ConnectionAge, TargetNotice};
 use rosemarymoor_platform::request::{TargetHead, strip_connection_headers, target_headers};
 
 use super::begun_stream_guard::BegunStreamGuard;
@@ -50,6 +51,8 @@
     TurnedAway,
     /// The connection broke or the answer was invalid; the request may have run.
     Broken,
+    /// The answer was not certainly one to the request, which may have run.
+    Foreign,
     /// No answer arrived in time, or the request left for another target; it may have run.
     Silent,
     /// The target answered with a failure status; the request may have run.
@@ -65,6 +68,7 @@
             AttemptError::Unreachable => "unreachable",
             AttemptError::TurnedAway => "turned_away",
             AttemptError::Broken => "broken",
+            AttemptError::Foreign => "foreign",
             AttemptError::Silent => "silent",
             AttemptError::Failed => "failed",
             AttemptError::OtherVersion => "other_version",
@@ -206,6 +210,17 @@
         log::warn!(target: FAILURE_LOG, "event=answer_too_large target={}", self.target_id);
     }
 
+    /// Counts and logs an answer that is not certainly one to the request.
+    fn record_foreign_answer(&self, request: &str, status: StatusCode, connection: ConnectionAge) {
+        self.entry.metrics.count_malformed_input("foreign_answer");
+        log::info!(
+            target: FAILURE_LOG,
+            "event=foreign_answer request={request} target={} status={} connection={connection:?}",
+            self.target_id,
+            status.as_u16()
+        );
+    }
+
     /// Opens a share of the memory for answers.
     pub fn open_memory(&self) -> MemoryShare {
         self.entry.answer_memory.open_share()
@@ -236,13 +251,14 @@
 /// Sends a request to a target and waits for the head of its answer.
 ///
 /// `last_event` is the event after which a stream is resumed; `timeout` includes the time to
-/// connect. Returns a success or the target's own failure; every other outcome is an error.
+/// connect, and `reuse` says whether the connection may have carried other requests. Returns a success or the target's own failure; every other outcome is an error.
 pub async fn send(
     entry: &Arc<Entry>,
     call: &Call,
     target: TargetKey,
     last_event: Option<u64>,
     timeout: Duration,
+    reuse: ConnectionReuse,
 ) -> Result<(StartedAnswer, AnswerKind), AttemptError> {
     let Some((in_flight, address)) = start(entry, call, target) else {
         return Err(AttemptError::Unreachable);
@@ -259,7 +275,7 @@
     *req.uri_mut() = call.uri.clone();
     *req.headers_mut() = target_headers(&call.headers, &head);
     call.sent.store(true, Ordering::Relaxed);
-    let sending = entry.pool.send(address, req, CONNECT_TIMEOUT);
+    let sending = entry.pool.send(address, req, CONNECT_TIMEOUT, reuse);
     let exchange = match tokio::time::timeout(timeout, sending).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(SendError::NotSent)) => {
@@ -327,7 +343,8 @@
     in_flight: InFlightAttempt,
 ) -> Result<(StartedAnswer, AnswerKind), AttemptError> {
     let head = &exchange.head;
-    let kind = answer::classify(head.status, &head.headers, &call.head.attempt_id);
+    let attempt_id = &call.head.attempt_id;
+    let kind = answer::classify(head.status, &head.headers, attempt_id, exchange.connection);
     if !matches!(kind, AnswerKind::OtherTarget | AnswerKind::Foreign) {
         let notice = answer::notice(head.status, &head.headers, SystemTime::now());
         in_flight.apply_notice(notice);
@@ -346,8 +363,9 @@
             Err(AttemptError::TurnedAway)
         }
         AnswerKind::Foreign => {
+            in_flight.record_foreign_answer(attempt_id, head.status, exchange.connection);
             in_flight.observe(Observation::Failed);
-            Err(AttemptError::Broken)
+            Err(AttemptError::Foreign)
         }
     }
 }
@@ -366,7 +384,7 @@
     deadline: Instant,
 ) -> Result<CompleteAnswer, AttemptError> {
     let body_end = started.exchange.body_end();
-    let StartedAnswer { exchange: Exchange { head, body, lease }, mut in_flight } = started;
+    let StartedAnswer { exchange: Exchange { head, body, lease, .. }, mut in_flight } = started;
     let reading = in_flight.entry.answer_memory.read(body);
     let body = match tokio::time::timeout_at(deadline.into(), reading).await {
         Ok(Ok(body)) => body,
--- a/daemon/src/http_pool.rs
+++ b/daemon/src/http_pool.rs
@@ -18,6 +18,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rosemarymoor_lib::answer_traffic::{CountedBody, CountedStream, Traffic};
+use rosemarymoor_lib::http_client::ConnectionReuse;
+use rosemarymoor_platform::answer::ConnectionAge;
 use rosemarymoor_platform::request::keep_alive_timeout;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
@@ -126,6 +128,8 @@
 pub struct Exchange {
     pub head: Parts,
     pub body: CountedBody,
+    /// Whether the connection carried an earlier exchange.
+    pub connection: ConnectionAge,
     /// Holds the connection until the body has been read.
     pub lease: ConnectionLease,
 }
@@ -133,6 +137,7 @@
 /// Connection in use; dropping it closes the connection.
 pub struct ConnectionLease {
     connection: Option<Connection>,
+    age: ConnectionAge,
     pool: HttpPool,
     address: SocketAddr,
     idle_timeout: Duration,
@@ -162,7 +167,7 @@
     ///
     /// `connect_timeout` limits the opening of a new connection; the caller has to limit the
     /// wait for the answer. An idle connection that closed before it carried the request is
-    /// replaced by another.
+    /// replaced by another. With [`ConnectionReuse::Never`] no idle connection is used.
     ///
     /// # Errors
     ///
@@ -172,15 +177,22 @@
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
+        reuse: ConnectionReuse,
     ) -> Result<Exchange, SendError> {
         let mut req = req;
         loop {
-            let (mut connection, is_reused) = match self.take_idle(address) {
-                Some(connection) => (connection, true),
-                None => (connect(address, connect_timeout).await?, false),
+            let idle = match reuse {
+                ConnectionReuse::Pooled => self.take_idle(address),
+                ConnectionReuse::Never => None,
             };
+            let (mut connection, age) = match idle {
+                Some(connection) => (connection, ConnectionAge::Kept),
+                None => (connect(address, connect_timeout).await?, ConnectionAge::New),
+            };
+            let is_reused = age == ConnectionAge::Kept;
             let mut lease = ConnectionLease {
                 connection: None,
+                age,
                 pool: self.clone(),
                 address,
                 idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -218,7 +230,8 @@
         connect_timeout: Duration,
         max_bytes: usize,
     ) -> Result<(StatusCode, HeaderMap, Bytes), SendError> {
-        let exchange = self.send(address, req, connect_timeout).await?;
+        let reuse = ConnectionReuse::Pooled;
+        let exchange = self.send(address, req, connect_timeout, reuse).await?;
         let body = Limited::new(exchange.body, max_bytes).collect().await;
         let body = body.map_err(|_| SendError::Broken)?.to_bytes();
         exchange.lease.finish();
@@ -275,7 +288,7 @@
         }
         let traffic = self.connection.as_ref().map(|connection| connection.traffic.clone());
         let body = CountedBody::new(body, traffic.unwrap_or_default());
-        Exchange { head, body, lease: self }
+        Exchange { head, body, connection: self.age, lease: self }
     }
 
     /// Returns the connection to the pool after its answer has been read to the end.
