stream: a block that is no event counts as a break

What callers saw: an error's text, at times its whole head, in the middle of their stream, followed by a complete end or by the events of the next target. A target, or a proxy before it, had written it into the body after some events, or in place of the events of a resumption.

Cause: `EventSplitter` takes whatever ends in a blank line for an event. The head of an HTTP answer ends in one, and so may a text or an object.

Fix: each line of an event has to be a comment or a field; the names of fields are in lower case, and those of an HTTP head are none, since one whose status line is glued to the data of an event is not told otherwise. Fields of other names stay allowed, as the standard says. Anything else is a break: the stream goes on elsewhere where the route allows it, and else is broken off. It is logged as `malformed_event` and counted.

Not changed: a well-formed event without an identity, such as `event: error`, is passed on where it comes from the target that began the stream: it is that target's own answer.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -205,6 +205,16 @@
         log::warn!(target: FAILURE_LOG, "event=answer_too_large target={}", self.target_id);
     }
 
+    /// Counts and logs a block of `bytes` in a stream that is no event.
+    pub fn record_malformed_event(&self, request: &str, bytes: usize) {
+        self.entry.metrics.count_malformed_input("event");
+        log::warn!(
+            target: FAILURE_LOG,
+            "event=malformed_event request={request} target={} bytes={bytes}",
+            self.target_id
+        );
+    }
+
     /// Opens a share of the memory for answers.
     pub fn open_memory(&self) -> MemoryShare {
         self.entry.answer_memory.open_share()
--- a/daemon/src/direct/event_reader.rs
+++ b/daemon/src/direct/event_reader.rs
@@ -2,6 +2,7 @@
 //!
 //! An answer that ends inside an event has been broken off, whatever marked its end. One that
 //! ends with its connection before any event cannot be told from a broken one and counts as such.
+//! So does one that goes on with something else than events.
 
 use std::time::Instant;
 
@@ -46,7 +47,7 @@
     /// # Errors
     ///
     /// Returns [`AttemptError::Silent`] at the deadline, [`AttemptError::Broken`] if the answer was broken
-    /// off or an event is too large, and [`AttemptError::OtherVersion`] if the answer may be of another
+    /// off or an event is malformed or too large, and [`AttemptError::OtherVersion`] if the answer may be of another
     /// software version than the one that began the stream.
     pub async fn next(
         &mut self,
@@ -67,6 +68,10 @@
     ) -> Result<Option<Event>, AttemptError> {
         loop {
             if let Some(event) = self.splitter.next_event() {
+                if !event.is_well_formed() {
+                    self.answer.in_flight.record_malformed_event(request, event.bytes.len());
+                    return Err(AttemptError::Broken);
+                }
                 match &self.begun {
                     Some(begun) => begun.record_event(),
                     None => {
--- a/lib/src/dispatch/event_stream.rs
+++ b/lib/src/dispatch/event_stream.rs
@@ -1,13 +1,25 @@
 //! Splits a byte stream into complete server-sent events.
 //!
 //! Only complete events are passed on to the caller, so that a stream that is
-//! interrupted in the middle of an event can be resumed at another target.
+//! interrupted in the middle of an event can be resumed at another target. A target or a proxy
+//! before it may write an error into the body instead, at times with a whole HTTP head: a block
+//! with a line that no event has is not passed on.
 
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Maximum number of bytes buffered while the end of an event is missing.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Mark with which a stream may begin.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
+/// Fields that may stand without a colon.
+const EVENT_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
+/// Fields of the head of an HTTP answer, which no event has.
+const HTTP_FIELDS: [&[u8]; 6] =
+    [b"connection", b"content-length", b"content-type", b"date", b"server", b"transfer-encoding"];
+
 /// Complete event as it was received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -17,6 +29,20 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns whether each line is a comment or a field.
+    pub fn is_well_formed(&self) -> bool {
+        self.lines().all(|line| is_comment(line) || is_field(line))
+    }
+
+    /// Returns the lines without their ends and the blank ones.
+    fn lines(&self) -> impl Iterator<Item = &[u8]> {
+        let bytes = self.bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(&self.bytes);
+        let lines = bytes.split(|byte| *byte == b'\n');
+        lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line)).filter(|line| !line.is_empty())
+    }
+}
+
 /// Error for an event that exceeds the buffer limit of 1 MiB.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EventTooLarge;
@@ -75,6 +101,22 @@
     }
 }
 
+fn is_comment(line: &[u8]) -> bool {
+    line.starts_with(b":")
+}
+
+fn is_field(line: &[u8]) -> bool {
+    let is_name_byte =
+        |byte: &u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_".contains(byte);
+    match line.iter().position(|byte| *byte == b':') {
+        Some(colon) => {
+            let name = &line[..colon];
+            name.iter().all(is_name_byte) && !HTTP_FIELDS.contains(&name)
+        }
+        None => EVENT_FIELDS.contains(&line),
+    }
+}
+
 fn event_id(bytes: &[u8]) -> Option<u64> {
     let line = bytes.split(|byte| *byte == b'\n').find(|line| line.starts_with(b"id:"))?;
     let text = std::str::from_utf8(&line[b"id:".len()..]).ok()?;
--- a/lib/tests/test_dispatch.rs
+++ b/lib/tests/test_dispatch.rs
@@ -163,6 +163,42 @@
     an_id_after_another_field_is_read: ["weight-versions: 2\nid: 5\n\n"] => [("weight-versions: 2\nid: 5\n\n", Some(5))];
 }
 
+/// Names blocks of a stream, each with whether it is an event.
+macro_rules! blocks {
+    ($($name:ident: $block:expr => $is_event:expr;)*) => {
+        mod a_block_is_an_event_if_its_lines_are_comments_or_fields {
+            use super::*;
+
+            $(#[test]
+            fn $name() {
+                let mut splitter = EventSplitter::default();
+                splitter.push($block.as_bytes()).unwrap();
+                let event = splitter.next_event().unwrap();
+                assert_eq!(event.is_well_formed(), $is_event);
+            })*
+        }
+    };
+}
+
+blocks! {
+    fields: "id: 1\nevent: token\ndata: HTTP/1.1 500\n\n" => true;
+    a_field_without_a_space: "data:a\n\n" => true;
+    a_field_without_a_value: "id: 1\ndata\n\n" => true;
+    a_field_of_another_name: "weight-versions: 2\nid: 1\ndata: a\n\n" => true;
+    a_comment: ": Waiting\n\n" => true;
+    carriage_returns: "id: 1\r\ndata: a\r\n\r\n" => true;
+    a_blank_line: "\n\n" => true;
+    a_byte_order_mark: "\u{feff}id: 1\ndata: a\n\n" => true;
+    a_status_line: "HTTP/1.1 500 Internal Server Error\r\n\r\n" => false;
+    fields_of_a_head: "Content-Type: text/plain\r\n\r\n" => false;
+    fields_of_a_head_in_lower_case: "data: aHTTP/1.1 502 Bad Gateway\r\nconnection: close\r\n\r\n" => false;
+    words: "upstream reset\n\n" => false;
+    a_word: "oops\n\n" => false;
+    words_before_a_colon: "upstream connect error: reset\n\n" => false;
+    an_object: "{\"error\": \"overloaded\"}\n\n" => false;
+    a_line_among_fields: "id: 1\nda\ndata: a\n\n" => false;
+}
+
 #[test]
 fn an_event_beyond_the_size_limit_is_an_error() {
     let mut splitter = EventSplitter::default();
