stream: a resumption in another form is not passed on

What callers saw: events under the head of their first answer though the next target had announced another media type, or a body with `Content-Encoding`, which the head that the caller has does not name.

Cause: `StreamRelay::resume_at` looked at the status, the identity and the seal of the answer to a resumption only.

Evidence: test_stream_resumptions, `a_resumption_does_not_pass_on`, failed before in `events_of_another_type` and `an_encoded_body`, in both with

left: (true, "id: 1 ... piece 4\n\nid: 5\ndata: piece 5\n\n ... piece 9\n\n") right: (false, "id: 1 ... piece 4\n\n")

Fix: the answer to a resumption has the media type (without parameters) and the encoding of the answer that began the stream, or the next target is tried. Such an attempt is an outcome of its own, `no_continuation`: it may have run and is no crash of the request.

Measured: 50 cases of test_stream_resumptions pass, with test_direct_streams (16), test_stream_versions (12), test_operations_page (3).

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -49,6 +49,7 @@
 pub mod stop;
 pub mod store_path;
 pub mod stream;
+pub mod stream_form;
 pub mod target_limits;
 pub mod target_watch;
 pub mod traffic;
--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -55,6 +55,8 @@
     Failed,
     /// A target of another software version than the one that began the stream went on with it.
     OtherVersion,
+    /// The target answered a resumption with something else than the rest of the stream.
+    NoContinuation,
 }
 
 impl AttemptError {
@@ -67,6 +69,7 @@
             AttemptError::Silent => "silent",
             AttemptError::Failed => "failed",
             AttemptError::OtherVersion => "other_version",
+            AttemptError::NoContinuation => "no_continuation",
         }
     }
 
@@ -205,6 +208,16 @@
         log::warn!(target: FAILURE_LOG, "event=answer_too_large target={}", self.target_id);
     }
 
+    /// Logs that the answer to a resumption is not the rest of the stream, and records it as a failure.
+    pub fn record_no_continuation(&self, request: &str, reason: &str) {
+        self.observe(Observation::Failed);
+        log::warn!(
+            target: FAILURE_LOG,
+            "event=no_continuation request={request} target={} reason={reason}",
+            self.target_id
+        );
+    }
+
     /// Counts and logs a block of `bytes` in a stream that is no event.
     pub fn record_malformed_event(&self, request: &str, bytes: usize) {
         self.entry.metrics.count_malformed_input("event");
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -26,6 +26,7 @@
 use super::call::Call;
 use super::entry::Entry;
 use super::event_reader::EventReader;
+use super::stream_form::StreamForm;
 use crate::http_server::AnswerBody;
 
 /// Outcome in the log of a stream that was forwarded to its end.
@@ -67,6 +68,7 @@
     }
     let head = &reader.answer.exchange.head;
     let (status, mut headers) = (head.status, head.headers.clone());
+    let form = StreamForm::decode(&headers);
     strip_connection_headers(&mut headers);
     let relay = StreamRelay {
         entry: entry.clone(),
@@ -74,6 +76,7 @@
         call,
         attempts,
         reader: Some(reader),
+        form,
         first_event,
         events: 0,
         finished: false,
@@ -114,6 +117,8 @@
     attempts: Attempts,
     /// `None` after the stream has ended and while it is resumed.
     reader: Option<EventReader>,
+    /// Form that the head of the answer announces.
+    form: StreamForm,
     /// First event, until it is forwarded.
     first_event: Option<Event>,
     /// Identity of the latest event that the caller has, from this stream or the one that it
@@ -236,6 +241,10 @@
             }
             return Err(AttemptError::Failed);
         }
+        if StreamForm::decode(&answer.exchange.head.headers) != self.form {
+            answer.in_flight.record_no_continuation(&self.call.head.attempt_id, "form");
+            return Err(AttemptError::NoContinuation);
+        }
         answer.in_flight.record_first_answer();
         log::info!(
             "event=resumed request={} after_event={:?} target={} software={}",
--- a/daemon/tests/test_stream_resumptions.rs
+++ b/daemon/tests/test_stream_resumptions.rs
@@ -219,6 +219,13 @@
     an_object: |received| {
         success(received, "Content-Type: application/json\r\n", "{\"error\": \"oops\"}\n\n")
     } => BEGUN;
+    events_of_another_type: |received| {
+        success(received, "Content-Type: text/plain\r\n", &text_of(BEGUN + 1..=EVENTS))
+    } => BEGUN;
+    an_encoded_body: |received| {
+        let headers = "Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\n";
+        success(received, headers, &text_of(BEGUN + 1..=EVENTS))
+    } => BEGUN;
     a_raw_error_before_its_events: |received| {
         stream_of(received, &format!("{RAW_ERROR}\n\n{}", text_of(BEGUN + 1..=EVENTS)))
     } => BEGUN;
