stream: a resumption has the events that come next

What callers saw: after the break of a stream a piece was missing, or events followed that belong to another stream or, as an error event of the next target, to none; the stream then ended as complete.

Cause: of the answer to a resumption only events up to the last one that the caller has were left out. Any higher identity was passed on, and any event without one.

Evidence: test_stream_resumptions, `a_resumption_does_not_pass_on`, failed before in seven cases, e.g. `an_error_event`

left: (true, "id: 1 ... piece 4\n\nevent: error\ndata: oops\n\n")

`events_after_a_gap`

left: (true, "id: 1 ... piece 4\n\nid: 7\ndata: piece 7\n\n ...")

`events_of_another_stream`

left: (true, "id: 1 ... piece 4\n\nid: 101\ndata: piece 101\n\n ...")

Fix: `EventOrder` places each event. Within a resumption it has to have the number after the last one, or a higher one if the numbers had gaps already before the break: they are only said to increase. Comments and blank lines need none. An event in another place is an outcome `no_continuation`, after which the next target is tried. The first answer of a stream is passed on as its target wrote it, as before.

Not told apart: an answer that begins the stream anew instead of going on, if it reaches the number that comes next; the events before are left out as they were.

--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
+use rosemarymoor_lib::dispatch::event_order::{EventOrder, Place};
 use rosemarymoor_lib::dispatch::event_stream::Event;
 use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId, StreamOrigin};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
@@ -72,7 +73,7 @@
     strip_connection_headers(&mut headers);
     let relay = StreamRelay {
         entry: entry.clone(),
-        last_event_id: call.head.last_event(),
+        order: EventOrder::open(call.head.last_event()),
         call,
         attempts,
         reader: Some(reader),
@@ -121,9 +122,8 @@
     form: StreamForm,
     /// First event, until it is forwarded.
     first_event: Option<Event>,
-    /// Identity of the latest event that the caller has, from this stream or the one that it
-    /// resumes.
-    last_event_id: Option<u64>,
+    /// Events that the caller has, from this stream or the one that it resumes.
+    order: EventOrder,
     /// Number of events forwarded.
     events: u64,
     finished: bool,
@@ -137,7 +137,7 @@
         match self.next_undelivered_event().await {
             Ok(Some(event)) => {
                 self.events += 1;
-                self.last_event_id = event.id.or(self.last_event_id);
+                self.order.record(&event);
                 self.call.charge_event();
                 Some(Ok(Frame::data(event.bytes)))
             }
@@ -172,8 +172,14 @@
             };
             match next {
                 Ok(None) => return Ok(None),
-                Ok(Some(event)) if self.is_delivered(&event) => {}
-                Ok(Some(event)) => return Ok(Some(event)),
+                Ok(Some(event)) => match self.order.place(&event) {
+                    Place::Next => return Ok(Some(event)),
+                    Place::Delivered => {}
+                    Place::Elsewhere => {
+                        self.record_no_continuation("order");
+                        self.resume(AttemptError::NoContinuation).await?;
+                    }
+                },
                 Err(err) => self.resume(err).await?,
             }
         }
@@ -188,11 +194,10 @@
         reader.next(&self.call.head.attempt_id, deadline).await
     }
 
-    /// Returns whether the caller already has an event: a resumed stream may repeat some.
-    fn is_delivered(&self, event: &Event) -> bool {
-        match (event.id, self.last_event_id) {
-            (Some(id), Some(last)) => id <= last,
-            _ => false,
+    /// Records that the answer that is read does not go on with the stream.
+    fn record_no_continuation(&self, reason: &str) {
+        if let Some(reader) = &self.reader {
+            reader.answer.in_flight.record_no_continuation(&self.call.head.attempt_id, reason);
         }
     }
 
@@ -209,7 +214,7 @@
             record_failure(&self.entry, &self.call, &mut self.attempts, target, err);
         }
         if !self.call.route.kind.is_idempotent()
-            || self.last_event_id.is_none()
+            || self.order.last().is_none()
             || self.call.origin.is_none()
         {
             return Err(err);
@@ -218,6 +223,7 @@
             match self.resume_at(target).await {
                 Ok(answer) => {
                     self.reader = Some(EventReader::open(answer, self.call.origin.as_ref()));
+                    self.order.resume();
                     return Ok(());
                 }
                 Err(resume_err) => {
@@ -232,8 +238,7 @@
     /// Requests the rest of the stream from a target.
     async fn resume_at(&self, target: TargetKey) -> Result<StartedAnswer, AttemptError> {
         let timeout = self.call.time_left();
-        let sent =
-            attempt::send(&self.entry, &self.call, target, self.last_event_id, timeout).await;
+        let sent = attempt::send(&self.entry, &self.call, target, self.order.last(), timeout).await;
         let (mut answer, kind) = sent?;
         if kind != AnswerKind::Success {
             if answer.exchange.head.status.is_server_error() {
@@ -249,7 +254,7 @@
         log::info!(
             "event=resumed request={} after_event={:?} target={} software={}",
             self.call.head.attempt_id,
-            self.last_event_id,
+            self.order.last(),
             answer.in_flight.target_id,
             self.call.origin.as_ref().map_or("unknown", |origin| origin.software.as_str())
         );
--- a/daemon/tests/test_stream_resumptions.rs
+++ b/daemon/tests/test_stream_resumptions.rs
@@ -232,6 +232,15 @@
     a_raw_error_after_an_event: |received| {
         stream_of(received, &format!("{}{RAW_ERROR}", event(BEGUN + 1)))
     } => BEGUN + 1;
+    an_error_event: |received| stream_of(received, "event: error\ndata: oops\n\n") => BEGUN;
+    events_without_ids: |received| stream_of(received, "data: piece 5\n\n") => BEGUN;
+    an_event_without_an_id_after_others: |received| {
+        stream_of(received, &format!("{}data: piece 6\n\n", event(BEGUN + 1)))
+    } => BEGUN + 1;
+    an_id_that_is_no_number: |received| stream_of(received, "id: x\ndata: piece 5\n\n") => BEGUN;
+    events_after_a_gap: |received| stream_of(received, &text_of(BEGUN + 3..=EVENTS)) => BEGUN;
+    events_around_a_gap: |received| stream_of(received, &text_of([5, 6, 8, 9])) => BEGUN + 2;
+    events_of_another_stream: |received| stream_of(received, &text_of(101..105)) => BEGUN;
     an_end_by_close_before_any_event: |received| {
         events_until_close(received, 0, 0, Duration::ZERO)
     } => BEGUN;
--- a/lib/src/dispatch.rs
+++ b/lib/src/dispatch.rs
@@ -17,8 +17,9 @@
 //!   [`prefill_rate`] learns.
 //! - **After a failure**: [`retry_budget`] limits retries, [`rerun`] decides when a request leaves a target
 //!   that does not answer, [`crash`] finds what crashes targets, and [`retry_after`] computes the delay that
-//!   refused callers are given; [`event_stream`] splits an answer into server-sent events, and
-//!   [`stream_origins`] knows which software version began a stream.
+//!   refused callers are given; [`event_stream`] splits an answer into server-sent events,
+//!   [`event_order`] says which of them come next in a stream that was resumed, and [`stream_origins`]
+//!   knows which software version began it.
 
 pub mod cache_belief;
 pub mod catalog;
@@ -28,6 +29,7 @@
 pub mod crash;
 pub mod criteria;
 pub mod evacuations;
+pub mod event_order;
 pub mod event_stream;
 pub mod heard_targets;
 pub mod known_limit;
--- a/lib/src/dispatch/event_stream.rs
+++ b/lib/src/dispatch/event_stream.rs
@@ -35,6 +35,11 @@
         self.lines().all(|line| is_comment(line) || is_field(line))
     }
 
+    /// Returns whether it has only comments and blank lines.
+    pub fn is_blank(&self) -> bool {
+        self.lines().all(is_comment)
+    }
+
     /// Returns the lines without their ends and the blank ones.
     fn lines(&self) -> impl Iterator<Item = &[u8]> {
         let bytes = self.bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(&self.bytes);
