stream: a resumption without an event does not complete the stream

What callers saw: after the break of a stream the next target's answer ended at once, and the caller's stream ended as complete, with pieces missing.

Cause: a body that ends by its length or its last chunk ended the stream, also where a resumption had brought nothing, or only events that the caller has.

Evidence: test_stream_resumptions, `a_resumption_does_not_pass_on`, failed before in `an_end_by_length_before_any_event`, `an_end_by_chunk_before_any_event`, `events_that_the_caller_has`

left: (true, "id: 1 ... piece 4\n\n") right: (false, "id: 1 ... piece 4\n\n")

and `only_a_comment`, there with the comment.

Decision: such an answer is legitimate if the stream broke after its last event and before its end; nothing tells that from a target that failed. Taken for the end, it completes a stream that is not; taken for a break, it costs a stream whose caller has all of it, and who may take it up and gets the target's own empty answer then. So it is a break: the next target is tried, else the stream is broken off. Nothing of such an answer is passed on before its first event, comments neither.

Changed check: `comments_between_events` expected a comment of the resumption before its first event, which it does not pass on any more; `comments_after_its_first_event` expects the whole body without it, and the comment between two events as before.

Measured: 61 cases of test_stream_resumptions pass, with test_direct_streams (16), test_stream_versions (12), test_direct_crashes (17), test_direct_entry (34).

--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -3,7 +3,8 @@
 //!
 //! The head of the answer is withheld until the first complete event has arrived, so that
 //! the request can be sent to another target if the connection breaks before. A resumed
-//! stream keeps the head of its first target's answer.
+//! stream keeps the head of its first target's answer, and ends as complete only with an answer
+//! that has brought an event: an empty one may be the end, or a target that failed.
 
 use std::io;
 use std::sync::Arc;
@@ -74,6 +75,7 @@
     let relay = StreamRelay {
         entry: entry.clone(),
         order: EventOrder::open(call.head.last_event()),
+        is_continued: true,
         call,
         attempts,
         reader: Some(reader),
@@ -124,6 +126,8 @@
     first_event: Option<Event>,
     /// Events that the caller has, from this stream or the one that it resumes.
     order: EventOrder,
+    /// Whether the answer that is read is the first one or has brought an event that comes next.
+    is_continued: bool,
     /// Number of events forwarded.
     events: u64,
     finished: bool,
@@ -138,6 +142,7 @@
             Ok(Some(event)) => {
                 self.events += 1;
                 self.order.record(&event);
+                self.is_continued |= event.id.is_some();
                 self.call.charge_event();
                 Some(Ok(Frame::data(event.bytes)))
             }
@@ -171,10 +176,16 @@
                 None => self.read_next().await,
             };
             match next {
-                Ok(None) => return Ok(None),
+                Ok(None) if self.is_continued => return Ok(None),
+                Ok(None) => {
+                    self.record_no_continuation("end");
+                    self.resume(AttemptError::NoContinuation).await?;
+                }
                 Ok(Some(event)) => match self.order.place(&event) {
-                    Place::Next => return Ok(Some(event)),
-                    Place::Delivered => {}
+                    Place::Next if self.is_continued || event.id.is_some() => {
+                        return Ok(Some(event));
+                    }
+                    Place::Next | Place::Delivered => {}
                     Place::Elsewhere => {
                         self.record_no_continuation("order");
                         self.resume(AttemptError::NoContinuation).await?;
@@ -224,6 +235,7 @@
                 Ok(answer) => {
                     self.reader = Some(EventReader::open(answer, self.call.origin.as_ref()));
                     self.order.resume();
+                    self.is_continued = false;
                     return Ok(());
                 }
                 Err(resume_err) => {
