sidecar: other text in an engine's stream is not passed on

Cause: the usage meter skips lines that it does not know, and the sidecar passes the bytes on as they are.

Evidence: test_sidecar, `other_text_in_a_stream_is_not_passed_on`, failed before in its four cases, e.g. `a_raw_error_before_the_last_event`

left: (true, "data: {}\n\nHTTP/1.1 500 Internal Server Error\r\n\r\ndata: [DONE]\n\n") right: (false, "data: {}\n\n")

Fix: the meter also says where a line begins that is neither a comment nor a field. The sidecar passes on what comes before, cancels the run and refuses the request as cut off: its entry ends the caller's stream with an error event, or sends the request elsewhere if no event was passed on. A line whose beginning was passed on already never becomes a whole event, and the entry passes on whole events only.

--- a/daemon/src/sidecar/job.rs
+++ b/daemon/src/sidecar/job.rs
@@ -44,6 +44,8 @@
     Crossed,
     /// The engine answered with a server error.
     ErrorStatus,
+    /// The stream goes on with something else than events.
+    OtherText,
     /// The body exceeds [`MAX_ANSWER_BYTES`].
     TooLarge,
     /// The call was not sent to the target.
@@ -208,7 +210,13 @@
             part = body.next() => match part {
                 Some(Ok(bytes)) => {
                     meter.feed(&bytes);
-                    answer.update(|log| log.body.extend_from_slice(&bytes));
+                    let other_text = meter.bytes_before_other_text();
+                    let passed_on = &bytes[..other_text.unwrap_or(bytes.len())];
+                    answer.update(|log| log.body.extend_from_slice(passed_on));
+                    if other_text.is_some() {
+                        cancel(cx, req).await;
+                        break Some(StopReason::OtherText);
+                    }
                     if answer.read(|log| log.body.len()) > MAX_ANSWER_BYTES {
                         cancel(cx, req).await;
                         break Some(StopReason::TooLarge);
@@ -312,7 +320,9 @@
     let code = match stop {
         StopReason::NotStarted => ResultCode::TargetUnreachable,
         StopReason::TimedOut => ResultCode::TimedOut,
-        StopReason::Cancelled | StopReason::TooLarge => ResultCode::AnswerCutOff,
+        StopReason::Cancelled | StopReason::TooLarge | StopReason::OtherText => {
+            ResultCode::AnswerCutOff
+        }
         StopReason::Lost if outcome.bytes > 0 => ResultCode::AnswerCutOff,
         StopReason::Lost | StopReason::Crossed | StopReason::ErrorStatus if req.repeatable => {
             ResultCode::TargetFailed
@@ -343,6 +353,7 @@
         StopReason::Lost => "the connection to the target broke",
         StopReason::Crossed => "the target answered another request",
         StopReason::ErrorStatus => "the engine answered with a server error",
+        StopReason::OtherText => "the stream goes on with something else than events",
         StopReason::TooLarge => "the answer exceeds the size limit",
         StopReason::NotStarted => "the target does not accept connections",
     };
--- a/daemon/tests/test_sidecar.rs
+++ b/daemon/tests/test_sidecar.rs
@@ -111,6 +111,37 @@
     stream_cut_after_an_event: "text/event-stream", "data: {}\n\n" => false;
 }
 
+/// Names each body of an engine's stream that goes on with something else than events, with the part
+/// that is passed on.
+macro_rules! streams_with_other_text {
+    ($($case:ident: $body:literal => $passed_on:literal;)*) => {
+        mod other_text_in_a_stream_is_not_passed_on {
+            use super::*;
+
+            $(#[tokio::test]
+            async fn $case() {
+                let mut platform = Platform::start().await;
+                let script = until_close("text/event-stream", $body);
+                let engine = TargetStandIn::spawn(script).await.unwrap();
+                let sidecar = platform.sidecar("engine", format!("http://{}", engine.address())).await;
+                let output = sidecar.run(&model_request("engine", "m1", 4)).await;
+                let body = String::from_utf8(output.body.clone()).unwrap();
+                assert_eq!((output.is_complete(), body.as_str()), (false, $passed_on));
+            })*
+        }
+    };
+}
+
+streams_with_other_text! {
+    a_raw_error: "data: {}\n\nHTTP/1.1 500 Internal Server Error\r\n\r\noops" => "data: {}\n\n";
+    a_raw_error_before_the_last_event:
+        "data: {}\n\nHTTP/1.1 500 Internal Server Error\r\n\r\ndata: [DONE]\n\n" => "data: {}\n\n";
+    the_rest_of_a_head_inside_an_event:
+        "data: {HTTP/1.1 502 Bad Gateway\r\nconnection: close\r\n\r\ndata: [DONE]\n\n"
+        => "data: {HTTP/1.1 502 Bad Gateway\r\n";
+    an_object: "data: {}\n\n{\"error\": 1}\n\ndata: [DONE]\n\n" => "data: {}\n\n";
+}
+
 #[tokio::test]
 async fn a_second_delivery_joins_and_is_not_charged() {
     let mut platform = Platform::start().await;
--- a/lib/src/answer_usage.rs
+++ b/lib/src/answer_usage.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 
+use crate::dispatch::event_stream::is_event_line;
+
 /// Media type of a streamed answer.
 pub const EVENT_STREAM: &str = "text/event-stream";
 
@@ -69,6 +71,8 @@
     done: bool,
     /// Whether the latest event lacks its blank line.
     is_inside_event: bool,
+    /// Bytes of the latest part before a line that no event has; `None` without such a line.
+    bytes_before_other_text: Option<usize>,
 }
 
 impl UsageMeter {
@@ -83,6 +87,7 @@
             reported: None,
             done: false,
             is_inside_event: false,
+            bytes_before_other_text: None,
         }
     }
 
@@ -91,6 +96,7 @@
         if !self.streamed {
             return;
         }
+        let mut bytes_before = 0;
         for part in bytes.split_inclusive(|byte| *byte == b'\n') {
             self.is_line_too_long |= self.line.len() + part.len() > MAX_LINE_BYTES;
             if !self.is_line_too_long {
@@ -99,12 +105,23 @@
             if part.ends_with(b"\n") {
                 let line = std::mem::take(&mut self.line);
                 if !std::mem::take(&mut self.is_line_too_long) {
+                    if !is_event_line(&line) {
+                        self.bytes_before_other_text = Some(bytes_before);
+                        return;
+                    }
                     self.parse_line(&line);
                 }
             }
+            bytes_before += part.len();
         }
     }
 
+    /// Returns how many bytes of the latest part come before a line that no event has; `None`
+    /// without such a line, after which the answer is no stream of events any more.
+    pub fn bytes_before_other_text(&self) -> Option<usize> {
+        self.bytes_before_other_text
+    }
+
     /// Returns whether the body may end here; a streamed answer has to end with the whole event
     /// `[DONE]`.
     pub fn is_complete(&self) -> bool {
--- a/lib/src/dispatch/event_stream.rs
+++ b/lib/src/dispatch/event_stream.rs
@@ -30,21 +30,18 @@
 }
 
 impl Event {
-    /// Returns whether each line is a comment or a field.
+    /// Returns whether each line is one of an event.
     pub fn is_well_formed(&self) -> bool {
-        self.lines().all(|line| is_comment(line) || is_field(line))
+        self.lines().all(is_event_line)
     }
 
     /// Returns whether it has only comments and blank lines.
     pub fn is_blank(&self) -> bool {
-        self.lines().all(is_comment)
+        self.lines().map(content).all(|line| line.is_empty() || is_comment(line))
     }
 
-    /// Returns the lines without their ends and the blank ones.
     fn lines(&self) -> impl Iterator<Item = &[u8]> {
-        let bytes = self.bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(&self.bytes);
-        let lines = bytes.split(|byte| *byte == b'\n');
-        lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line)).filter(|line| !line.is_empty())
+        self.bytes.split(|byte| *byte == b'\n')
     }
 }
 
@@ -106,6 +103,19 @@
     }
 }
 
+/// Returns whether a line is blank, a comment or a field.
+pub fn is_event_line(line: &[u8]) -> bool {
+    let line = content(line);
+    line.is_empty() || is_comment(line) || is_field(line)
+}
+
+/// Returns a line without its end, and without the mark with which a stream may begin.
+fn content(line: &[u8]) -> &[u8] {
+    let line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
 fn is_comment(line: &[u8]) -> bool {
     line.starts_with(b":")
 }
--- a/lib/tests/test_answer_usage.rs
+++ b/lib/tests/test_answer_usage.rs
@@ -77,3 +77,31 @@
     meter.feed(b"data: [DONE]\n");
     assert!(!meter.is_complete());
 }
+
+/// Names bodies of streams, each with the bytes before a line that no event has.
+macro_rules! other_text {
+    ($($name:ident: $body:expr => $bytes_before:expr;)*) => {
+        mod other_text_is_found_in_a_stream {
+            use super::*;
+
+            $(#[test]
+            fn $name() {
+                let bytes_before: Option<usize> = $bytes_before;
+                let whole = meter(EVENT_STREAM, $body, 4_096);
+                assert_eq!(whole.bytes_before_other_text(), bytes_before);
+                for part in [1, 7] {
+                    let meter = meter(EVENT_STREAM, $body, part);
+                    assert_eq!(meter.bytes_before_other_text().is_some(), bytes_before.is_some());
+                }
+            }
+        )*}
+    };
+}
+
+other_text! {
+    none_in_events: "event: token\r\ndata: HTTP/1.1 500\r\n\r\n: waiting\n\ndata\n\n" => None;
+    a_status_line: "data: a\n\nHTTP/1.1 500 Oops\r\n" => Some(9);
+    a_field_of_a_head: "data: a\nconnection: close\r\n" => Some(8);
+    an_object: "{\"error\": 1}\n\n" => Some(0);
+    none_in_a_line_without_its_end: "data: a\n\nHTTP/1.1 500 Oops" => None;
+}
