--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -51,6 +51,7 @@
 pub mod stop_check;
 pub mod store_path;
 pub mod stream;
+pub mod stream_form;
 pub mod target_limits;
 pub mod target_watch;
 pub mod traffic;
--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -59,6 +59,8 @@
     Failed,
     /// A target of another software version than the one that began the stream went on with it.
     OtherVersion,
+    /// The target answered a resumption with something else than the rest of the stream.
+    NoContinuation,
 }
 
 impl AttemptError {
@@ -72,6 +74,7 @@
             AttemptError::Silent => "silent",
             AttemptError::Failed => "failed",
             AttemptError::OtherVersion => "other_version",
+            AttemptError::NoContinuation => "no_continuation",
         }
     }
 
@@ -221,6 +224,26 @@
         );
     }
 
+    /// Logs that the answer to a resumption is not the rest of the stream, and records it as a failure.
+    pub fn record_no_continuation(&self, request: &str, reason: &str) {
+        self.observe(Observation::Failed);
+        log::warn!(
+            target: FAILURE_LOG,
+            "event=no_continuation request={request} target={} reason={reason}",
+            self.target_id
+        );
+    }
+
+    /// Counts and logs a block of `bytes` in a stream that is no event.
+    pub fn record_malformed_event(&self, request: &str, bytes: usize) {
+        self.entry.metrics.count_malformed_input("event");
+        log::warn!(
+            target: FAILURE_LOG,
+            "event=malformed_event request={request} target={} bytes={bytes}",
+            self.target_id
+        );
+    }
+
     /// Opens a share of the memory for answers.
     pub fn open_memory(&self) -> MemoryShare {
         self.entry.answer_memory.open_share()
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -3,7 +3,8 @@
 //!
 //! The head of the answer is withheld until the first complete event has arrived, so that
 //! the request can be sent to another target if the connection breaks before. A resumed
-//! stream keeps the head of its first target's answer.
+//! stream keeps the head of its first target's answer, and ends as complete only with an answer
+//! that has brought an event: an empty one may be the end, or a target that failed.
 
 use std::io;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
+use rosemarymoor_lib::dispatch::event_order::{EventOrder, Place};
 use rosemarymoor_lib::dispatch::event_stream::Event;
 use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId, StreamOrigin};
 use rosemarymoor_lib::dispatch::targets::{Observation, TargetKey};
@@ -26,6 +28,7 @@
 use super::call::Call;
 use super::entry::Entry;
 use super::event_reader::EventReader;
+use super::stream_form::StreamForm;
 use crate::http_server::AnswerBody;
 
 /// Outcome in the log of a stream that was forwarded to its end.
@@ -67,13 +70,16 @@
     }
     let head = &reader.answer.exchange.head;
     let (status, mut headers) = (head.status, head.headers.clone());
+    let form = StreamForm::decode(&headers);
     strip_connection_headers(&mut headers);
     let relay = StreamRelay {
         entry: entry.clone(),
-        last_event_id: call.head.last_event(),
+        order: EventOrder::open(call.head.last_event()),
+        is_continued: true,
         call,
         attempts,
         reader: Some(reader),
+        form,
         first_event,
         events: 0,
         finished: false,
@@ -121,11 +127,14 @@
     attempts: Attempts,
     /// `None` after the stream has ended and while it is resumed.
     reader: Option<EventReader>,
+    /// Form that the head of the answer announces.
+    form: StreamForm,
     /// First event, until it is forwarded.
     first_event: Option<Event>,
-    /// Identity of the latest event that the caller has, from this stream or the one that it
-    /// resumes.
-    last_event_id: Option<u64>,
+    /// Events that the caller has, from this stream or the one that it resumes.
+    order: EventOrder,
+    /// Whether the answer that is read is the first one or has brought an event that comes next.
+    is_continued: bool,
     /// Number of events forwarded.
     events: u64,
     finished: bool,
@@ -139,7 +148,8 @@
         match self.next_undelivered_event().await {
             Ok(Some(event)) => {
                 self.events += 1;
-                self.last_event_id = event.id.or(self.last_event_id);
+                self.order.record(&event);
+                self.is_continued |= event.id.is_some();
                 self.call.charge_event();
                 Some(Ok(Frame::data(event.bytes)))
             }
@@ -173,9 +183,21 @@
                 None => self.read_next().await,
             };
             match next {
-                Ok(None) => return Ok(None),
-                Ok(Some(event)) if self.is_delivered(&event) => {}
-                Ok(Some(event)) => return Ok(Some(event)),
+                Ok(None) if self.is_continued => return Ok(None),
+                Ok(None) => {
+                    self.record_no_continuation("end");
+                    self.resume(AttemptError::NoContinuation).await?;
+                }
+                Ok(Some(event)) => match self.order.place(&event) {
+                    Place::Next if self.is_continued || event.id.is_some() => {
+                        return Ok(Some(event));
+                    }
+                    Place::Next | Place::Delivered => {}
+                    Place::Elsewhere => {
+                        self.record_no_continuation("order");
+                        self.resume(AttemptError::NoContinuation).await?;
+                    }
+                },
                 Err(err) => self.resume(err).await?,
             }
         }
@@ -190,11 +212,10 @@
         reader.next(&self.call.head.attempt_id, deadline).await
     }
 
-    /// Returns whether the caller already has an event: a resumed stream may repeat some.
-    fn is_delivered(&self, event: &Event) -> bool {
-        match (event.id, self.last_event_id) {
-            (Some(id), Some(last)) => id <= last,
-            _ => false,
+    /// Records that the answer that is read does not go on with the stream.
+    fn record_no_continuation(&self, reason: &str) {
+        if let Some(reader) = &self.reader {
+            reader.answer.in_flight.record_no_continuation(&self.call.head.attempt_id, reason);
         }
     }
 
@@ -211,7 +232,7 @@
             record_failure(&self.entry, &self.call, &mut self.attempts, target, err);
         }
         if !self.call.route.kind.is_idempotent()
-            || self.last_event_id.is_none()
+            || self.order.last().is_none()
             || self.call.origin.is_none()
         {
             return Err(err);
@@ -220,6 +241,8 @@
             match self.resume_at(target).await {
                 Ok(answer) => {
                     self.reader = Some(EventReader::open(answer, self.call.origin.as_ref()));
+                    self.order.resume();
+                    self.is_continued = false;
                     return Ok(());
                 }
                 Err(resume_err) => {
@@ -236,7 +259,7 @@
         let timeout = self.call.time_left();
         let reuse = self.attempts.connection_reuse();
         let sending =
-            attempt::send(&self.entry, &self.call, target, self.last_event_id, timeout, reuse);
+            attempt::send(&self.entry, &self.call, target, self.order.last(), timeout, reuse);
         let (mut answer, kind) = sending.await?;
         if kind != AnswerKind::Success {
             if answer.exchange.head.status.is_server_error() {
@@ -244,11 +267,15 @@
             }
             return Err(AttemptError::Failed);
         }
+        if StreamForm::decode(&answer.exchange.head.headers) != self.form {
+            answer.in_flight.record_no_continuation(&self.call.head.attempt_id, "form");
+            return Err(AttemptError::NoContinuation);
+        }
         answer.in_flight.record_first_answer();
         log::info!(
             "event=resumed request={} after_event={:?} target={} software={}",
             self.call.head.attempt_id,
-            self.last_event_id,
+            self.order.last(),
             answer.in_flight.target_id,
             self.call.origin.as_ref().map_or("unknown", |origin| origin.software.as_str())
         );
