direct: a budget server closes its listener before it ends, and answers what runs

What callers saw: a write that an entry had relayed over a budget server was cut without an answer at its SIGTERM, so that its entry could not know whether the store had applied it. A begun stream that was reported while the server told others of its streams was confirmed, and known to nobody once the process had ended.

Cause: the listener was spawned and never closed. Calls were taken until the process returned, which dropped what ran; the hand-over ran beside them.

Evidence: daemon/tests/test_budget_server_stops.rs on the code before, all three failed: a_relayed_write_that_runs_is_answered: "left: 0, right: 200" (0: no answer) what_is_reported_of_streams_is_handed_over_or_not_confirmed: "BegunStream { id: StreamId(98015...) } of [BegunStream { id: StreamId(28745...) }]", confirmed and not among what the other server was told a_wait_for_changes_ends_with_its_server: no answer in place of 503

Change: at SIGTERM the listener closes, and answers carry Connection: close; a call that does not reach the server is certainly not sent, and entries ask the next one at once. What runs is waited for, for 1.2 s, longer than a relayed call; waits for news and changes are answered with 503 at once, as they would only hold the stop. Then, with nothing that can still arrive, streams are handed over, for 2 s at most, and tokens returned.

Result: the three tests pass, and test_direct_reservations, test_stream_versions, test_direct_relays, test_shared_watches, test_module_order, test_operations_page.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -43,6 +43,7 @@
 pub mod resumption;
 pub mod room;
 pub mod send_permits;
+pub mod server_stop;
 pub mod settings;
 pub mod settlement_queue;
 pub mod shared_watch;
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -25,12 +25,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use rosemarymoor_lib::budget::ceiling::{
     Headroom, ReservationReply, ReservationRequest, Settlement, WitnessReport,
@@ -56,6 +56,7 @@
 use super::poison::{CRASH_PATH, PoisonedRequests, SOUND_PATH, SUSPECTED_PATH, TRIAL_PATH};
 use super::poison_publisher::PoisonPublisher;
 use super::send_permits::{LIMIT_PATH, PERMIT_PATH, SharedIssuer};
+use super::server_stop::{CALL_TIMEOUT, ServerStop};
 use super::settings::DirectSettings;
 use super::shared_watch::SharedWatches;
 use super::store_path::{DirectPath, RELAY_PREFIX, RelayedPath, STORE_NOT_REACHED, STORE_SILENT};
@@ -65,6 +66,9 @@
 /// Timeout of a relayed call other than a watch, which waits as long as it says.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest time for handing over the begun streams.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// Size limit of the body of an internal call.
 const MAX_BODY_BYTES: usize = 2 << 20;
 
@@ -97,6 +101,7 @@
     permits: SharedIssuer,
     /// News of targets' load; `None` without a target beside the server.
     load: Option<LoadServer>,
+    stop: ServerStop,
 }
 
 /// Runs a budget server until it is requested to stop; returns the exit code.
@@ -136,6 +141,7 @@
         streams: BegunStreams::open(cx.clock),
         permits: SharedIssuer::open(cx.clock),
         load,
+        stop: ServerStop::open(),
     });
     let listener = match http_server::bind_when_free(settings.internal).await {
         Ok(listener) => listener,
@@ -146,22 +152,56 @@
     };
     reload_on_hangup(path, |_| {});
     let handling = server.clone();
-    HttpServer::spawn(
+    let calls = HttpServer::spawn(
         listener,
         || ConnectionLimits::idle(IDLE_TIMEOUT),
         move |req| {
             let server = handling.clone();
-            async move { server.serve(req).await }
+            async move {
+                let mut resp = server.serve(req).await;
+                if server.stop.has_begun() {
+                    resp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                resp
+            }
         },
     );
     cx.register(&settings, kv.clone());
     cx.stop_requested().await;
-    log::warn!("event=stopping role=budget-server host={}", settings.name);
-    tokio::join!(ceilings.close(), hand_over(&cx, kv.as_ref(), &server, settings.internal));
-    log::warn!("event=stop role=budget-server host={}", settings.name);
+    stop(&cx, kv.as_ref(), &server, calls, &settings).await;
     0
 }
 
+/// Stops a server: answers what runs, hands over streams and returns tokens.
+async fn stop(
+    cx: &ProcessContext,
+    kv: &PlatformStore,
+    server: &Server,
+    calls: HttpServer,
+    settings: &DirectSettings,
+) {
+    let started = Instant::now();
+    let host = &settings.name;
+    log::warn!("event=stopping role=budget-server host={host}");
+    server.stop.begin_closing();
+    log::warn!(
+        "event=listener_closes host={host} open_connections={} after_ms={}",
+        calls.open_connections(),
+        started.elapsed().as_millis()
+    );
+    let open = calls.close(CALL_TIMEOUT).await;
+    let handing_over = hand_over(cx, kv, server, settings.internal);
+    let handing_over = tokio::time::timeout(HAND_OVER_TIMEOUT, handing_over);
+    let (_, handed_over) = tokio::join!(server.ceilings.close(), handing_over);
+    if handed_over.is_err() {
+        log::warn!("event=streams_not_handed_over reason=timeout");
+    }
+    let took_ms = started.elapsed().as_millis();
+    log::warn!(
+        "event=stop role=budget-server host={host} open_connections={open} took_ms={took_ms}"
+    );
+}
+
 /// Spawns the tasks that follow the fleet's own list and collect the news of its targets' load.
 fn collect_load(
     cx: &ProcessContext,
@@ -340,7 +380,10 @@
         let Ok(query) = news::decode::<LoadQuery>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let reply = board.answer(&query).await;
+        let reply = tokio::select! {
+            reply = board.answer(&query) => reply,
+            () = self.stop.closing() => return empty(StatusCode::SERVICE_UNAVAILABLE),
+        };
         Response::new(Full::new(news::encode(&reply).into()))
     }
 
@@ -348,7 +391,10 @@
     async fn relay(&self, method: Method, path: String, body: Bytes) -> Response<Full<Bytes>> {
         let call = StoreCall { method, path, body, timeout: RELAY_TIMEOUT };
         let result = match call.as_watch() {
-            Some(request) => self.watches.call(&request).await,
+            Some(request) => tokio::select! {
+                result = self.watches.call(&request) => result,
+                () = self.stop.closing() => Err(CallError::NotSent),
+            },
             None => self.store.call(call).await,
         };
         match result {
