direct: a budget server that stops waits for what it has granted, and grants no more

What callers saw: each request that ran when its budget server was stopped was charged its worst case. The server ended as soon as its headroom was returned, some milliseconds after the signal, with reservations open; their settlements met nobody, or the process that started in its place, which does not know them. Until the end it also granted new ones.

Cause: closing ceilings are closed when nothing beyond used and reserved tokens is granted, so open reservations did not hold the end.

Evidence: daemon/tests/test_budget_server_stops.rs on: a_reservation_after_the_signal_is_refused_at_once: "left: Some(Granted), right: None"; a_settlement_after_the_signal_returns_its_tokens: "left: 0, right: 200" (0: no answer).

Change: at SIGTERM the headroom is returned and reservations are answered with 503, after which entries ask the next server and leave this one out for a while; all else is served until nothing is open, or until 3.5 s before the end of the grace. A holder that closes with open reservations writes its account at most each 0.5 s, not for each settlement: settlements_at_a_closing_holder_share_writes failed before with "100 writes in a second". Without open reservations it writes at once, as before.

Result: these tests pass, and test_ceiling, test_store_restore, test_direct_reservations, test_direct_restores, test_direct_store, test_direct_settlements.

--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -172,7 +172,7 @@
     0
 }
 
-/// Stops a server: answers what runs, hands over streams and returns tokens.
+/// Stops a server: waits for open reservations, answers what runs, hands over streams and returns tokens.
 async fn stop(
     cx: &ProcessContext,
     kv: &PlatformStore,
@@ -183,6 +183,9 @@
     let started = Instant::now();
     let host = &settings.name;
     log::warn!("event=stopping role=budget-server host={host}");
+    let settling_time = server.stop.begin(settings.grace);
+    server.ceilings.begin_close();
+    let _ = tokio::time::timeout(settling_time, server.ceilings.settled()).await;
     server.stop.begin_closing();
     log::warn!(
         "event=listener_closes host={host} open_connections={} after_ms={}",
@@ -248,6 +251,7 @@
             return self.relay(head.method, path.to_owned(), body).await;
         }
         match (head.method, path) {
+            (_, path) if self.refuses(path) => empty(StatusCode::SERVICE_UNAVAILABLE),
             (Method::POST, RESERVE_PATH) => self.reserve(&body).await,
             (Method::POST, SETTLE_PATH) => self.settle(&body),
             (Method::POST, WITNESS_PATH) => self.apply_witnesses(&body).await,
@@ -264,6 +268,11 @@
         }
     }
 
+    /// Returns whether a call is refused since the server stops.
+    fn refuses(&self, path: &str) -> bool {
+        self.stop.has_begun() && path == RESERVE_PATH
+    }
+
     async fn reserve(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let Ok(request) = decode::<ReservationRequest>(body) else {
             return empty(StatusCode::BAD_REQUEST);
--- a/daemon/src/direct/ceilings.rs
+++ b/daemon/src/direct/ceilings.rs
@@ -21,7 +21,7 @@
 /// Timeout for returning all headroom when the process stops.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Interval of checks whether all headroom has been returned.
+/// Interval of checks whether all reservations are settled, or all headroom has been returned.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Budgets of one holder and their driver; clones share them.
@@ -107,6 +107,25 @@
         }
     }
 
+    /// Returns headroom to the budgets' accounts from now on, and what settlements free.
+    pub fn begin_close(&self) {
+        self.apply(|state, now, effects| state.system.close(now, effects));
+        self.shared.wake.notify_one();
+    }
+
+    /// Waits until no reservation is open or requested.
+    pub async fn settled(&self) {
+        let is_open = |budget: &CeilingStatus| budget.reserved > 0 || budget.waiting > 0;
+        while self.budgets().iter().any(is_open) {
+            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns the tokens of all open reservations.
+    pub fn reserved(&self) -> u64 {
+        self.budgets().iter().map(|budget| budget.reserved).sum()
+    }
+
     /// Returns all headroom to the budgets' accounts; gives up after a timeout.
     pub async fn close(&self) {
         let close_all = async {
--- a/daemon/tests/test_budget_server_stops.rs
+++ b/daemon/tests/test_budget_server_stops.rs
@@ -9,21 +9,28 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderMap};
+use hyper::header::{CONNECTION, HOST, HeaderMap};
 use hyper::http::request::Builder;
-use rosemarymoor_daemon::direct::begun_streams::BEGUN_PATH;
+use rosemarymoor_daemon::direct::begun_streams::{BEGUN_PATH, ORIGIN_PATH};
 use rosemarymoor_daemon::direct::budget_server::{RESERVE_PATH, SETTLE_PATH};
+use rosemarymoor_daemon::direct::load_server::LOAD_PATH;
+use rosemarymoor_daemon::direct::send_permits::PERMIT_PATH;
 use rosemarymoor_daemon::direct::store_path::RELAY_PREFIX;
 use rosemarymoor_daemon::http_pool::HttpPool;
+use rosemarymoor_lib::budget::Shard;
 use rosemarymoor_lib::budget::ceiling::{
-    ReservationId, ReservationReply, ReservationRequest, Settlement,
+    ReservationId, ReservationReply, ReservationRequest, Settlement, account_key,
 };
 use rosemarymoor_lib::dispatch::stream_origins::{BegunStream, StreamId, StreamOrigin};
 use rosemarymoor_lib::id::BudgetId;
 use rosemarymoor_platform::store::{StoreCall, WatchRequest};
+use rosemarymoor_platform_standins::caller::Caller;
+use rosemarymoor_platform_standins::fixtures::{
+    call, events, fleet_with_budget, stream_request, target,
+};
 use rosemarymoor_platform_standins::fleet::LogOutput;
 use rosemarymoor_platform_standins::process::{budget_server_settings, free_address, spawn};
-use rosemarymoor_platform_standins::store::{StoreStandIn, WRITE_PATH};
+use rosemarymoor_platform_standins::store::{StoreFault, StoreStandIn, WRITE_PATH};
 use rosemarymoor_testutils::process::Process;
 use rosemarymoor_testutils::server::{self, Handler, Reply, Server};
 use rosemarymoor_testutils::temp_folder::TempFolder;
@@ -38,6 +45,9 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time in which a process that does not wait for anything has ended.
+const END_TIME: Duration = Duration::from_millis(1_000);
+
 /// Reservation that is open while a server stops, and its tokens.
 const OPEN: ReservationId = 7;
 const OPEN_TOKENS: u64 = 600;
@@ -116,19 +126,107 @@
     /// Signals the process and waits until it begins to stop.
     async fn stop(&self) {
         self.process.terminate();
-        let stopping = async {
-            while !self.process.log().contains("event=stopping") {
-                tokio::time::sleep(POLL_INTERVAL).await;
-            }
-        };
-        tokio::time::timeout(WAIT, stopping).await.expect("the server does not stop");
+        wait_for_log(&self.process, "event=stopping").await;
     }
 }
 
+async fn wait_for_log(process: &Process, text: &str) {
+    let logged = async {
+        while !process.log().contains(text) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(WAIT, logged).await.expect("the log does not say it");
+}
+
 fn budget() -> BudgetId {
     BudgetId { workspace: "shop".to_owned(), name: "prepaid".to_owned() }
 }
 
+/// Returns the tokens that the ledger counts as granted.
+fn granted(store: &StoreStandIn) -> u64 {
+    let value = store.value(&account_key(&budget())).unwrap();
+    let shard = Shard::decode(&value).unwrap();
+    shard.account(&budget()).unwrap().grants.iter().map(|grant| grant.granted).sum()
+}
+
+/// Guards against tokens of running requests that are lost with their budget server.
+#[tokio::test]
+async fn a_settlement_after_the_signal_returns_its_tokens() {
+    let store = StoreStandIn::spawn().await.unwrap();
+    let mut server = BudgetServer::open(store.address(), "").await;
+    server.stop_with_open_reservation().await;
+    tokio::time::sleep(END_TIME).await;
+    assert_eq!(server.settle(OPEN, 10).await, 200);
+    assert_eq!(server.process.wait_exit_code().await, Some(0));
+    assert_eq!(granted(&store), 10);
+}
+
+/// Guards against a stream whose tokens all count as spent because its budget server has stopped.
+#[tokio::test]
+async fn an_entry_settles_what_ran_and_goes_on_without_its_budget_server() {
+    let target = target(|received| events(received, 0, 4, Duration::from_millis(500))).await;
+    let fleet = fleet_with_budget(BINARY, &target, 100_000).await;
+    let mut server = fleet.start_budget_server("side-1").await.unwrap();
+    let mut caller = Caller::connect(fleet.callers).await.unwrap();
+    caller.send(&stream_request("/stream/1", "before").bytes()).await.unwrap();
+    assert!(caller.read_until("piece 1").await);
+    server.terminate();
+    wait_for_log(&server, "event=stopping").await;
+    let answer = call(&fleet, &stream_request("/stream/1", "while-it-stops")).await;
+    assert_eq!((answer.status, answer.complete), (200, true));
+    assert!(caller.answer().await.is_some_and(|answer| answer.complete));
+    assert_eq!(server.wait_exit_code().await, Some(0));
+    let log = server.log();
+    let count = |event: &str| log.matches(event).count();
+    assert_eq!((count("event=reserved "), count("event=settled ")), (1, 1), "{log}");
+}
+
+#[tokio::test]
+async fn a_reservation_that_is_never_settled_ends_with_the_grace() {
+    let store = StoreStandIn::spawn().await.unwrap();
+    let mut server = BudgetServer::open(store.address(), "grace_s = 4\n").await;
+    server.stop_with_open_reservation().await;
+    assert_eq!(server.process.wait_exit_code().await, Some(0));
+    assert_eq!(granted(&store), OPEN_TOKENS);
+}
+
+/// Guards against a reservation that is granted by a server which ends before its settlement.
+#[tokio::test]
+async fn a_reservation_after_the_signal_is_refused_at_once() {
+    let store = StoreStandIn::spawn().await.unwrap();
+    let server = BudgetServer::open(store.address(), "").await;
+    assert_eq!(server.reserve(OPEN, OPEN_TOKENS).await, Some(ReservationReply::Granted));
+    store.set_fault(StoreFault::Slow);
+    server.stop().await;
+    assert_eq!(server.reserve(8, 100).await, None);
+}
+
+/// Names each call to a server that stops, and its status.
+macro_rules! calls_while_stopping {
+    ($($name:ident: $path:expr, $message:tt => $status:literal;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let store = StoreStandIn::spawn().await.unwrap();
+            let server = BudgetServer::open(store.address(), "").await;
+            server.stop_with_open_reservation().await;
+            let (status, headers, _) = server.post($path, &json!($message)).await.unwrap();
+            assert_eq!(status, $status);
+            assert_eq!(headers.get(CONNECTION).unwrap(), "close");
+        })*
+    };
+}
+
+calls_while_stopping! {
+    reservations_are_refused: RESERVE_PATH, {} => 503;
+    settlements_are_served: SETTLE_PATH, [] => 200;
+    reports_of_streams_are_served: BEGUN_PATH, [] => 200;
+    questions_about_streams_are_served: ORIGIN_PATH, 1 => 200;
+    requests_for_permits_are_read: PERMIT_PATH, {} => 400;
+    questions_for_load_are_read: LOAD_PATH, {} => 404;
+    store_calls_are_relayed: "/store/kv-lease", {} => 200;
+}
+
 /// Store that holds writes until it is told to answer.
 #[derive(Default)]
 struct HeldStore {
--- a/lib/src/budget/ceiling/budget_ceiling.rs
+++ b/lib/src/budget/ceiling/budget_ceiling.rs
@@ -315,9 +315,10 @@
             || self.lost_ceiling.is_some()
             || self.ceiling > self.committed();
         let confirm_at = era.confirm_at().filter(|_| self.ceiling > self.committed());
+        let return_after_ms = if self.closing { 0 } else { RETURN_AFTER_MS };
         let returns = has_headroom.then(|| {
             self.last_request_at
-                .plus(RETURN_AFTER_MS)
+                .plus(return_after_ms)
                 .max(self.last_write_at.plus(BACKGROUND_WRITE_INTERVAL_MS))
         });
         let expires_at = self.spending.next_expiry();
--- a/lib/src/budget/ceiling/budget_ceiling/store_calls.rs
+++ b/lib/src/budget/ceiling/budget_ceiling/store_calls.rs
@@ -81,7 +81,9 @@
             return (committed + first <= max_ceiling).then_some(desired);
         }
         let recently_written = now.since(self.last_write_at) < BACKGROUND_WRITE_INTERVAL_MS;
-        if recently_written && !self.closing {
+        // A holder that closes writes at once, but not for each settlement while others are due.
+        let is_urgent = self.closing && self.spending.reserved() == 0;
+        if recently_written && !is_urgent {
             return None;
         }
         let remaining = self.ceiling.saturating_sub(committed);
--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -297,6 +297,30 @@
     assert_eq!(store.granted(), 10);
 }
 
+/// Guards against a write for each settlement, of which a holder that stops gets many a second.
+#[test]
+fn settlements_at_a_closing_holder_share_writes() {
+    let mut holder = Holder::open(1, Headroom::ByRate);
+    let mut store = ModelStore::default();
+    for id in 0..100 {
+        holder.reserve(request(id, 100), 0);
+        holder.run_effects(&mut store, 0);
+    }
+    holder.system.close(Millis(1_000), &mut holder.effects);
+    holder.run_effects(&mut store, 1_000);
+    assert_eq!(store.granted(), 10_000, "the headroom is returned at once");
+    let before = store.revision;
+    for id in 0..100 {
+        let now = 1_001 + id as u64 * 10;
+        holder.settle(id, 1, now);
+        holder.tick(now);
+        holder.run_effects(&mut store, now);
+    }
+    assert!(holder.system.is_closed());
+    assert_eq!(store.granted(), 100);
+    assert!(store.revision - before <= 3, "{} writes in a second", store.revision - before);
+}
+
 #[test]
 fn headroom_shrinks_as_the_budget_is_used_up() {
     let mut holder = Holder::open(1, Headroom::ByRate);
