direct: a budget server that stops confirms no crash that it will forget

What callers saw: nothing by itself. An entry reports each crash of a target to two budget servers and counts it itself only if none has heard of it. One that stopped confirmed such reports until its end, and trials, of which it then knew nothing; where it was the only one that answered, the crash was counted by nobody.

Evidence: daemon/tests/test_budget_server_stops.rs, on: crashes_are_refused, completions_are_refused and trials_are_refused "left: 400, right: 503" (the empty message was read), suspicions_are_refused "left: 200, right: 503".

Change: while a budget server stops it refuses these calls with 503, as reservations. Entries then go to the next server, and decide alone if there is none (poison_reports.rs). Each refused call is logged (call_refused).

--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -89,6 +89,10 @@
 /// Path of settlements.
 pub const SETTLE_PATH: &str = "/settle";
 
+/// Calls that are refused while the server stops: what they ask it to keep would be lost with it.
+const REFUSED_WHILE_STOPPING: [&str; 5] =
+    [RESERVE_PATH, CRASH_PATH, SOUND_PATH, SUSPECTED_PATH, TRIAL_PATH];
+
 /// State that all internal calls share.
 struct Server {
     ceilings: Ceilings,
@@ -251,7 +255,10 @@
             return self.relay(head.method, path.to_owned(), body).await;
         }
         match (head.method, path) {
-            (_, path) if self.refuses(path) => empty(StatusCode::SERVICE_UNAVAILABLE),
+            (_, path) if self.refuses(path) => {
+                log::info!("event=call_refused reason=stopping path={path}");
+                empty(StatusCode::SERVICE_UNAVAILABLE)
+            }
             (Method::POST, RESERVE_PATH) => self.reserve(&body).await,
             (Method::POST, SETTLE_PATH) => self.settle(&body),
             (Method::POST, WITNESS_PATH) => self.apply_witnesses(&body).await,
@@ -270,7 +277,7 @@
 
     /// Returns whether a call is refused since the server stops.
     fn refuses(&self, path: &str) -> bool {
-        self.stop.has_begun() && path == RESERVE_PATH
+        self.stop.has_begun() && REFUSED_WHILE_STOPPING.contains(&path)
     }
 
     async fn reserve(&self, body: &[u8]) -> Response<Full<Bytes>> {
--- a/daemon/src/direct/server_stop.rs
+++ b/daemon/src/direct/server_stop.rs
@@ -1,9 +1,9 @@
 //! Stop of a budget server: how far it is, and which calls end early for it.
 //!
-//! From the signal on it refuses reservations, and goes on with everything else until those that it
-//! granted are settled: one that is open at its end counts as spent. Then its listener closes, so that
-//! callers turn to other servers, and what runs is answered. At last the begun streams are handed over and
-//! the tokens returned, of which nothing can change any more.
+//! From the signal on it refuses what would be lost with it, and goes on with everything else until the
+//! reservations that it granted are settled: one that is open at its end counts as spent. Then its
+//! listener closes, so that callers turn to other servers, and what runs is answered. At last the begun
+//! streams are handed over and the tokens returned, of which nothing can change any more.
 
 use std::time::Duration;
 
--- a/daemon/tests/test_budget_server_stops.rs
+++ b/daemon/tests/test_budget_server_stops.rs
@@ -14,6 +14,7 @@
 use rosemarymoor_daemon::direct::begun_streams::{BEGUN_PATH, ORIGIN_PATH};
 use rosemarymoor_daemon::direct::budget_server::{RESERVE_PATH, SETTLE_PATH};
 use rosemarymoor_daemon::direct::load_server::LOAD_PATH;
+use rosemarymoor_daemon::direct::poison::{CRASH_PATH, SOUND_PATH, SUSPECTED_PATH, TRIAL_PATH};
 use rosemarymoor_daemon::direct::send_permits::PERMIT_PATH;
 use rosemarymoor_daemon::direct::store_path::RELAY_PREFIX;
 use rosemarymoor_daemon::http_pool::HttpPool;
@@ -219,6 +220,10 @@
 
 calls_while_stopping! {
     reservations_are_refused: RESERVE_PATH, {} => 503;
+    crashes_are_refused: CRASH_PATH, {} => 503;
+    completions_are_refused: SOUND_PATH, {} => 503;
+    suspicions_are_refused: SUSPECTED_PATH, [] => 503;
+    trials_are_refused: TRIAL_PATH, {} => 503;
     settlements_are_served: SETTLE_PATH, [] => 200;
     reports_of_streams_are_served: BEGUN_PATH, [] => 200;
     questions_about_streams_are_served: ORIGIN_PATH, 1 => 200;
