entry: a request whose body ends after the drain began is refused

What callers saw: a request whose head came before the drain and whose body ended after it was admitted, however late in the drain that was, so that the drain's limit could cut it.

Cause: whether the entry drains was read before the body, which may take 10 s, and used after it.

Evidence: daemon/tests/test_entry.rs, a_request_that_is_whole_after_the_drain_began_is_refused, before: "HTTP/1.1 200 OK ... late", the answer of the target.

Change: it is read when the whole request is there.

Result: the test passes, and a_draining_entry_still_answers_retries_of_actions.

--- a/daemon/src/entry/http.rs
+++ b/daemon/src/entry/http.rs
@@ -36,9 +36,9 @@
 /// Answers one request of a caller.
 pub async fn serve(entry: Arc<Entry>, req: Request<Incoming>) -> Response<AnswerBody> {
     let guard = entry.drain.enter();
-    let draining = entry.drain.is_draining();
     let admitted = admit(&entry, req).await;
-    match admitted.and_then(|job| check_draining(job, draining)) {
+    // The drain may have begun while the body came.
+    match admitted.and_then(|job| check_draining(job, entry.drain.is_draining())) {
         Ok(job) => run(&entry, job, guard).await,
         Err(refusal) => refuse(&entry, &refusal),
     }
--- a/daemon/tests/test_entry.rs
+++ b/daemon/tests/test_entry.rs
@@ -11,6 +11,8 @@
 use rosemarymoor_lib::result_code::ResultCode;
 use rosemarymoor_lib::wire::{PeerRequest, RunFrame};
 use rosemarymoor_testutils::kv::Outage;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
 /// Time limit for a stop, far below the drain time of one hour in the settings of the entry.
@@ -267,6 +269,37 @@
     assert!(stopping.await.unwrap());
 }
 
+/// Guards against a request whose body comes slowly and that runs though the entry has stopped admission.
+#[tokio::test]
+async fn a_request_that_is_whole_after_the_drain_began_is_refused() {
+    let hang = vec![head(SSE), data(0, FIRST), SidecarStep::Hang];
+    let env = EntryEnvironment::start(vec![vec![hang, complete_answer("late", 5)]]).await;
+    let mut stream = env.chat(true).send().await.unwrap();
+    assert_eq!(stream.chunk().await.unwrap().unwrap(), FIRST);
+    let body = chat_body(false);
+    let (first, rest) = body.split_at(20);
+    let mut slow = TcpStream::connect(env.base.strip_prefix("http://").unwrap()).await.unwrap();
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {KEY}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{first}",
+        body.len()
+    );
+    slow.write_all(head.as_bytes()).await.unwrap();
+    // The entry has read the head once it answers a later call.
+    let ready = format!("{}/ready", env.base);
+    assert_eq!(env.client.get(&ready).send().await.unwrap().status(), 200);
+    let EntryEnvironment { entry, client, .. } = env;
+    let stopping = tokio::spawn(entry.stop());
+    while client.get(&ready).send().await.unwrap().status() != 503 {}
+    slow.write_all(rest.as_bytes()).await.unwrap();
+    drop(stream);
+    let mut answer = String::new();
+    slow.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("\"code\":3005"), "{answer}");
+    assert!(stopping.await.unwrap());
+}
+
 #[tokio::test]
 async fn a_later_refusal_does_not_hide_that_a_target_failed() {
     let failed = vec![refused(ResultCode::TargetFailed, 0)];
