entry: what is not answered at the drain's limit is refused and cancelled

What callers saw: a request that still waited at the limit of the drain got nothing until the process ended, some seconds later, and then a closed connection, also where it had only waited for tokens and had certainly not run. What ran at a target went on, and its charge stayed unknown.

Cause: the limit ended the wait for running requests and told them nothing.

Evidence: daemon/tests/test_entry.rs, before: a_request_that_waits_for_tokens_at_the_limit_has_not_run: "no answer before the process ends: Elapsed(())"; a_request_that_runs_at_the_limit_may_have_run: charges "[None, Some(0)]" in place of "[Some(7)]".

Change: at the limit the entry refuses the wait for tokens as not run (3005), and what may have reached a target as may-have-run (4001), both as complete answers. Requests that may be repeated are cancelled at their sidecars, which report their charge while tokens are returned. Streams that have begun keep the 5 s in which connections close, as before.

Result: both tests pass, and the rest of test_entry (26), test_entry_fleet, test_sidecar, test_operations_page. The entry runs within the test; a real process at its drain's limit was not tried.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -56,6 +56,9 @@
 /// Time after which an idle connection of a caller is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest wait for the charges of requests that are cut off.
+const CUT_OFF_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Exit code of an entry that failed to start.
 const EXIT_START_FAILED: i32 = 1;
 
@@ -215,17 +218,23 @@
 
     /// Lets running requests finish, returns unspent tokens and stops serving.
     ///
-    /// Returns whether all requests ended within `drain_ms` of the settings.
+    /// Requests without an answer are refused at the limit of `drain_ms` of the settings, and cancelled
+    /// where they may be repeated. Returns whether all requests ended before it.
     pub async fn stop(self) -> bool {
         self.entry.drain.start();
         log::info!("decision=drain running={}", self.entry.drain.running());
         let limit = Duration::from_millis(self.entry.settings.drain_ms);
         let idle = self.entry.drain.wait_idle(limit).await;
-        self.entry.gate.close().await;
+        let cut_off = self.entry.drain.running();
+        if !idle {
+            self.entry.drain.cut_off();
+        }
+        // The charges of what is cut off are settled while tokens are returned.
+        tokio::join!(self.entry.gate.close(), self.entry.drain.wait_idle(CUT_OFF_TIMEOUT));
         self.http.close(http_server::CLOSE_TIMEOUT).await;
         self.entry.transport.close().await;
         self.peers.abort();
-        log::info!("decision=stop cut_off={}", self.entry.drain.running());
+        log::info!("decision=stop cut_off={cut_off} unanswered={}", self.entry.drain.running());
         idle
     }
 }
--- a/daemon/src/entry/delivery.rs
+++ b/daemon/src/entry/delivery.rs
@@ -67,7 +67,10 @@
         class: job.route.class,
         max_wait: max_wait(job),
     };
-    entry.gate.reserve(req).await
+    tokio::select! {
+        funding = entry.gate.reserve(req) => funding,
+        () = entry.drain.limit_reached() => Err(shutting_down()),
+    }
 }
 
 /// Returns how long a request of this class may wait for a reservation.
@@ -185,6 +188,11 @@
     Refusal::new(ResultCode::ShuttingDown, "ask another entry").retry_after(RETRY_AFTER_MS)
 }
 
+/// Returns the refusal of a request that may run when the entry ends.
+pub fn cut_off() -> Refusal {
+    with_retry_delay(Refusal::new(ResultCode::FateUnknown, "the entry stops before the answer"))
+}
+
 /// Returns the refusal of a request that certainly did not reach the target's sidecar.
 pub fn undelivered(target: &str, detail: &str) -> Refusal {
     let refusal = Refusal::new(ResultCode::TargetUnreachable, format!("target {target}: {detail}"));
--- a/daemon/src/entry/drain.rs
+++ b/daemon/src/entry/drain.rs
@@ -1,4 +1,5 @@
-//! Counts running requests and stops admission, so that an entry can drain.
+//! Counts running requests and stops admission, so that an entry can drain; cuts off what runs at the
+//! drain's time limit.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,6 +17,7 @@
 struct Shared {
     draining: AtomicBool,
     running: watch::Sender<u32>,
+    cut_off: watch::Sender<bool>,
 }
 
 /// Counts one request as running until it is dropped.
@@ -27,8 +29,9 @@
 impl Drain {
     /// Creates a drain with no running request and admission open.
     pub fn open() -> Drain {
-        let running = watch::Sender::new(0);
-        Drain { shared: Arc::new(Shared { draining: AtomicBool::new(false), running }) }
+        let draining = AtomicBool::new(false);
+        let (running, cut_off) = (watch::Sender::new(0), watch::Sender::new(false));
+        Drain { shared: Arc::new(Shared { draining, running, cut_off }) }
     }
 
     /// Counts a request as running; a drain that starts later waits for it.
@@ -49,6 +52,18 @@
         self.shared.draining.load(Ordering::SeqCst)
     }
 
+    /// Ends the requests that are not answered yet.
+    pub fn cut_off(&self) {
+        self.shared.cut_off.send_replace(true);
+    }
+
+    /// Waits until requests are cut off.
+    pub async fn limit_reached(&self) {
+        let mut cut_off = self.shared.cut_off.subscribe();
+        // The sender lives as long as this object.
+        let _ = cut_off.wait_for(|cut_off| *cut_off).await;
+    }
+
     /// Returns the number of running requests.
     pub fn running(&self) -> u32 {
         *self.shared.running.borrow()
--- a/daemon/src/entry/http.rs
+++ b/daemon/src/entry/http.rs
@@ -30,6 +30,9 @@
 /// Time limit for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for the reply of a delivery once the entry cuts off what runs.
+const LAST_REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Number of replies that are buffered for a slow caller.
 const REPLIES_BUFFERED: usize = 16;
 
@@ -111,7 +114,7 @@
         job.worst_case_tokens
     );
     tokio::spawn(delivery::run(entry.clone(), job, tx, guard.clone()));
-    match replies.recv().await {
+    match first_reply(entry, request, &mut replies).await {
         Some(Reply::Complete(answer)) => complete_response(answer, request),
         Some(Reply::Start { status, content_type }) => {
             let body = StreamBody::new(request, replies, guard);
@@ -124,6 +127,26 @@
     }
 }
 
+/// Waits for the first reply of a delivery, at most until the entry cuts off what runs.
+async fn first_reply(
+    entry: &Entry,
+    request: RequestId,
+    replies: &mut mpsc::Receiver<Reply>,
+) -> Option<Reply> {
+    tokio::select! {
+        reply = replies.recv() => return reply,
+        () = entry.drain.limit_reached() => {}
+    }
+    // A delivery that has not reached a target says so itself.
+    if let Ok(reply) = tokio::time::timeout(LAST_REPLY_TIMEOUT, replies.recv()).await {
+        return reply;
+    }
+    let refusal = delivery::cut_off();
+    entry.metrics.count_refusal(refusal.code);
+    log::info!("decision=cut-off request={request} code={}", refusal.code.number());
+    Some(Reply::Refused(refusal))
+}
+
 /// Records and answers the refusal of a call that was not admitted.
 fn refuse(entry: &Entry, refusal: &Refusal) -> Response<AnswerBody> {
     entry.metrics.count_refusal(refusal.code);
--- a/daemon/tests/entry_env/mod.rs
+++ b/daemon/tests/entry_env/mod.rs
@@ -1,6 +1,7 @@
 //! Running entry with scripted sidecars and a budget gate that records reservations and charges.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -35,6 +36,9 @@
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
+/// Time limit of a drain that is not to be reached.
+const DRAIN_MS: u64 = 3_600_000;
+
 /// Step of the script that a sidecar runs on one stream.
 #[derive(Clone, Debug)]
 pub enum SidecarStep {
@@ -105,12 +109,17 @@
     /// Charge of each settlement, `None` if it is unknown.
     pub settled: Mutex<Vec<Option<u64>>>,
     pub closed: Mutex<bool>,
+    /// Whether reservations wait for ever.
+    pub holds: AtomicBool,
 }
 
 #[async_trait]
 impl BudgetGate for RecordingGate {
     async fn reserve(&self, req: ReserveRequest) -> Result<Funding, Refusal> {
         self.reserved.lock().unwrap().push(req.clone());
+        if self.holds.load(Ordering::Relaxed) {
+            return std::future::pending().await;
+        }
         if req.tokens > self.available_tokens {
             return Err(Refusal::new(ResultCode::BudgetExhausted, "dry"));
         }
@@ -178,12 +187,29 @@
         EntryEnvironment::start_with(scripts, route("draft"), 1_000_000).await
     }
 
+    /// Starts an entry as [`EntryEnvironment::start`] does, whose drain has this time limit.
+    pub async fn start_draining(
+        scripts: Vec<Vec<Vec<SidecarStep>>>,
+        drain_ms: u64,
+    ) -> EntryEnvironment {
+        EntryEnvironment::open(scripts, route("draft"), 1_000_000, drain_ms).await
+    }
+
     /// Starts an entry with the model route `model` besides the application route `file`, and
     /// one sidecar for each list of scripts.
     pub async fn start_with(
         scripts: Vec<Vec<Vec<SidecarStep>>>,
         model: Route,
         available_tokens: u64,
+    ) -> EntryEnvironment {
+        EntryEnvironment::open(scripts, model, available_tokens, DRAIN_MS).await
+    }
+
+    async fn open(
+        scripts: Vec<Vec<Vec<SidecarStep>>>,
+        model: Route,
+        available_tokens: u64,
+        drain_ms: u64,
     ) -> EntryEnvironment {
         let fleet_key = FleetKey::generate().unwrap();
         let key = FleetKey::from_base64(&fleet_key).unwrap();
@@ -209,6 +235,7 @@
             reserved: Mutex::default(),
             settled: Mutex::default(),
             closed: Mutex::default(),
+            holds: AtomicBool::new(false),
         });
         let kv = KvStandIn::bind(1).await.unwrap();
         let store = Arc::new(KvHttp::open(&kv.server().url()).unwrap());
@@ -224,7 +251,8 @@
             budgets: None,
             config: None,
         };
-        let entry = RunningEntry::spawn(settings(http, fleet_key), components).await.unwrap();
+        let entry =
+            RunningEntry::spawn(settings(http, fleet_key, drain_ms), components).await.unwrap();
         let client = http_client::open(ConnectionReuse::Never);
         EntryEnvironment { entry, gate, kv, sidecars, base: format!("http://{http}"), client }
     }
@@ -358,7 +386,7 @@
     }
 }
 
-fn settings(http: SocketAddr, fleet_key: String) -> Settings {
+fn settings(http: SocketAddr, fleet_key: String, drain_ms: u64) -> Settings {
     Settings {
         name: "entry-1".to_owned(),
         role: Role::Entry,
@@ -370,7 +398,7 @@
         hosts_url: "http://127.0.0.1:9".to_owned(),
         fleet_key,
         log_level: LevelFilter::Info,
-        drain_ms: 3_600_000,
+        drain_ms,
         budgets: BudgetsSettings { shards: 4, policy: "adaptive".to_owned() },
         config_parents: 2,
         target: None,
--- a/daemon/tests/test_entry.rs
+++ b/daemon/tests/test_entry.rs
@@ -3,6 +3,7 @@
 mod entry_env;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use entry_env::*;
@@ -300,6 +301,48 @@
     assert!(stopping.await.unwrap());
 }
 
+/// Time after the end of a stop by which its process is gone.
+const EXIT_TIME: Duration = Duration::from_millis(500);
+
+/// Returns the refusal of a request that waits when the drain's limit is reached, and the charges.
+async fn refusal_at_limit(
+    script: Vec<SidecarStep>,
+    holds: bool,
+) -> (String, serde_json::Value, Vec<Option<u64>>) {
+    let env = EntryEnvironment::start_draining(vec![vec![script]], 300).await;
+    env.gate.holds.store(holds, Ordering::Relaxed);
+    let sending = tokio::spawn(env.chat(false).send());
+    while env.gate.reserved.lock().unwrap().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let EntryEnvironment { entry, gate, .. } = env;
+    assert!(!entry.stop().await, "the request outlasts the drain");
+    let answer = tokio::time::timeout(EXIT_TIME, sending).await;
+    let answer = answer.expect("no answer before the process ends").unwrap().unwrap();
+    let (_, kind, refusal) = problem(answer).await;
+    let charges = gate.settled.lock().unwrap().clone();
+    (kind, refusal["code"].clone(), charges)
+}
+
+/// Names each request that is cut off at the limit, with its refusal and its charges.
+macro_rules! cut_off_requests {
+    ($($name:ident: $script:expr, $holds:literal => $kind:literal, $code:literal, $charges:expr;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let charges: &[Option<u64>] = &$charges;
+            let (kind, code, charged) = refusal_at_limit($script, $holds).await;
+            assert_eq!((kind.as_str(), &code, &charged[..]), ($kind, &$code.into(), charges));
+        })*
+    };
+}
+
+cut_off_requests! {
+    a_request_that_waits_for_tokens_at_the_limit_has_not_run: Vec::new(), true => "not-run", 3005, [];
+    a_request_that_runs_at_the_limit_may_have_run:
+        vec![SidecarStep::Send(RunFrame::Accepted), SidecarStep::AwaitCancel, refused(ResultCode::AnswerCutOff, 7)],
+        false => "may-have-run", 4001, [Some(7)];
+}
+
 #[tokio::test]
 async fn a_later_refusal_does_not_hide_that_a_target_failed() {
     let failed = vec![refused(ResultCode::TargetFailed, 0)];
