sidecar: at the limit of its drain a request that waits is refused, and one that may be repeated is cancelled

What callers saw: what a sidecar had accepted and not finished at the limit of its drain ended with the process. Its entry learnt only that the connection broke: a call that must not be repeated and had only waited for a slot was answered "may have run", and the charge of what ran stayed unknown.

Cause: the limit ended the wait for accepted work and told it nothing.

Evidence: daemon/tests/test_sidecar.rs, the_limit_of_a_drain_refuses_what_waits_and_cancels_what_may_repeat, before: 'called `Result::unwrap()` on an `Err` value: Stream { detail: "connection lost" }', for the request that waits.

Change: at the limit waiting requests are refused as not run (3004), which entries send elsewhere; running ones that may be repeated are cancelled at the target and end with their charge (5001). 1.5 s are left for that. Calls that must not be repeated and run are waited for as long, and end with the process as before.

--- a/daemon/src/sidecar/context.rs
+++ b/daemon/src/sidecar/context.rs
@@ -16,7 +16,7 @@
 use rosemarymoor_lib::target_client::TargetClient;
 use rosemarymoor_lib::time::MonotonicClock;
 use rosemarymoor_lib::wire::{SidecarState, StatusReply};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::gate::GateHandle;
 use super::orders::OrderSender;
@@ -64,6 +64,8 @@
     /// Number of open streams that send an answer.
     streams: AtomicU32,
     drain_requested: Notify,
+    /// Whether the time limit of the drain is reached.
+    cut_off: watch::Sender<bool>,
 }
 
 impl Sidecar {
@@ -105,6 +107,7 @@
             running: AtomicU32::new(0),
             streams: AtomicU32::new(0),
             drain_requested: Notify::new(),
+            cut_off: watch::Sender::new(false),
         })
     }
 
@@ -166,6 +169,23 @@
         self.drain_requested.notified().await;
     }
 
+    /// Ends the requests that wait for a slot, and the running ones that may be repeated.
+    pub fn cut_off(&self) {
+        self.cut_off.send_replace(true);
+    }
+
+    /// Returns whether the time limit of the drain is reached.
+    pub fn is_cut_off(&self) -> bool {
+        *self.cut_off.borrow()
+    }
+
+    /// Waits until the time limit of the drain is reached.
+    pub async fn limit_reached(&self) {
+        let mut cut_off = self.cut_off.subscribe();
+        // The sender lives as long as this object.
+        let _ = cut_off.wait_for(|cut_off| *cut_off).await;
+    }
+
     /// Returns whether a request is unfinished or an answer is still being sent.
     pub fn has_work(&self) -> bool {
         self.running.load(Ordering::Acquire) + self.streams.load(Ordering::Acquire) > 0
--- a/daemon/src/sidecar/job.rs
+++ b/daemon/src/sidecar/job.rs
@@ -36,6 +36,8 @@
 enum StopReason {
     /// The last reader of the answer asked to cancel.
     Cancelled,
+    /// The time limit of the sidecar's drain was reached.
+    Drained,
     /// The time limit of the call passed.
     TimedOut,
     /// The connection to the target broke.
@@ -100,12 +102,16 @@
         tokio::select! {
             event = ticket.next() => match event {
                 Some(TicketEvent::Queued) => answer.update(|log| log.accepted = true),
+                Some(TicketEvent::Started) if cx.is_cut_off() => return Err(stopping()),
                 Some(TicketEvent::Started) => break,
-                Some(TicketEvent::Refused(refusal)) => return Err(refusal),
+                Some(TicketEvent::Refused(refusal)) => {
+                    let is_cut_off = refusal.code == ResultCode::Withdrawn && cx.is_cut_off();
+                    return Err(if is_cut_off { stopping() } else { refusal });
+                }
                 Some(TicketEvent::LossResolved) => {}
-                None => return Err(Refusal::new(ResultCode::Leaving, "the sidecar stops")),
+                None => return Err(stopping()),
             },
-            () = answer.cancelled(), if !withdrawn => {
+            () = withdrawal(cx, answer), if !withdrawn => {
                 withdrawn = true;
                 ticket.withdraw();
             }
@@ -115,6 +121,19 @@
     Ok(ticket)
 }
 
+/// Waits until a request that waits for a slot is cancelled or the sidecar stops.
+async fn withdrawal(cx: &Sidecar, answer: &Answer) {
+    tokio::select! {
+        () = answer.cancelled() => {}
+        () = cx.limit_reached() => {}
+    }
+}
+
+/// Returns the refusal of a request that waits when the sidecar stops.
+fn stopping() -> Refusal {
+    Refusal::new(ResultCode::Leaving, "the sidecar stops")
+}
+
 /// Logs and counts the end of a request and publishes it to the readers of the answer.
 fn finish(cx: &Sidecar, answer: &Answer, req: &RunRequest, end: AnswerEnd) {
     cx.counters.charged_tokens.add(end.charge(), &[]);
@@ -163,7 +182,7 @@
     let called = loop {
         tokio::select! {
             called = &mut calling => break called.map_err(Some),
-            stop = limit.reached(answer) => {
+            stop = limit.reached(cx, answer) => {
                 if !limit.begin_cancel(cx, req, stop).await {
                     break Err(None);
                 }
@@ -222,7 +241,7 @@
                 None if meter.is_complete() => break limit.stop,
                 None => break Some(limit.stop.unwrap_or(StopReason::Lost)),
             },
-            stop = limit.reached(answer) => {
+            stop = limit.reached(cx, answer) => {
                 if !limit.begin_cancel(cx, req, stop).await {
                     break limit.stop;
                 }
@@ -255,18 +274,13 @@
         CallLimit { deadline: Instant::now() + wait, cancellable: req.repeatable, stop: None }
     }
 
-    /// Waits until the time limit passes or the answer is cancelled.
-    async fn reached(&self, answer: &Answer) -> StopReason {
-        let cancelled = async {
-            if self.cancellable && self.stop.is_none() {
-                answer.cancelled().await;
-            } else {
-                std::future::pending::<()>().await;
-            }
-        };
+    /// Waits until the time limit passes, the answer is cancelled or the sidecar stops.
+    async fn reached(&self, cx: &Sidecar, answer: &Answer) -> StopReason {
+        let may_cancel = self.cancellable && self.stop.is_none();
         tokio::select! {
             () = tokio::time::sleep_until(self.deadline) => StopReason::TimedOut,
-            () = cancelled => StopReason::Cancelled,
+            () = answer.cancelled(), if may_cancel => StopReason::Cancelled,
+            () = cx.limit_reached(), if may_cancel => StopReason::Drained,
         }
     }
 
@@ -312,7 +326,9 @@
     let code = match stop {
         StopReason::NotStarted => ResultCode::TargetUnreachable,
         StopReason::TimedOut => ResultCode::TimedOut,
-        StopReason::Cancelled | StopReason::TooLarge => ResultCode::AnswerCutOff,
+        StopReason::Cancelled | StopReason::Drained | StopReason::TooLarge => {
+            ResultCode::AnswerCutOff
+        }
         StopReason::Lost if outcome.bytes > 0 => ResultCode::AnswerCutOff,
         StopReason::Lost | StopReason::Crossed | StopReason::ErrorStatus if req.repeatable => {
             ResultCode::TargetFailed
@@ -339,6 +355,7 @@
 fn refusal_detail(stop: StopReason, usage: Usage) -> String {
     let reason = match stop {
         StopReason::Cancelled => "the caller went away",
+        StopReason::Drained => "the sidecar stops",
         StopReason::TimedOut => "the deadline passed while the target ran the request",
         StopReason::Lost => "the connection to the target broke",
         StopReason::Crossed => "the target answered another request",
--- a/daemon/src/sidecar/shutdown.rs
+++ b/daemon/src/sidecar/shutdown.rs
@@ -12,6 +12,9 @@
 /// Interval at which a draining sidecar checks for unfinished work.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest wait for requests that are cut off, longer than a target is given to end a cancelled one.
+const CUT_OFF_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Spawns the task that starts the drain on SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -33,14 +36,23 @@
 
 /// Waits until a drain has been requested and all accepted work is done.
 ///
-/// If work is left, returns once `drain_ms` of the settings have passed since the drain began.
+/// Work that is left once `drain_ms` of the settings have passed since the drain began is cut off, and
+/// what that cannot end is left behind.
 pub async fn drained(cx: &Sidecar) {
     cx.drain_started().await;
-    let deadline = Instant::now() + Duration::from_millis(cx.settings.drain_ms);
+    wait_idle(cx, Duration::from_millis(cx.settings.drain_ms)).await;
+    if !cx.has_work() {
+        return;
+    }
+    log::warn!("event=drain outcome=limit-reached running={}", cx.answers.running());
+    cx.cut_off();
+    wait_idle(cx, CUT_OFF_TIMEOUT).await;
+}
+
+/// Waits until all accepted work is done, at most for `timeout`.
+async fn wait_idle(cx: &Sidecar, timeout: Duration) {
+    let deadline = Instant::now() + timeout;
     while cx.has_work() && Instant::now() < deadline {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    if cx.has_work() {
-        log::warn!("event=drain outcome=limit-reached running={}", cx.answers.running());
-    }
 }
--- a/daemon/tests/sidecar_env/mod.rs
+++ b/daemon/tests/sidecar_env/mod.rs
@@ -38,6 +38,9 @@
     transport: std::sync::Arc<Transport>,
 }
 
+/// Time limit of a drain that is not to be reached.
+const DRAIN_MS: u64 = 60_000;
+
 /// Running sidecar and the transport to call it.
 pub struct SidecarEnvironment {
     pub address: SocketAddr,
@@ -74,6 +77,16 @@
 
     /// Starts a sidecar of the target `name` at `url` and enrols both holders with its witness.
     pub async fn sidecar(&mut self, name: &str, url: String) -> SidecarEnvironment {
+        self.sidecar_draining(name, url, DRAIN_MS).await
+    }
+
+    /// Starts a sidecar as [`Platform::sidecar`] does, whose drain has this time limit.
+    pub async fn sidecar_draining(
+        &mut self,
+        name: &str,
+        url: String,
+        drain_ms: u64,
+    ) -> SidecarEnvironment {
         let listed = self.hosts.iter().find(|host| host.name == name).map(|host| host.address);
         let address = listed.unwrap_or_else(|| self.add_to_host_list(name));
         let settings = Settings {
@@ -87,7 +100,7 @@
             hosts_url: self.host_list.url(name),
             fleet_key: self.key.clone(),
             log_level: LevelFilter::Info,
-            drain_ms: 60_000,
+            drain_ms,
             budgets: BudgetsSettings { shards: 4, policy: "adaptive".to_owned() },
             config_parents: 2,
             target: Some(TargetSettings { name: name.to_owned(), url }),
--- a/daemon/tests/test_sidecar.rs
+++ b/daemon/tests/test_sidecar.rs
@@ -275,6 +275,40 @@
     assert_eq!(engine.runs().len(), 1);
 }
 
+/// Length of an answer that outlasts the drain, in tokens.
+const ENDLESS_TOKENS: u64 = 60_000;
+
+/// Slots of a sidecar without a configuration that long requests use.
+const LONG_SLOTS: usize = 12;
+
+/// Guards against requests that end with their sidecar, of which their entries learn nothing.
+#[tokio::test]
+async fn the_limit_of_a_drain_refuses_what_waits_and_cancels_what_may_repeat() {
+    let mut platform = Platform::start().await;
+    let engine = engine(EngineSettings::default()).await;
+    let sidecar = platform.sidecar_draining("engine", engine.server().url(), 1_000).await;
+    let mut running = Vec::new();
+    for number in 0..LONG_SLOTS {
+        let req = model_request("engine", &format!("r{number}"), ENDLESS_TOKENS);
+        running.push(sidecar.open(PeerRequest::Run(Box::new(req))).await);
+    }
+    let waits = model_request("engine", "w", 5);
+    let waits = sidecar.open(PeerRequest::Run(Box::new(waits))).await;
+    while sidecar.status().await.queued == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let _: StatusReply = sidecar.call(&PeerRequest::Drain).await;
+    let waits = read_to_end(waits).await;
+    assert_eq!((waits.code(), waits.charge()), (3004, 0));
+    for stream in running {
+        let output = read_to_end(stream).await;
+        assert_eq!(output.code(), 5001);
+        assert!(output.charge() > 0, "what the target has generated is charged");
+    }
+    assert_eq!(sidecar.task.await.unwrap(), 0);
+    assert_eq!(engine.runs().len(), LONG_SLOTS);
+}
+
 #[tokio::test]
 async fn an_action_whose_reply_is_lost_has_an_unknown_fate_and_ran_once() {
     let mut platform = Platform::start().await;
