--- a/daemon/src/direct/settlement_queue.rs
+++ b/daemon/src/direct/settlement_queue.rs
@@ -2,12 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use rosemarymoor_lib::budget::ceiling::Settlement;
 
 /// Most settlements in one call, far below the size limit of its body.
 const MAX_SETTLEMENTS_PER_CALL: usize = 256;
 
+/// Interval of checks whether all settlements are delivered.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Settlements that wait for one server.
 struct ServerQueue {
     server: SocketAddr,
@@ -48,6 +52,13 @@
         Some(queues[at].waiting.drain(..count).collect())
     }
 
+    /// Waits until all settlements are delivered or given up.
+    pub async fn delivered(&self) {
+        while !self.lock().is_empty() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<ServerQueue>> {
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
