--- a/daemon/tests/test_entry.rs
+++ b/daemon/tests/test_entry.rs
@@ -3,6 +3,7 @@
 mod entry_env;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use entry_env::*;
@@ -11,6 +12,8 @@
 use rosemarymoor_lib::result_code::ResultCode;
 use rosemarymoor_lib::wire::{PeerRequest, RunFrame};
 use rosemarymoor_testutils::kv::Outage;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
 /// Time limit for a stop, far below the drain time of one hour in the settings of the entry.
@@ -267,6 +270,79 @@
     assert!(stopping.await.unwrap());
 }
 
+/// Guards against a request whose body comes slowly and that runs though the entry has stopped admission.
+#[tokio::test]
+async fn a_request_that_is_whole_after_the_drain_began_is_refused() {
+    let hang = vec![head(SSE), data(0, FIRST), SidecarStep::Hang];
+    let env = EntryEnvironment::start(vec![vec![hang, complete_answer("late", 5)]]).await;
+    let mut stream = env.chat(true).send().await.unwrap();
+    assert_eq!(stream.chunk().await.unwrap().unwrap(), FIRST);
+    let body = chat_body(false);
+    let (first, rest) = body.split_at(20);
+    let mut slow = TcpStream::connect(env.base.strip_prefix("http://").unwrap()).await.unwrap();
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {KEY}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{first}",
+        body.len()
+    );
+    slow.write_all(head.as_bytes()).await.unwrap();
+    // The entry has read the head once it answers a later call.
+    let ready = format!("{}/ready", env.base);
+    assert_eq!(env.client.get(&ready).send().await.unwrap().status(), 200);
+    let EntryEnvironment { entry, client, .. } = env;
+    let stopping = tokio::spawn(entry.stop());
+    while client.get(&ready).send().await.unwrap().status() != 503 {}
+    slow.write_all(rest.as_bytes()).await.unwrap();
+    drop(stream);
+    let mut answer = String::new();
+    slow.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("\"code\":3005"), "{answer}");
+    assert!(stopping.await.unwrap());
+}
+
+/// Time after the end of a stop by which its process is gone.
+const EXIT_TIME: Duration = Duration::from_millis(500);
+
+/// Returns the refusal of a request that waits when the drain's limit is reached, and the charges.
+async fn refusal_at_limit(
+    script: Vec<SidecarStep>,
+    holds: bool,
+) -> (String, serde_json::Value, Vec<Option<u64>>) {
+    let env = EntryEnvironment::start_draining(vec![vec![script]], 300).await;
+    env.gate.holds.store(holds, Ordering::Relaxed);
+    let sending = tokio::spawn(env.chat(false).send());
+    while env.gate.reserved.lock().unwrap().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let EntryEnvironment { entry, gate, .. } = env;
+    assert!(!entry.stop().await, "the request outlasts the drain");
+    let answer = tokio::time::timeout(EXIT_TIME, sending).await;
+    let answer = answer.expect("no answer before the process ends").unwrap().unwrap();
+    let (_, kind, refusal) = problem(answer).await;
+    let charges = gate.settled.lock().unwrap().clone();
+    (kind, refusal["code"].clone(), charges)
+}
+
+/// Names each request that is cut off at the limit, with its refusal and its charges.
+macro_rules! cut_off_requests {
+    ($($name:ident: $script:expr, $holds:literal => $kind:literal, $code:literal, $charges:expr;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let charges: &[Option<u64>] = &$charges;
+            let (kind, code, charged) = refusal_at_limit($script, $holds).await;
+            assert_eq!((kind.as_str(), &code, &charged[..]), ($kind, &$code.into(), charges));
+        })*
+    };
+}
+
+cut_off_requests! {
+    a_request_that_waits_for_tokens_at_the_limit_has_not_run: Vec::new(), true => "not-run", 3005, [];
+    a_request_that_runs_at_the_limit_may_have_run:
+        vec![SidecarStep::Send(RunFrame::Accepted), SidecarStep::AwaitCancel, refused(ResultCode::AnswerCutOff, 7)],
+        false => "may-have-run", 4001, [Some(7)];
+}
+
 #[tokio::test]
 async fn a_later_refusal_does_not_hide_that_a_target_failed() {
     let failed = vec![refused(ResultCode::TargetFailed, 0)];
