soak: entries stop in series, and callers send as late as they accept

What an entry takes at the last moment, 3.05 s after the signal, then ends 6.05 s after it at the latest; the cut comes after 6.7 s. - Its calls took 10 ms, so that none ran when an entry ended. - Nobody sent on an old connection that late: the idle timeout of its configuration was 3 s, its callers think for 60 ms at most, and the first answer after the signal closes their connection. All heads came whole. The invariants were not the gap: a cut stream at an entry that stops is a finding (cut_off; the fault of a stop begins when the process has ended), and so is a call without an answer that reached a target (lost). But the end of the process and the end of its connections come together, so a caller that noticed the end just after the run had was excused.

With each stop eight callers send one request each, streams 3.0 to 3.1 s after the signal and calls also up to 0.6 s before that, on connections that have served a request or are new, 4 in 10 with a pause of up to 0.9 s inside their heads; 7 in 10 take 4.3 s with a limit of 5 s. The soak's configuration keeps idle connections for 5 s. lost_in_stop: what was sent later than 3 s after the signal, and every call sent after it, has a complete answer, a refusal that is true, or a connection closed unread within 200 ms, without an excuse by the stop itself. Streams sent earlier may be cut in the last sixth of the grace and are checked as before. The limit of an answer's time stays the deadline and 1 s; requests now have their own deadlines. Requests of the load move to request.rs; the random sequences of recorded seeds stay the same.

--- a/bench/src/measures/soak.rs
+++ b/bench/src/measures/soak.rs
@@ -20,13 +20,16 @@
         let plan = soak_plan(options, binary.clone(), seed);
         let report = soak(&plan).await?;
         print_line(format_args!(
-            "seed {seed}: {} faults, {} requests, {} answered, {} of {} taken up, {} with a bad part, {} findings",
+            "seed {seed}: {} faults, {} requests, {} answered, {} of {} taken up, {} with a bad part, \
+             {} of {} late ones reached a target, {} findings",
             report.faults,
             report.requests,
             report.answered,
             report.went_on,
             report.taken_up,
             report.bad_parts_reached,
+            report.sent_late_reached,
+            report.sent_late,
             report.findings.len()
         ));
         for finding in &report.findings {
@@ -51,6 +54,7 @@
         notices: options.notices,
         limits: options.limits,
         crashes: options.crashes,
+        stops: options.stops,
         logs: options.logs.as_ref().map(PathBuf::from),
         ..defaults
     }
--- a/bench/src/options.rs
+++ b/bench/src/options.rs
@@ -81,6 +81,11 @@
     pub limits: bool,
     #[options(no_short, help = "requests come with a part that crashes targets (soak only)")]
     pub crashes: bool,
+    #[options(
+        no_short,
+        help = "entries are stopped in series while callers send as late as they accept (soak only)"
+    )]
+    pub stops: bool,
     #[options(no_short, meta = "DIR", help = "save the processes' logs in this folder")]
     pub logs: Option<String>,
 }
--- a/daemon/tests/test_soak.rs
+++ b/daemon/tests/test_soak.rs
@@ -53,6 +53,10 @@
     a_short_run_with_limits_violates_no_invariant: Plan { limits: true, ..short(4) };
     a_short_run_with_a_part_that_crashes_targets_violates_no_invariant: Plan { crashes: true, ..short(5) };
     a_short_run_with_restores_violates_no_invariant: Plan { restores: true, ..short(2) };
+    a_short_run_with_stops_violates_no_invariant: Plan { stops: true, ..short(6) };
+    // Entries that stopped took streams after their listener had closed, and cut them and running calls at
+    // their end.
+    seed_4701_whose_entries_cut_what_they_took_last: Plan { stops: true, ..full(4701) };
     // With four soaks at once, a port that was free when it was chosen was taken by another
     // soak's process before the entry bound it. Every test process now has a loopback address
     // of its own.
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -16,7 +16,8 @@
 use crate::Plan;
 use crate::crashes;
 use crate::fleet::{Fleet, Member, STOP_TIMEOUT};
-use crate::record::Component;
+use crate::record::{Component, EntryStop};
+use crate::stops;
 use crate::target::Target;
 
 /// Longest time between the starts of two faults, in milliseconds.
@@ -120,6 +121,9 @@
             Ok(())
         });
     }
+    if plan.stops {
+        tasks.spawn(stops::run(fleet.clone(), plan.seed, until));
+    }
     let mut count = 0;
     while Instant::now() < until {
         tokio::time::sleep(Duration::from_millis(rng.random_below(MAX_FAULT_INTERVAL_MS))).await;
@@ -242,15 +246,10 @@
         return Ok(());
     }
     if matches!(fault, Fault::Stop) {
+        let signalled_at = Instant::now();
         process.terminate();
-        fleet.check_exit(&member.name, process.wait_exit_code_within(STOP_TIMEOUT).await);
-        // A graceful stop must not fail any request, so the fault begins when the process has
-        // ended.
-        let number = fleet.record.begin_fault(component);
-        tokio::time::sleep(duration / 4).await;
-        restart(member, &mut process)?;
-        await_ready(member).await;
-        fleet.record.end_fault(number);
+        let pause = duration / 4;
+        finish_stop(fleet, member, component, &mut process, signalled_at, pause).await?;
         return Ok(());
     }
     let number = fleet.record.begin_fault(component);
@@ -268,6 +267,33 @@
     Ok(())
 }
 
+/// Waits until a process that got SIGTERM has ended, and restarts it after `pause`.
+///
+/// A graceful stop must not fail any request, so the fault begins when the process has ended.
+///
+/// # Errors
+///
+/// Fails if the process cannot be restarted.
+pub async fn finish_stop(
+    fleet: &Fleet,
+    member: &Member,
+    component: Component,
+    process: &mut Process,
+    signalled_at: Instant,
+    pause: Duration,
+) -> io::Result<()> {
+    fleet.check_exit(&member.name, process.wait_exit_code_within(STOP_TIMEOUT).await);
+    let number = fleet.record.begin_fault(component);
+    if let Component::Entry(entry) = component {
+        fleet.record.add_stop(EntryStop { entry, signalled_at, ended_at: Instant::now() });
+    }
+    tokio::time::sleep(pause).await;
+    restart(member, process)?;
+    await_ready(member).await;
+    fleet.record.end_fault(number);
+    Ok(())
+}
+
 /// Starts a process again and counts the start.
 fn restart(member: &Member, process: &mut Process) -> io::Result<()> {
     member.starts.fetch_add(1, Ordering::SeqCst);
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -20,6 +20,7 @@
 use rosemarymoor_testutils::fault_proxy::Link;
 use rosemarymoor_testutils::temp_folder::TempFolder;
 use rustix::process::Signal;
+use serde_json::json;
 use tokio::net::TcpStream;
 
 use crate::Plan;
@@ -35,6 +36,9 @@
 /// Longest time until an entry applies an accepted configuration.
 const MAX_APPLY_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which an entry keeps an idle connection; longer than it accepts requests while it stops.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Number of log lines that say why a process ended by itself.
 const EXIT_LOG_LINES: usize = 3;
 
@@ -211,7 +215,9 @@
         configuration.accepted_at = Instant::now();
         let workspaces = [0, 1]
             .map(|index| (WORKSPACES[index].0, WORKSPACES[index].1, configuration.prepaid[index]));
-        self.store.put("op/config", &manifest_for(configuration.version, &workspaces));
+        let mut manifest = manifest_for(configuration.version, &workspaces);
+        manifest["limits"]["idle_timeout_ms"] = json!(IDLE_TIMEOUT.as_millis());
+        self.store.put("op/config", &manifest);
     }
 
     /// Returns the tokens that a workspace has prepaid in all.
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod limits;
 mod notices;
+mod stops;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -17,11 +18,13 @@
 use crate::target::{TOKENS_PER_EVENT, Target, without_versions};
 use crate::{Plan, Report};
 
+pub use stops::ACCEPT_TIME;
+
 /// Time after a target starts to drain in which requests may still reach it.
 const DRAIN_GRACE: Duration = Duration::from_secs(3);
 
-/// Longest time until a request has its answer: its deadline of 3 s and one more second.
-const MAX_ANSWER_TIME: Duration = Duration::from_millis(4_000);
+/// Longest time from a request's deadline until it has its answer.
+const MAX_OVERDUE_TIME: Duration = Duration::from_secs(1);
 
 /// Findings that a report describes; violations beyond them are only counted.
 const MAX_FINDINGS: usize = 20;
@@ -51,6 +54,8 @@
     pub mixed_versions: u64,
     /// Successful answers that ended early, though neither entry nor target had a fault.
     pub cut_off: u64,
+    /// Requests sent to a stopping entry that it took and did not answer, or refused though they ran.
+    pub lost_in_stop: u64,
     /// Valid requests that were refused as invalid, with a 4xx status.
     pub denied: u64,
     /// Requests that ended more than 1 s after their deadline, though their entry had no fault.
@@ -100,6 +105,8 @@
     violations: ViolationCounts,
     findings: Vec<String>,
     bad_parts_reached: u64,
+    sent_late: u64,
+    sent_late_reached: u64,
 }
 
 /// Checks a run whose processes have ended, and returns its report.
@@ -118,8 +125,11 @@
         violations: ViolationCounts::default(),
         findings: Vec::new(),
         bad_parts_reached: 0,
+        sent_late: 0,
+        sent_late_reached: 0,
     };
     let exchanges = fleet.record.exchanges();
+    verifier.verify_stops(&exchanges);
     for exchange in &exchanges {
         verifier.verify_exchange(exchange);
     }
@@ -147,6 +157,8 @@
         answered: exchanges.iter().filter(is_answered).count() as u64,
         taken_up: taken_up.len() as u64,
         went_on: taken_up.iter().filter(|exchange| is_answered(exchange)).count() as u64,
+        sent_late: verifier.sent_late,
+        sent_late_reached: verifier.sent_late_reached,
         bad_parts_reached: verifier.bad_parts_reached,
         violations: verifier.violations,
         findings: verifier.findings,
@@ -192,7 +204,7 @@
         let record = &self.fleet.record;
         let was_entry_affected =
             record.was_affected(component, exchange.started_at, exchange.ended_at);
-        if took > MAX_ANSWER_TIME && !was_entry_affected {
+        if took > exchange.time_limit + MAX_OVERDUE_TIME && !was_entry_affected {
             self.add_violation(
                 |counts| &mut counts.overdue,
                 format!("answered only after {took:?}: {exchange:?}"),
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,8 @@
 mod invariants;
 mod load;
 mod record;
+mod request;
+mod stops;
 mod target;
 
 use std::io;
@@ -51,6 +53,8 @@
     pub limits: bool,
     /// Whether requests come with a part in their prompts that crashes targets.
     pub crashes: bool,
+    /// Whether entries are stopped in series, and callers send to them when they hardly accept.
+    pub stops: bool,
     /// Folder to which the logs of a run with violations are copied.
     pub logs: Option<PathBuf>,
 }
@@ -71,6 +75,7 @@
             notices: false,
             limits: false,
             crashes: false,
+            stops: false,
             logs: None,
         }
     }
@@ -93,6 +98,10 @@
     pub taken_up: u64,
     /// Streams that were taken up and went on.
     pub went_on: u64,
+    /// Requests that callers sent to stopping entries later than those accept.
+    pub sent_late: u64,
+    /// Requests of these that reached a target.
+    pub sent_late_reached: u64,
     /// Requests with a part that crashes targets that reached one.
     pub bad_parts_reached: u64,
     /// Violations of each invariant.
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -3,15 +3,16 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use rosemarymoor_platform_standins::caller::{Caller, CallerRequest};
+use rosemarymoor_platform_standins::caller::Caller;
 use rosemarymoor_testutils::seeded_rng::SeededRng;
 use tokio::task::JoinSet;
 
 use crate::Plan;
-use crate::fleet::{Fleet, WORKSPACES};
-use crate::record::{Exchange, Outcome, RequestKind, TakenUp, Violation};
+use crate::fleet::Fleet;
+use crate::record::{Outcome, RequestKind, Violation};
+use crate::request::{MAX_EVENTS, Request};
 use crate::target::TOKENS_PER_EVENT;
 
 /// Longest time to open a connection.
@@ -38,12 +39,6 @@
 /// Streams of the fault-free part that their callers leave and take up at another entry.
 const FAULT_FREE_RESUMPTIONS: u64 = 12;
 
-/// Tokens of a stream's prompt.
-const PROMPT_TOKENS: u64 = 200;
-
-/// Largest number of events of a stream.
-const MAX_EVENTS: u64 = 60;
-
 /// Requests after which entries know that limits have ended.
 const END_OF_LIMIT_REQUESTS: u64 = 400;
 
@@ -139,124 +134,6 @@
     Some((entry, connected.ok()?.ok()?))
 }
 
-/// Request to be sent.
-struct Request {
-    /// Identity, unique within the run.
-    id: String,
-    kind: RequestKind,
-    /// Index of the workspace that pays.
-    workspace: usize,
-    /// Events that a stream asks for.
-    events: u64,
-    /// Number of the event after which the caller leaves, if it does.
-    leave_after: Option<u64>,
-    /// Stream that the request goes on with, if any.
-    taken_up: Option<TakenUp>,
-}
-
-impl Request {
-    /// Returns a request of random kind, workspace and length.
-    fn random(rng: &SeededRng, id: String) -> Request {
-        let kinds =
-            [RequestKind::Safe, RequestKind::Unsafe, RequestKind::Stream, RequestKind::Resumable];
-        let kind = kinds[rng.random_below(kinds.len() as u64) as usize];
-        let workspace = rng.random_below(WORKSPACES.len() as u64) as usize;
-        let events = 1 + rng.random_below(MAX_EVENTS);
-        Request { id, kind, workspace, events, leave_after: None, taken_up: None }
-    }
-
-    /// Returns the request that takes up the stream of an exchange, if it was broken off after an
-    /// event.
-    fn resumption(exchange: &Exchange) -> Option<Request> {
-        let Outcome::Answered { status: 200, complete: false, body, .. } = &exchange.outcome else {
-            return None;
-        };
-        let last_event = body.matches("\n\n").count() as u64;
-        if exchange.kind != RequestKind::Resumable || last_event == 0 {
-            return None;
-        }
-        Some(Request {
-            id: format!("{}-r", exchange.id),
-            kind: exchange.kind,
-            workspace: exchange.workspace,
-            events: exchange.events,
-            leave_after: None,
-            taken_up: Some(TakenUp { began_as: exchange.id.clone(), last_event }),
-        })
-    }
-
-    /// Returns the request as a caller sends it.
-    fn to_caller_request(&self) -> CallerRequest {
-        let prefix = match self.kind {
-            RequestKind::Safe => "safe",
-            RequestKind::Unsafe => "unsafe",
-            RequestKind::Stream => "stream",
-            RequestKind::Resumable => "resume",
-        };
-        // Each request has a path of its own, as requests of real callers mostly have.
-        let path = format!("/{prefix}/{}", self.id);
-        let mut req = match self.kind {
-            RequestKind::Safe => CallerRequest::get(&path, &self.id),
-            _ => CallerRequest::post(&path, &self.id),
-        };
-        req.key = WORKSPACES[self.workspace].1.to_owned();
-        if matches!(self.kind, RequestKind::Stream | RequestKind::Resumable) {
-            req.tokens = Some((PROMPT_TOKENS, self.events * TOKENS_PER_EVENT));
-        }
-        if let Some(TakenUp { began_as, last_event }) = &self.taken_up {
-            req = req.taking_up(*last_event, &[began_as]);
-        }
-        req
-    }
-
-    /// Sends the request to an entry and awaits its answer; gives up after `cancel_after`
-    /// if that is given.
-    async fn send(
-        self,
-        caller: &mut Caller,
-        entry: usize,
-        cancel_after: Option<Duration>,
-    ) -> Exchange {
-        let started_at = Instant::now();
-        let req = self.to_caller_request();
-        let call = async {
-            match self.leave_after {
-                Some(last) => caller.call_until(&req, &format!("id: {last}\n")).await,
-                None => caller.call(&req).await,
-            }
-        };
-        let answer = match cancel_after {
-            Some(after) => tokio::time::timeout(after, call).await.ok(),
-            None => Some(call.await),
-        };
-        let outcome = match answer {
-            None => Outcome::Cancelled,
-            Some(None) => Outcome::NoAnswer,
-            Some(Some(answer)) => Outcome::Answered {
-                status: answer.status,
-                matches_request: answer.header("attempt-id") == Some(&self.id)
-                    && answer.seal() == Some(&format!("seal-{}", self.id)),
-                signed: answer.seal().is_some(),
-                complete: answer.complete,
-                body: answer.text(),
-            },
-        };
-        Exchange {
-            id: self.id,
-            kind: self.kind,
-            workspace: self.workspace,
-            entry,
-            started_at,
-            ended_at: Instant::now(),
-            prompt_tokens: PROMPT_TOKENS,
-            events: self.events,
-            taken_up: self.taken_up,
-            has_left: self.leave_after.is_some(),
-            outcome,
-        }
-    }
-}
-
 /// Sends requests until the entries know that limits have ended, which only answers tell them.
 pub async fn teach_ends_of_limits(fleet: &Arc<Fleet>) {
     let rng = SeededRng::new(1);
@@ -299,13 +176,10 @@
 
 /// Leaves a stream and takes it up at another entry, where it has to go on.
 async fn resume_fault_free(fleet: Arc<Fleet>, number: usize) {
+    let id = format!("left-{number}");
     let begun = Request {
-        id: format!("left-{number}"),
-        kind: RequestKind::Resumable,
-        workspace: FUNDED_WORKSPACE,
-        events: MAX_EVENTS,
         leave_after: Some(2),
-        taken_up: None,
+        ..Request::new(id, RequestKind::Resumable, FUNDED_WORKSPACE, MAX_EVENTS)
     };
     let Some((entry, mut caller)) = connect(&fleet, number % fleet.entries.len()).await else {
         return;
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -2,7 +2,7 @@
 //! which the invariants are checked at the end.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Kind of a request, which decides its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,8 +39,12 @@
     pub entry: usize,
     /// When the caller sent the request.
     pub started_at: Instant,
+    /// When the caller sent the last byte of a head that it sent in two halves; else as `started_at`.
+    pub sent_at: Instant,
     /// When the caller had the answer, or gave up.
     pub ended_at: Instant,
+    /// Time after which the caller expects no answer any more.
+    pub time_limit: Duration,
     /// Tokens of the prompt; only streams send one.
     pub prompt_tokens: u64,
     /// Events that a stream asks for.
@@ -97,6 +101,17 @@
     pub to: Option<Instant>,
 }
 
+/// Graceful stop of an entry, from its signal to its exit.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryStop {
+    /// The entry, as its index in the fleet.
+    pub entry: usize,
+    /// Just before the process got SIGTERM.
+    pub signalled_at: Instant,
+    /// When the process had ended.
+    pub ended_at: Instant,
+}
+
 /// Violation of an invariant that is detected during the run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Violation {
@@ -117,6 +132,7 @@
 struct RecordState {
     exchanges: Vec<Exchange>,
     faults: Vec<InjectedFault>,
+    stops: Vec<EntryStop>,
     violations: Vec<(Violation, String)>,
 }
 
@@ -158,6 +174,16 @@
         self.lock().faults[number].to = Some(Instant::now());
     }
 
+    /// Records a graceful stop that is over.
+    pub fn add_stop(&self, stop: EntryStop) {
+        self.lock().stops.push(stop);
+    }
+
+    /// Returns the graceful stops of entries so far.
+    pub fn stops(&self) -> Vec<EntryStop> {
+        self.lock().stops.clone()
+    }
+
     /// Returns whether a component had a fault at any moment from `from` to `to`.
     pub fn was_affected(&self, component: Component, from: Instant, to: Instant) -> bool {
         self.lock().faults.iter().any(|fault| {
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -21,11 +21,14 @@
 pub const TOKENS_PER_EVENT: u64 = 4;
 
 /// Time between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+pub const EVENT_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Time from a request without tokens to its answer.
 const CALL_DURATION: Duration = Duration::from_millis(10);
 
+/// Header of a call that names another time, in milliseconds.
+pub const WORK_HEADER: &str = "Work-Ms";
+
 /// Pause that a rejection asks for.
 pub const PAUSE: Duration = Duration::from_secs(2);
 
@@ -263,10 +266,19 @@
     }
     match output {
         Some(output) => stream(received, output / TOKENS_PER_EVENT, form),
-        None => vec![Step::Wait(CALL_DURATION), Step::Send(signed(received, "200 OK", "done"))],
+        None => vec![
+            Step::Wait(call_duration(received)),
+            Step::Send(signed(received, "200 OK", "done")),
+        ],
     }
 }
 
+/// Returns the time from a call to its answer.
+fn call_duration(received: &ReceivedRequest) -> Duration {
+    let work_ms = received.header(WORK_HEADER).and_then(|text| text.parse().ok());
+    work_ms.map_or(CALL_DURATION, Duration::from_millis)
+}
+
 /// Returns the steps that send the events of a stream up to `last`, from the one on that the
 /// request asks for.
 fn stream(received: &ReceivedRequest, last: u64, form: StreamForm) -> Vec<Step> {
