--- a/daemon/tests/test_direct_stops.rs
+++ b/daemon/tests/test_direct_stops.rs
@@ -204,7 +204,7 @@
 #[tokio::test]
 async fn a_request_that_waits_unsent_at_the_cut_is_refused_as_not_run() {
     let target = target(|received| match received.attempt_id() {
-        "first" => vec![Step::Send(not_run_with_pause(9))],
+        "first" => vec![Step::Send(not_run_with_pause(received, 9))],
         _ => ok(received),
     })
     .await;
--- a/daemon/tests/test_stream_resumptions.rs
+++ b/daemon/tests/test_stream_resumptions.rs
@@ -200,7 +200,7 @@
     } => BEGUN;
     a_signed_refusal: |received| failure(received, "503 Service Unavailable") => BEGUN;
     a_gateway_timeout: |received| failure(received, "504 Gateway Timeout") => BEGUN;
-    a_request_not_run: |_| vec![Step::Send(not_run())] => BEGUN;
+    a_request_not_run: |received| vec![Step::Send(not_run(received))] => BEGUN;
     no_answer: |_| vec![Step::Reset] => BEGUN;
     bytes_that_are_no_answer: |_| vec![Step::Send(b"oops\n\n".to_vec()), Step::Close] => BEGUN;
     a_stream_without_a_seal: |received| {
