ceilings: a sum that nobody asks for goes; two comments are wrapped

Two doc comments ran beyond the line length, which the formatter leaves alone. No behaviour changes.

--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -274,7 +274,8 @@
 /// Sends a request to a target and waits for the head of its answer.
 ///
 /// `last_event` is the event after which a stream is resumed; `timeout` includes the time to
-/// connect, and `reuse` says whether the connection may have carried other requests. Returns a success or the target's own failure; every other outcome is an error.
+/// connect, and `reuse` says whether the connection may have carried other requests. Returns a
+/// success or the target's own failure; every other outcome is an error.
 pub async fn send(
     entry: &Arc<Entry>,
     call: &Call,
--- a/daemon/src/direct/ceilings.rs
+++ b/daemon/src/direct/ceilings.rs
@@ -121,11 +121,6 @@
         }
     }
 
-    /// Returns the tokens of all open reservations.
-    pub fn reserved(&self) -> u64 {
-        self.budgets().iter().map(|budget| budget.reserved).sum()
-    }
-
     /// Returns all headroom to the budgets' accounts; gives up after a timeout.
     pub async fn close(&self) {
         let close_all = async {
--- a/daemon/src/direct/event_reader.rs
+++ b/daemon/src/direct/event_reader.rs
@@ -47,8 +47,8 @@
     /// # Errors
     ///
     /// Returns [`AttemptError::Silent`] at the deadline, [`AttemptError::Broken`] if the answer was broken
-    /// off or an event is malformed or too large, and [`AttemptError::OtherVersion`] if the answer may be of another
-    /// software version than the one that began the stream.
+    /// off or an event is malformed or too large, and [`AttemptError::OtherVersion`] if the answer may
+    /// be of another software version than the one that began the stream.
     pub async fn next(
         &mut self,
         request: &str,
