--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod case_orphans;
 mod case_overspend;
+mod case_own_grants;
 mod case_refusals;
 mod case_versions;
 mod client;
@@ -11,6 +12,7 @@
 mod json;
 mod record;
 mod store;
+mod traffic;
 mod worker;
 
 use std::path::PathBuf;
@@ -21,9 +23,10 @@
 /// Longest time for a case.
 const TIME_LIMIT: std::time::Duration = std::time::Duration::from_secs(110);
 
-/// Returns whether one part of a case's disruption is played: all are, unless `PART` names only one.
+/// Returns whether one part of a case's disruption is played: all are, unless `PARTS` names only some, with
+/// commas between them.
 pub fn plays(part: &str, has_trouble: bool) -> bool {
-    has_trouble && std::env::var("PART").map_or(true, |only| only == part)
+    has_trouble && std::env::var("PARTS").map_or(true, |parts| parts.split(',').any(|name| name == part))
 }
 
 /// Whether the rule held in a run.
@@ -43,6 +46,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let play = match name.as_str() {
         "overspend" => case_overspend::play,
+        "own-grants" => case_own_grants::play,
         "versions" => case_versions::play,
         "orphans" => case_orphans::play,
         "refusals" => case_refusals::play,
