budget: entries draw what they use; a dead one keeps no more than that

Cause: a holder knew of a reservation its worst case and its settlement only. The worst case of all that a dead entry had open counted as spent for good, and as reserved, with 402 for its sake, until it expired.

Change: an entry draws tokens of a reservation before it passes them on, a quarter of the output at a time, and uses nothing that its budget server has not confirmed. Tokens in doubt refuse with 503, not 402; a late settlement ends the doubt. An entry whose server does not answer reserves the rest elsewhere. Requesters and servers of the former build are counted as before.

--- a/daemon/src/direct/budget_client.rs
+++ b/daemon/src/direct/budget_client.rs
@@ -19,9 +19,10 @@
 use rosemarymoor_lib::result_code::FAILURE_LOG;
 
 use super::budget_server::{
-    HOLDER_COMMITTED, HOLDER_EPOCH, RESERVE_PATH, SETTLE_PATH, WITNESS_PATH,
+    HOLDER_COMMITTED, HOLDER_DRAWS, HOLDER_EPOCH, RESERVE_PATH, SETTLE_PATH, WITNESS_PATH,
 };
 use super::ceilings::Ceilings;
+use super::draws::{DrawHandle, Draws};
 use super::grant_witnesses::GrantWitnesses;
 use super::load_monitor::LoadMonitor;
 use super::peer_client::PeerClient;
@@ -70,6 +71,10 @@
     pub max_wait: Duration,
     /// Time from now after which the request has certainly ended.
     pub lifetime: Duration,
+    /// Tokens that are drawn with the reservation itself.
+    pub first_draw: u64,
+    /// Tokens of each further draw.
+    pub draw_step: u64,
 }
 
 /// Reason why no tokens were reserved.
@@ -84,12 +89,47 @@
 }
 
 /// Process that holds a reservation.
-#[derive(Clone)]
 enum Holder {
     Server(PeerRecord),
     Local,
 }
 
+/// Reservation at one holder, for a request or the rest of one.
+pub struct Part {
+    holder: Holder,
+    id: ReservationId,
+    tokens: u64,
+    /// Draws at a server; `None` at a holder that does not lapse reservations.
+    draws: Option<DrawHandle>,
+}
+
+impl Part {
+    /// Returns the tokens that may be used.
+    pub fn limit(&self) -> u64 {
+        self.draws.as_ref().map_or(self.tokens, |draws| draws.state().limit.min(self.tokens))
+    }
+
+    /// Returns the draws since the last one that succeeded.
+    pub fn draw_failures(&self) -> u32 {
+        self.draws.as_ref().map_or(0, |draws| draws.state().failures)
+    }
+
+    /// Draws up to `tokens`, in all, in the background.
+    pub fn want(&self, tokens: u64) {
+        if let Some(draws) = &self.draws {
+            draws.want(tokens.min(self.tokens));
+        }
+    }
+
+    /// Waits for news of a draw.
+    pub async fn draw_changed(&mut self) {
+        match &mut self.draws {
+            Some(draws) => draws.changed().await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
 /// Client for reservations; clones share its state.
 #[derive(Clone)]
 pub struct BudgetClient {
@@ -97,6 +137,7 @@
     local_ceilings: Ceilings,
     /// Settlements on their way to budget servers.
     settlements: SettlementQueue,
+    draws: Draws,
     load: LoadMonitor,
     /// What holders had committed at their latest reservations.
     witnesses: GrantWitnesses,
@@ -104,22 +145,11 @@
     store_backoff_until: Arc<Mutex<Option<Instant>>>,
 }
 
-/// Tokens reserved for one request; dropping it settles the tokens used.
-pub struct Reservation {
-    client: BudgetClient,
-    holder: Holder,
-    budget: BudgetId,
-    id: ReservationId,
-    /// Identity of the request, for the log.
-    request: String,
-    /// Tokens used so far.
-    pub used: u64,
-}
-
 impl BudgetClient {
     /// Opens a client of the listed budget servers and of the entry's own ceilings.
     pub fn open(client: PeerClient, local_ceilings: Ceilings, load: LoadMonitor) -> BudgetClient {
         BudgetClient {
+            draws: Draws::spawn(client.clone()),
             client,
             local_ceilings,
             settlements: SettlementQueue::default(),
@@ -132,21 +162,16 @@
     /// Reserves the worst case of a request at the first holder that grants or denies it.
     ///
     /// The entry's own ceilings are asked only if no budget server replied.
-    pub async fn reserve(
-        &self,
-        params: &ReservationParams,
-    ) -> Result<Reservation, ReservationDenied> {
+    pub async fn reserve(&self, params: &ReservationParams) -> Result<Part, ReservationDenied> {
         let mut unavailable_servers = 0;
         let key = rank::key_of(&params.budget.workspace);
         let max_servers = if self.is_store_backing_off() { 1 } else { MAX_SERVERS };
         for server in self.client.peers.ranked_budget_servers(key).into_iter().take(max_servers) {
             match self.reserve_at(&server, params).await {
-                Some((id, ReservationReply::Granted)) => {
-                    return Ok(self.open_reservation(Holder::Server(server), params, id));
-                }
-                Some((_, ReservationReply::Exhausted)) => return Err(ReservationDenied::Exhausted),
-                Some((_, ReservationReply::Short)) => return Err(ReservationDenied::Short),
-                Some((_, ReservationReply::Unavailable)) => unavailable_servers += 1,
+                Some((ReservationReply::Granted, part)) => return Ok(part),
+                Some((ReservationReply::Exhausted, _)) => return Err(ReservationDenied::Exhausted),
+                Some((ReservationReply::Short, _)) => return Err(ReservationDenied::Short),
+                Some((ReservationReply::Unavailable, _)) => unavailable_servers += 1,
                 None => {}
             }
         }
@@ -156,14 +181,14 @@
         if unavailable_servers > 0 {
             return Err(ReservationDenied::Unavailable);
         }
-        let request = reservation_request(params);
-        let id = request.id;
+        // The entry's own ceilings end with it, so that there is nobody to draw for.
+        let request = ReservationRequest { drawn: None, ..reservation_request(params) };
+        let part =
+            Part { holder: Holder::Local, id: request.id, tokens: params.tokens, draws: None };
         let reply = self.local_ceilings.reserve(request).await;
-        if reply != ReservationReply::Granted {
-            log_denied(params, id, "own", reply);
-        }
+        log_reply(params, part.id, "own", reply);
         match reply {
-            ReservationReply::Granted => Ok(self.open_reservation(Holder::Local, params, id)),
+            ReservationReply::Granted => Ok(part),
             ReservationReply::Exhausted => Err(ReservationDenied::Exhausted),
             ReservationReply::Short => Err(ReservationDenied::Short),
             ReservationReply::Unavailable => Err(ReservationDenied::Unavailable),
@@ -192,33 +217,12 @@
         }
     }
 
-    /// Logs a granted reservation and returns its guard.
-    fn open_reservation(
-        &self,
-        holder: Holder,
-        params: &ReservationParams,
-        id: ReservationId,
-    ) -> Reservation {
-        let name = match &holder {
-            Holder::Server(server) => server.name.as_str(),
-            Holder::Local => "own",
-        };
-        log::info!(
-            "event=money_reserved request={} reservation={id:032x} budget={} holder={name} tokens={}",
-            params.request,
-            params.budget,
-            params.tokens
-        );
-        let (budget, request) = (params.budget.clone(), params.request.clone());
-        Reservation { client: self.clone(), holder, budget, id, request, used: 0 }
-    }
-
     /// Requests a reservation from a budget server; returns `None` if it did not reply.
     async fn reserve_at(
         &self,
         server: &PeerRecord,
         params: &ReservationParams,
-    ) -> Option<(ReservationId, ReservationReply)> {
+    ) -> Option<(ReservationReply, Part)> {
         let request = reservation_request(params);
         let id = request.id;
         let mut unanswered =
@@ -231,10 +235,15 @@
                 self.record_witness(&params.budget, &headers);
                 let reply = serde_json::from_slice(&body).ok()?;
                 unanswered.answered = true;
-                if reply != ReservationReply::Granted {
-                    log_denied(params, id, &server.name, reply);
-                }
-                Some((id, reply))
+                log_reply(params, id, &server.name, reply);
+                let is_drawn =
+                    reply == ReservationReply::Granted && headers.contains_key(HOLDER_DRAWS);
+                let draws = is_drawn.then(|| {
+                    let (server, budget) = (server.clone(), params.budget.clone());
+                    self.draws.open(server, budget, id, params.first_draw)
+                });
+                let holder = Holder::Server(server.clone());
+                Some((reply, Part { holder, id, tokens: params.tokens, draws }))
             }
             Err(err) => {
                 log::info!(
@@ -315,8 +324,19 @@
         join_all(sending).await;
     }
 
-    /// Settles a reservation at its holder; a server is notified in the background.
-    fn settle(&self, holder: &Holder, budget: &BudgetId, id: ReservationId, used: u64) {
+    /// Settles a reservation of a request at its holder.
+    pub fn settle(&self, part: Part, params: &ReservationParams, used: u64) {
+        let Part { holder, id, .. } = part;
+        log::info!(
+            "event=money_settled request={} reservation={id:032x} budget={} used={used}",
+            params.request,
+            params.budget
+        );
+        self.settle_at(&holder, &params.budget, id, used);
+    }
+
+    /// Settles a reservation; a server is notified in the background.
+    fn settle_at(&self, holder: &Holder, budget: &BudgetId, id: ReservationId, used: u64) {
         match holder {
             Holder::Local => {
                 self.local_ceilings.settle(&Settlement { id, budget: budget.clone(), used })
@@ -361,12 +381,16 @@
     }
 }
 
-fn log_denied(
-    params: &ReservationParams,
-    id: ReservationId,
-    holder: &str,
-    reply: ReservationReply,
-) {
+/// Logs the reply of a holder.
+fn log_reply(params: &ReservationParams, id: ReservationId, holder: &str, reply: ReservationReply) {
+    if reply == ReservationReply::Granted {
+        return log::info!(
+            "event=money_reserved request={} reservation={id:032x} budget={} holder={holder} tokens={}",
+            params.request,
+            params.budget,
+            params.tokens
+        );
+    }
     log::info!(
         target: FAILURE_LOG,
         "event=money_denied request={} reservation={id:032x} budget={} holder={holder} answer={reply:?} tokens={} prepaid_version={}",
@@ -386,6 +410,7 @@
         tokens: params.tokens,
         max_wait_ms: params.max_wait.as_millis() as u64,
         lifetime_ms: params.lifetime.as_millis() as u64,
+        drawn: Some(params.first_draw),
     }
 }
 
@@ -403,20 +428,7 @@
     fn drop(&mut self) {
         if !self.answered {
             let holder = Holder::Server(self.server.clone());
-            self.client.settle(&holder, &self.params.budget, self.id, 0);
+            self.client.settle_at(&holder, &self.params.budget, self.id, 0);
         }
     }
 }
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        log::info!(
-            "event=money_settled request={} reservation={:032x} budget={} used={}",
-            self.request,
-            self.id,
-            self.budget,
-            self.used
-        );
-        self.client.settle(&self.holder, &self.budget, self.id, self.used);
-    }
-}
--- a/daemon/src/direct/budget_server.rs
+++ b/daemon/src/direct/budget_server.rs
@@ -5,6 +5,8 @@
 //!
 //! - `POST /reserve` accepts a [`ReservationRequest`] and answers with a
 //!   [`ReservationReply`];
+//! - `POST /draw` accepts a list of [`Draw`] and answers with the tokens that may be used of each
+//!   reservation, or `null`;
 //! - `POST /settle` accepts a list of [`Settlement`];
 //! - `POST /witness` accepts a [`WitnessReport`], after the store was restored;
 //! - `POST /crashed` accepts a [`Crash`] of a target that broke its connection while it ran
@@ -33,7 +35,7 @@
 use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use rosemarymoor_lib::budget::ceiling::{
-    Headroom, ReservationReply, ReservationRequest, Settlement, WitnessReport,
+    Draw, Headroom, ReservationReply, ReservationRequest, Settlement, WitnessReport,
 };
 use rosemarymoor_lib::dispatch::crash::suspect::Suspicion;
 use rosemarymoor_lib::dispatch::crash::tracker::{Completion, Crash, TrialRequest};
@@ -83,6 +85,12 @@
 pub const HOLDER_EPOCH: HeaderName = HeaderName::from_static("holder-epoch");
 pub const HOLDER_COMMITTED: HeaderName = HeaderName::from_static("holder-committed");
 
+/// Header of a granted reservation of which the requester has to draw before it uses more.
+pub const HOLDER_DRAWS: HeaderName = HeaderName::from_static("holder-draws");
+
+/// Path of draws of open reservations.
+pub const DRAW_PATH: &str = "/draw";
+
 /// Path of what entries know of other holders' grants, after the store was restored.
 pub const WITNESS_PATH: &str = "/witness";
 
@@ -260,6 +268,7 @@
                 empty(StatusCode::SERVICE_UNAVAILABLE)
             }
             (Method::POST, RESERVE_PATH) => self.reserve(&body).await,
+            (Method::POST, DRAW_PATH) => self.draw(&body),
             (Method::POST, SETTLE_PATH) => self.settle(&body),
             (Method::POST, WITNESS_PATH) => self.apply_witnesses(&body).await,
             (Method::POST, CRASH_PATH) => self.record_crash(&body),
@@ -284,13 +293,16 @@
         let Ok(request) = decode::<ReservationRequest>(body) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let budget = request.budget.clone();
+        let (budget, is_drawn) = (request.budget.clone(), request.drawn.is_some());
         let reply = self.ceilings.reserve(request).await;
         let mut resp = json(&reply);
         if reply == ReservationReply::Granted {
             let (epoch, committed) = (self.ceilings.epoch(), self.ceilings.committed(&budget));
             resp.headers_mut().insert(HOLDER_EPOCH, HeaderValue::from(epoch.0));
             resp.headers_mut().insert(HOLDER_COMMITTED, HeaderValue::from(committed));
+            if is_drawn {
+                resp.headers_mut().insert(HOLDER_DRAWS, HeaderValue::from(1));
+            }
         }
         resp
     }
@@ -313,6 +325,12 @@
         empty(StatusCode::OK)
     }
 
+    fn draw(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(draws) = decode::<Vec<Draw>>(body) else { return empty(StatusCode::BAD_REQUEST) };
+        let limits: Vec<Option<u64>> = draws.iter().map(|draw| self.ceilings.draw(draw)).collect();
+        json(&limits)
+    }
+
     fn settle(&self, body: &[u8]) -> Response<Full<Bytes>> {
         let Ok(settlements) = decode::<Vec<Settlement>>(body) else {
             return empty(StatusCode::BAD_REQUEST);
--- a/daemon/src/direct/call.rs
+++ b/daemon/src/direct/call.rs
@@ -14,11 +14,12 @@
 use rosemarymoor_lib::dispatch::order::shed_order;
 use rosemarymoor_lib::dispatch::rank;
 use rosemarymoor_lib::dispatch::stream_origins::StreamOrigin;
+use rosemarymoor_lib::result_code::FAILURE_LOG;
 use rosemarymoor_platform::request::CallerHead;
 
-use super::budget_client::Reservation;
 use super::entry::Entry;
 use super::load_monitor::LoadGuard;
+use super::reservation::{Covered, Reservation};
 use crate::http_pool::BodyEnd;
 
 /// Admitted request; if it is dropped before its end is recorded, its caller has left.
@@ -118,11 +119,41 @@
     ///
     /// A caller that receives no event is charged nothing.
     pub fn charge_event(&mut self) {
-        let (Some(reservation), Some(tokens)) = (&mut self.reservation, self.head.tokens) else {
-            return;
+        let used = self.used_with_next_event();
+        if let Some(reservation) = &mut self.reservation {
+            reservation.used = used;
+        }
+    }
+
+    /// Waits until the next event may be forwarded to the caller: until it is covered by what is drawn
+    /// of the reservation. Returns false if it is not covered before the deadline.
+    pub async fn cover_event(&mut self) -> bool {
+        let used = self.used_with_next_event();
+        let Some(reservation) = &mut self.reservation else { return true };
+        let covered = reservation.cover(used, self.deadline).await;
+        match covered {
+            Some(Covered::Drawn) => {}
+            Some(Covered::DrawnLate) => self.entry.metrics.count_late_draw("drawn"),
+            Some(Covered::ReservedAnew) => self.entry.metrics.count_late_draw("reserved_anew"),
+            None => {
+                self.entry.metrics.count_late_draw("denied");
+                log::info!(
+                    target: FAILURE_LOG,
+                    "event=event_not_covered request={} used={used}",
+                    self.head.attempt_id
+                );
+            }
+        }
+        covered.is_some()
+    }
+
+    /// Returns the tokens used once the next event is forwarded.
+    fn used_with_next_event(&self) -> u64 {
+        let (Some(reservation), Some(tokens)) = (&self.reservation, self.head.tokens) else {
+            return 0;
         };
-        let used = reservation.used.max(tokens.input) + self.tokens_per_event;
-        reservation.used = used.min(tokens.total());
+        let used = reservation.used.max(tokens.input).saturating_add(self.tokens_per_event);
+        used.min(tokens.total())
     }
 }
 
--- a/daemon/src/direct/ceilings.rs
+++ b/daemon/src/direct/ceilings.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use rosemarymoor_lib::budget::ceiling::{
-    CeilingEffect, CeilingStatus, CeilingSystem, GrantWitness, Headroom, ReservationId,
+    CeilingEffect, CeilingStatus, CeilingSystem, Draw, GrantWitness, Headroom, ReservationId,
     ReservationReply, ReservationRequest, Settlement, account_key,
 };
 use rosemarymoor_lib::id::{BudgetId, EpochId};
@@ -97,6 +97,14 @@
         reply
     }
 
+    /// Draws tokens of a reservation; returns how many of them may be used, or `None` if the reservation
+    /// is not known.
+    pub fn draw(&self, draw: &Draw) -> Option<u64> {
+        let mut limit = None;
+        self.apply(|state, now, _| limit = state.system.draw(draw, now));
+        limit
+    }
+
     /// Ends a reservation and charges the tokens used.
     pub fn settle(&self, settlement: &Settlement) {
         let needs_wake = self.apply(|state, now, effects| {
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -57,6 +57,7 @@
     malformed_inputs: Counter<u64>,
     load_news: Counter<u64>,
     reservations: Counter<u64>,
+    late_draws: Counter<u64>,
     tokens_charged: Counter<u64>,
     answer_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
@@ -90,6 +91,7 @@
             malformed_inputs: counter("malformed_inputs"),
             load_news: counter("load_news"),
             reservations: counter("money_asked"),
+            late_draws: counter("late_draws"),
             tokens_charged: counter("tokens_charged"),
             answer_ms: histogram("answer_ms", LATENCY_BUCKETS_MS),
             first_event_ms: histogram("first_event_ms", LATENCY_BUCKETS_MS),
@@ -215,6 +217,11 @@
         self.reservation_ms.record(to_ms(elapsed), &[]);
     }
 
+    /// Counts an event that waited for a draw by what became of it: `drawn`, `reserved_anew` or `denied`.
+    pub fn count_late_draw(&self, outcome: &'static str) {
+        self.late_draws.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Adds the tokens charged to a request.
     pub fn count_charged_tokens(&self, tokens: u64) {
         self.tokens_charged.add(tokens, &[]);
--- a/daemon/src/direct/reserving.rs
+++ b/daemon/src/direct/reserving.rs
@@ -8,8 +8,9 @@
 use rosemarymoor_lib::result_code::{Refusal, ResultCode};
 use rosemarymoor_platform::request::CallerHead;
 
-use super::budget_client::{Reservation, ReservationDenied, ReservationParams};
+use super::budget_client::{ReservationDenied, ReservationParams};
 use super::entry::Entry;
+use super::reservation::Reservation;
 
 /// Name of the one budget that a workspace has on the platform.
 const BUDGET_NAME: &str = "prepaid";
@@ -17,6 +18,12 @@
 /// Divisor of the latency objective that gives the longest wait for a reservation.
 const RESERVATION_WAIT_DIVISOR: u32 = 3;
 
+/// Part of a request's output that is drawn at once, as a divisor of its upper bound.
+const DRAW_STEP_DIVISOR: u64 = 4;
+
+/// Fewest tokens that are drawn at once.
+const MIN_DRAW_STEP_TOKENS: u64 = 64;
+
 /// Longest wait for a reservation at one holder of the budget.
 const MAX_RESERVATION_WAIT: Duration = Duration::from_millis(250);
 
@@ -39,6 +46,7 @@
     let max_wait = (route.latency_objective / RESERVATION_WAIT_DIVISOR)
         .min(MAX_RESERVATION_WAIT)
         .min(lifetime);
+    let draw_step = (tokens.output / DRAW_STEP_DIVISOR).max(MIN_DRAW_STEP_TOKENS);
     let params = ReservationParams {
         request: head.attempt_id.clone(),
         budget: BudgetId { workspace: workspace.name.clone(), name: BUDGET_NAME.to_owned() },
@@ -47,9 +55,11 @@
         tokens: tokens.total(),
         max_wait,
         lifetime,
+        first_draw: tokens.input.saturating_add(draw_step).min(tokens.total()),
+        draw_step,
     };
     let started = Instant::now();
-    let answer = entry.budgets.reserve(&params).await;
+    let answer = Reservation::open(&entry.budgets, params).await;
     let outcome = match &answer {
         Ok(_) => "granted",
         Err(ReservationDenied::Exhausted) => "exhausted",
@@ -63,7 +73,7 @@
             Ok(Some(reservation))
         }
         Err(ReservationDenied::Exhausted) => {
-            let detail = format!("{} tokens do not fit into what is left", params.tokens);
+            let detail = format!("{} tokens do not fit into what is left", tokens.total());
             Err(Refusal::new(ResultCode::BudgetExhausted, detail))
         }
         Err(ReservationDenied::Short) => {
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -146,6 +146,12 @@
             return None;
         }
         match self.next_undelivered_event().await {
+            Ok(Some(_)) if !self.call.cover_event().await => {
+                self.finish("not_covered");
+                self.call.record_end("broken");
+                self.reader = None;
+                Some(Err(io::Error::other("the budget does not cover the rest of the stream")))
+            }
             Ok(Some(event)) => {
                 self.events += 1;
                 self.order.record(&event);
--- a/daemon/tests/test_budget_server_stops.rs
+++ b/daemon/tests/test_budget_server_stops.rs
@@ -109,6 +109,7 @@
             tokens,
             max_wait_ms: 5_000,
             lifetime_ms: 60_000,
+            drawn: None,
         };
         let (status, _, body) = self.post(RESERVE_PATH, &req).await?;
         (status == 200).then(|| serde_json::from_slice(&body).unwrap())
--- a/daemon/tests/test_direct_settlements.rs
+++ b/daemon/tests/test_direct_settlements.rs
@@ -13,6 +13,7 @@
 use rosemarymoor_daemon::direct::load_monitor::LoadMonitor;
 use rosemarymoor_daemon::direct::peer_client::PeerClient;
 use rosemarymoor_daemon::direct::peers::{PeerRecord, Peers};
+use rosemarymoor_daemon::direct::reservation::Reservation;
 use rosemarymoor_daemon::http_pool::HttpPool;
 use rosemarymoor_lib::budget::ceiling::{Headroom, ReservationReply, Settlement};
 use rosemarymoor_lib::id::BudgetId;
@@ -55,6 +56,8 @@
         tokens: 100,
         max_wait: Duration::from_secs(1),
         lifetime: Duration::from_secs(5),
+        first_draw: 100,
+        draw_step: 100,
     }
 }
 
@@ -81,7 +84,7 @@
     let client = PeerClient::open(HttpPool::open(), peers);
     let client = BudgetClient::open(client, ceilings, LoadMonitor::spawn(clock));
     for number in 0..REQUESTS {
-        let mut reservation = client.reserve(&params(number)).await.unwrap();
+        let mut reservation = Reservation::open(&client, params(number)).await.unwrap();
         reservation.used = number;
     }
     let begun = Instant::now();
--- a/lib/src/budget/ceiling.rs
+++ b/lib/src/budget/ceiling.rs
@@ -21,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::budget_ceiling::BudgetCeiling;
+pub use self::spending::MAX_SILENCE_MS;
 use self::store_era::StoreEra;
 use self::store_health::StoreHealth;
 use crate::id::{BudgetId, EpochId};
@@ -68,6 +69,10 @@
     /// How long the answer may take, in milliseconds.
     #[serde(rename = "patience_ms")]
     pub max_wait_ms: u64,
+    /// Tokens that the requester may use before it draws more, if it draws; `None` if it may use all
+    /// of them.
+    #[serde(default)]
+    pub drawn: Option<u64>,
     /// Longest time until the request has ended, in milliseconds.
     pub lifetime_ms: u64,
 }
@@ -86,6 +91,17 @@
     Unavailable,
 }
 
+/// Word of the requester of an open reservation, which draws tokens of it before it uses them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draw {
+    /// Identifier of the reservation.
+    pub id: ReservationId,
+    /// Budget of the reservation.
+    pub budget: BudgetId,
+    /// Tokens that the requester wants to have drawn, in all.
+    pub drawn: u64,
+}
+
 /// End of a reservation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Settlement {
@@ -156,11 +172,11 @@
     pub prepaid: u64,
     /// Most tokens that this holder may use and reserve.
     pub ceiling: u64,
-    /// Tokens spent, in all.
+    /// Tokens spent, in all, or in doubt.
     pub used: u64,
     /// Tokens of the open reservations.
     pub reserved: u64,
-    /// Part of `used` that counts as spent because its settlement did not arrive.
+    /// Part of `used` that was drawn of reservations that have lapsed, and may have been spent.
     pub in_doubt: u64,
     /// Requests that wait for an answer.
     pub waiting: usize,
@@ -204,6 +220,13 @@
         self.advance(at, now, effects);
     }
 
+    /// Draws tokens of a reservation for its requester; returns how many it may use, or `None` if the
+    /// reservation is not known. A holder that closes gives all of them.
+    pub fn draw(&mut self, draw: &Draw, now: Millis) -> Option<u64> {
+        let at = self.find_ceiling(&draw.budget).ok()?;
+        self.ceilings[at].draw(draw.id, draw.drawn, &self.era, now)
+    }
+
     /// Ends a reservation: the used tokens are spent, the rest is free again.
     pub fn settle(
         &mut self,
@@ -290,7 +313,7 @@
     pub fn tick(&mut self, now: Millis, effects: &mut Vec<CeilingEffect>) -> Option<Millis> {
         let mut next: Option<Millis> = None;
         for at in 0..self.ceilings.len() {
-            self.ceilings[at].expire_reservations(now);
+            self.ceilings[at].lapse_reservations(now);
             self.advance(at, now, effects);
             if let Some(due) = self.ceilings[at].next_due(&self.era, now) {
                 next = Some(next.map_or(due, |next| next.min(due)));
--- a/lib/src/budget/ceiling/budget_ceiling.rs
+++ b/lib/src/budget/ceiling/budget_ceiling.rs
@@ -119,6 +119,24 @@
         self.waiting.push_back(WaitingRequest { req, deadline });
     }
 
+    /// Draws tokens of a reservation; returns how many of them its requester may use, or `None` if the
+    /// reservation is not known.
+    pub(super) fn draw(
+        &mut self,
+        id: ReservationId,
+        drawn: u64,
+        era: &StoreEra,
+        now: Millis,
+    ) -> Option<u64> {
+        let free = match era.may_spend(now) {
+            true => self.ceiling.saturating_sub(self.committed()),
+            false => 0,
+        };
+        // What is open when this holder ends counts as spent, and nobody can draw it any more.
+        let drawn = if self.closing { u64::MAX } else { drawn };
+        self.spending.draw(id, drawn, free, now)
+    }
+
     /// Ends a reservation or drops its queued request; returns whether it was granted.
     pub(super) fn settle(
         &mut self,
@@ -248,7 +266,7 @@
             budget: self.budget.clone(),
             prepaid: self.prepaid,
             ceiling: self.ceiling,
-            used: self.spending.used(),
+            used: self.spending.used() + self.spending.in_doubt(),
             reserved: self.spending.reserved(),
             in_doubt: self.spending.in_doubt(),
             waiting: self.waiting.len(),
@@ -263,7 +281,7 @@
         }
     }
 
-    /// Returns the tokens used and reserved.
+    /// Returns the tokens used, reserved and in doubt.
     pub(super) fn committed(&self) -> u64 {
         self.spending.committed()
     }
@@ -288,11 +306,17 @@
         }
     }
 
-    /// Counts reservations as spent whose settlement did not arrive in time.
-    pub(super) fn expire_reservations(&mut self, now: Millis) {
-        let expired = self.spending.expire(now);
-        if expired > 0 {
-            log::warn!("event=reservation_expired budget={} tokens={expired}", self.budget);
+    /// Lapses the reservations whose requesters have sent no word, or whose settlement did not arrive
+    /// in time.
+    pub(super) fn lapse_reservations(&mut self, now: Millis) {
+        let reserved = self.spending.reserved();
+        let in_doubt = self.spending.lapse(now);
+        let lapsed = reserved - self.spending.reserved();
+        if lapsed > 0 {
+            log::warn!(
+                "event=reservations_lapsed budget={} tokens={lapsed} in_doubt={in_doubt}",
+                self.budget
+            );
         }
     }
 
@@ -321,8 +345,8 @@
                 .plus(return_after_ms)
                 .max(self.last_write_at.plus(BACKGROUND_WRITE_INTERVAL_MS))
         });
-        let expires_at = self.spending.next_expiry();
-        let due = [first, returns, expires_at, confirm_at].into_iter().flatten().min()?;
+        let lapses_at = self.spending.next_lapse();
+        let due = [first, returns, lapses_at, confirm_at].into_iter().flatten().min()?;
         Some(if due > now { due } else { now.plus(OVERDUE_DELAY_MS) })
     }
 }
--- a/lib/src/budget/ceiling/budget_ceiling/replies.rs
+++ b/lib/src/budget/ceiling/budget_ceiling/replies.rs
@@ -21,7 +21,7 @@
                 return;
             }
             let Some(WaitingRequest { req, .. }) = self.waiting.pop_front() else { return };
-            self.spending.reserve(req.id, tokens, now.plus(req.lifetime_ms));
+            self.spending.reserve(&req, now);
             log::info!(
                 "event=reserved reservation={:032x} budget={} tokens={tokens} used={} reserved={} ceiling={}",
                 req.id,
@@ -102,7 +102,7 @@
         now: Millis,
     ) -> Option<ReservationReply> {
         let tokens = waiting.req.tokens;
-        if self.is_exhausted(epoch, tokens) {
+        if self.is_exhausted(epoch, tokens, now) {
             return Some(ReservationReply::Exhausted);
         }
         // With no store call open and none allowed yet, waiting longer would not help.
@@ -126,10 +126,12 @@
         self.prepaid.saturating_sub(others_totals(account, epoch).0)
     }
 
-    /// Returns whether the tokens would not fit even if all other holders spent no more.
-    pub(super) fn is_exhausted(&self, epoch: EpochId, tokens: u64) -> bool {
+    /// Returns whether the tokens would not fit even if all other holders spent no more, and nothing that
+    /// is in doubt was spent.
+    pub(super) fn is_exhausted(&self, epoch: EpochId, tokens: u64, now: Millis) -> bool {
         let Some(stored) = self.last_read.as_ref() else { return false };
         let others_settled = others_totals(&stored.account, epoch).1;
-        others_settled.saturating_add(self.committed()).saturating_add(tokens) > self.prepaid
+        let certain = self.spending.used() + self.spending.certainly_reserved(now);
+        others_settled.saturating_add(certain).saturating_add(tokens) > self.prepaid
     }
 }
--- a/lib/tests/test_ceiling.rs
+++ b/lib/tests/test_ceiling.rs
@@ -28,6 +28,7 @@
         tokens,
         max_wait_ms: 200,
         lifetime_ms: 1_000,
+        drawn: None,
     }
 }
 
--- a/lib/tests/test_store_restore.rs
+++ b/lib/tests/test_store_restore.rs
@@ -196,6 +196,7 @@
             tokens,
             max_wait_ms: 250,
             lifetime_ms: 2_000,
+            drawn: None,
         };
         self.unsettled.push((holder, id, tokens));
         let Holder { system, effects, .. } = &mut self.holders[holder];
@@ -393,6 +394,7 @@
         tokens,
         max_wait_ms: 250,
         lifetime_ms: 60_000,
+        drawn: None,
     };
     holder.system.reserve(req, Millis(now), &mut holder.effects);
     settle_calls(holder, store, now).pop().unwrap_or(ReservationReply::Unavailable)
@@ -470,6 +472,7 @@
             tokens: 10,
             max_wait_ms: 250,
             lifetime_ms: 1_000,
+            drawn: None,
         };
         holder.system.reserve(req, Millis(now), &mut holder.effects);
         let granted = |effect: &CeilingEffect| {
@@ -495,6 +498,7 @@
         tokens: 1_000,
         max_wait_ms: 250,
         lifetime_ms: 60_000,
+        drawn: None,
     };
     holder.system.reserve(req, Millis(0), &mut holder.effects);
     holder.effects.clear();
