streams: a target's process says its version, not its registration

Callers saw: streams with events of two software versions.

Cause: the version of an answer was read from the registration, whose id and address the successor shares.

Change: whoever goes on with a stream asks the target for its report after the first event and compares the start of its process with the registration; news of load that name another process make a version uncertain; a stream whose target has changed since it began loses its origin, at the budget servers, too.

--- a/daemon/src/direct.rs
+++ b/daemon/src/direct.rs
@@ -39,6 +39,7 @@
 pub mod poison_publisher;
 pub mod poison_reports;
 pub mod prediction;
+pub mod process_check;
 pub mod refusal;
 pub mod rerun;
 pub mod reservation;
--- a/daemon/src/direct/attempt.rs
+++ b/daemon/src/direct/attempt.rs
@@ -26,6 +26,7 @@
 use super::begun_stream_guard::BegunStreamGuard;
 use super::call::Call;
 use super::entry::Entry;
+use super::process_check::{self, ProcessCheck};
 use super::target_limits;
 use crate::answer_memory::{MemoryShare, ReadError};
 use crate::http_pool::{BodyEnd, Exchange, SendError};
@@ -120,6 +121,9 @@
     pub target_id: String,
     /// Process of the target, another one after each start.
     pub process: String,
+    address: SocketAddr,
+    /// Start of that process in Unix milliseconds, as it registered.
+    started_ms: u64,
     /// Software version that the target had registered when the request was sent.
     software: Option<String>,
     /// Expected cost when it was sent.
@@ -169,13 +173,35 @@
         let table = self.entry.targets();
         let is_same = match table.with_id(&self.target_id) {
             Some(target) => {
-                target.key == self.target && target.registration.software == self.software
+                target.key == self.target
+                    && target.registration.software == self.software
+                    && !target.may_be_replaced(self.entry.now())
             }
             None => true,
         };
         if is_same { self.software.as_deref() } else { None }
     }
 
+    /// Asks the target whether the process that has registered answers; the answer must have begun, and
+    /// its connection must be open.
+    pub async fn check_process(&self, request: &str) -> ProcessCheck {
+        let check = process_check::check(&self.entry.pool, self.address, self.started_ms).await;
+        self.entry.metrics.count_process_check(check.label());
+        log::info!(
+            "event=process_checked request={request} target={} outcome={}",
+            self.target_id,
+            check.label()
+        );
+        check
+    }
+
+    /// Returns whether the registered process has reported since the request was sent.
+    pub fn has_reported_since(&self) -> bool {
+        let table = self.entry.targets();
+        let report = table.get(self.target).and_then(|target| target.known.report);
+        report.is_some_and(|report| report.at > self.sent_at)
+    }
+
     /// Records an outcome in the table of targets.
     pub fn observe(&self, observation: Observation) {
         self.entry.targets().observe(self.target, observation, self.entry.now());
@@ -327,6 +353,7 @@
     let address = target.registration.address;
     let target_id = target.registration.id.clone();
     let process = target.process().to_string();
+    let started_ms = target.registration.started_ms;
     let software = target.registration.software.clone();
     let is_load_unknown = placement_cost::work_of_others(target, now).is_none();
     let prompt = &call.head.prompt;
@@ -339,6 +366,8 @@
         target: key,
         target_id,
         process,
+        address,
+        started_ms,
         software,
         cost,
         is_load_unknown,
--- a/daemon/src/direct/begun_streams.rs
+++ b/daemon/src/direct/begun_streams.rs
@@ -69,6 +69,11 @@
         self.known().find(id).cloned()
     }
 
+    /// Returns whether this process knows something of a stream, certain or not.
+    pub fn knows(&self, id: StreamId) -> bool {
+        self.known().knows(id)
+    }
+
     /// Returns the streams that callers may still take up, as far as a hand-over covers them.
     pub fn recent(&self) -> Vec<BegunStream> {
         let since = Millis(self.clock.now().0.saturating_sub(HANDED_OVER_MS));
@@ -117,6 +122,9 @@
         if let Some(origin) = self.own.find(id) {
             return Ok(origin);
         }
+        if self.own.knows(id) {
+            return Err(OriginUnknown::Nobody);
+        }
         let servers = self.servers(id);
         let mut unknown =
             if servers.is_empty() { OriginUnknown::NoAnswer } else { OriginUnknown::Nobody };
--- a/daemon/src/direct/event_reader.rs
+++ b/daemon/src/direct/event_reader.rs
@@ -14,6 +14,7 @@
 
 use super::attempt::{AttemptError, StartedAnswer};
 use super::begun_stream_guard::BegunStreamGuard;
+use super::process_check::ProcessCheck;
 use crate::answer_memory::MemoryShare;
 use crate::http_pool::BodyEnd;
 
@@ -76,7 +77,7 @@
                     Some(begun) => begun.record_event(),
                     None => {
                         self.begun = Some(self.answer.in_flight.begin_stream());
-                        self.check_software(request)?;
+                        self.check_software(request).await?;
                     }
                 }
                 return Ok(Some(event));
@@ -107,11 +108,16 @@
 
     /// Returns an error if another version may answer than the one that began the stream: the
     /// target may have started anew since it was chosen.
-    fn check_software(&self, request: &str) -> Result<(), AttemptError> {
+    async fn check_software(&self, request: &str) -> Result<(), AttemptError> {
         let in_flight = &self.answer.in_flight;
         let Some(required) = self.required_software.as_deref() else { return Ok(()) };
+        let is_same = match in_flight.check_process(request).await {
+            ProcessCheck::Same | ProcessCheck::Unnamed => true,
+            ProcessCheck::Other => false,
+            ProcessCheck::NoAnswer => in_flight.has_reported_since(),
+        };
         let found = in_flight.certain_software();
-        if found == Some(required) {
+        if is_same && found == Some(required) {
             return Ok(());
         }
         log::warn!(
--- a/daemon/src/direct/metrics.rs
+++ b/daemon/src/direct/metrics.rs
@@ -58,6 +58,7 @@
     load_news: Counter<u64>,
     reservations: Counter<u64>,
     late_draws: Counter<u64>,
+    process_checks: Counter<u64>,
     tokens_charged: Counter<u64>,
     answer_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
@@ -92,6 +93,7 @@
             load_news: counter("load_news"),
             reservations: counter("money_asked"),
             late_draws: counter("late_draws"),
+            process_checks: counter("process_checks"),
             tokens_charged: counter("tokens_charged"),
             answer_ms: histogram("answer_ms", LATENCY_BUCKETS_MS),
             first_event_ms: histogram("first_event_ms", LATENCY_BUCKETS_MS),
@@ -222,6 +224,12 @@
         self.late_draws.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a check of which process of a target answers by its outcome, or a stream whose origin turned
+    /// out to be uncertain.
+    pub fn count_process_check(&self, outcome: &'static str) {
+        self.process_checks.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Adds the tokens charged to a request.
     pub fn count_charged_tokens(&self, tokens: u64) {
         self.tokens_charged.add(tokens, &[]);
--- a/daemon/src/direct/stream.rs
+++ b/daemon/src/direct/stream.rs
@@ -65,9 +65,11 @@
     started_stream: StartedStream,
 ) -> Response<AnswerBody> {
     let StartedStream { reader, first_event } = started_stream;
+    let is_taken_up = call.origin.is_some();
     if first_event.is_some() && call.route.kind.is_idempotent() {
         record_origin(entry, &mut call, &reader);
     }
+    let has_begun_here = !is_taken_up && call.origin.is_some();
     let head = &reader.answer.exchange.head;
     let (status, mut headers) = (head.status, head.headers.clone());
     let form = StreamForm::decode(&headers);
@@ -76,6 +78,7 @@
         entry: entry.clone(),
         order: EventOrder::open(call.head.last_event()),
         is_continued: true,
+        has_begun_here,
         call,
         attempts,
         reader: Some(reader),
@@ -135,11 +138,21 @@
     order: EventOrder,
     /// Whether the answer that is read is the first one or has brought an event that comes next.
     is_continued: bool,
+    /// Whether the answer that is read has begun the stream, and its origin is the one recorded.
+    has_begun_here: bool,
     /// Number of events forwarded.
     events: u64,
     finished: bool,
 }
 
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.review_origin();
+        }
+    }
+}
+
 impl StreamRelay {
     async fn next_frame(&mut self) -> Option<io::Result<Frame<Bytes>>> {
         if self.finished {
@@ -232,6 +245,7 @@
     /// an identity, or every attempt fails.
     async fn resume(&mut self, err: AttemptError) -> Result<(), AttemptError> {
         let mut err = err;
+        self.review_origin();
         // Dropping the answer closes the connection, which stops the request at that target.
         self.reader = None;
         if let Some(target) = self.attempts.targets.last().copied() {
@@ -260,6 +274,29 @@
         Err(err)
     }
 
+    /// Records that what began the stream is uncertain, if another process of its target than the one
+    /// that had registered may have done so.
+    fn review_origin(&mut self) {
+        let (Some(reader), Some(origin)) = (&self.reader, &self.call.origin) else { return };
+        let in_flight = &reader.answer.in_flight;
+        let is_certain = in_flight.certain_software() == Some(origin.software.as_str());
+        if !std::mem::take(&mut self.has_begun_here) || is_certain {
+            return;
+        }
+        log::warn!(
+            target: FAILURE_LOG,
+            "event=origin_uncertain request={} target={} recorded={}",
+            self.call.head.attempt_id,
+            in_flight.target_id,
+            origin.software
+        );
+        self.entry.metrics.count_process_check("origin_uncertain");
+        let id = StreamId::begun_by(&self.call.head.attempt_id);
+        let origin = StreamOrigin::uncertain(&origin.service);
+        self.entry.streams.record(BegunStream { id, origin });
+        self.call.origin = None;
+    }
+
     /// Requests the rest of the stream from a target.
     async fn resume_at(&self, target: TargetKey) -> Result<StartedAnswer, AttemptError> {
         let timeout = self.call.time_left();
--- a/daemon/tests/test_direct_load.rs
+++ b/daemon/tests/test_direct_load.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rosemarymoor_platform_standins::caller::CallerRequest;
-use rosemarymoor_platform_standins::fixtures::{events, stream_request, target};
+use rosemarymoor_platform_standins::fixtures::{events, reporting_target, stream_request};
 use rosemarymoor_platform_standins::fleet::{LogOutput, PlatformFleet};
 use rosemarymoor_platform_standins::target::{ReceivedRequest, Step, TargetStandIn};
 
@@ -86,7 +86,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn news_reach_an_entry_and_a_killed_collector_is_replaced() {
-    let (first, second) = (target(answer).await, target(answer).await);
+    let (first, second) = (reporting_target(answer).await, reporting_target(answer).await);
     let fleet = open(&[&first, &second]).await;
     let mut servers = vec![
         ("b1", fleet.start_server_beside("b1", first.address()).await.unwrap()),
@@ -106,7 +106,7 @@
 async fn a_target_without_an_engine_is_asked_seldom() {
     let is_asked = Arc::new(AtomicBool::new(false));
     let asked = is_asked.clone();
-    let plain = target(move |received| {
+    let plain = reporting_target(move |received| {
         if !received.request_line().starts_with("GET /report ") {
             return events(received, 0, 200, Duration::from_millis(100));
         }
@@ -124,7 +124,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn without_a_target_in_the_settings_nothing_is_read() {
-    let plain = target(answer).await;
+    let plain = reporting_target(answer).await;
     let fleet = open(&[&plain]).await;
     let _server = fleet.start_budget_server("b1").await.unwrap();
     let _load = Load::start(&fleet);
--- a/lib/src/dispatch/load/update.rs
+++ b/lib/src/dispatch/load/update.rs
@@ -35,8 +35,10 @@
         let first = targets.partition_point(|target| target.registration.address < address);
         let at_address =
             targets[first..].iter_mut().take_while(|target| target.registration.address == address);
-        for target in at_address.filter(|target| may_be(target, news.target)) {
-            if !apply_news(target, news, now) {
+        for target in at_address {
+            if !may_be(target, news.target) {
+                record_other_process(target, news, now);
+            } else if !apply_news(target, news, now) {
                 gaps.push(news.target);
             }
         }
@@ -50,6 +52,13 @@
     gaps
 }
 
+/// Records that another process than the one that registered has reported at an address.
+fn record_other_process(target: &mut Target, news: &TargetNews, now: Millis) {
+    if let Some((_, age_ms)) = news.report {
+        target.record_other_process(Millis(now.0.saturating_sub(u64::from(age_ms))));
+    }
+}
+
 /// Applies news of one target; returns false if its parts have to be read whole.
 fn apply_news(target: &mut Target, news: &TargetNews, now: Millis) -> bool {
     let at = |age_ms: u32| Millis(now.0.saturating_sub(u64::from(age_ms)));
--- a/lib/src/dispatch/stream_origins.rs
+++ b/lib/src/dispatch/stream_origins.rs
@@ -26,6 +26,18 @@
     pub software: String,
 }
 
+impl StreamOrigin {
+    /// Returns the origin to record of a stream whose origin has become uncertain: it fits no other
+    /// one, and no target.
+    pub fn uncertain(service: &str) -> StreamOrigin {
+        StreamOrigin { service: service.to_owned(), software: String::new() }
+    }
+
+    fn is_uncertain(&self) -> bool {
+        self.software.is_empty()
+    }
+}
+
 /// Identity of a stream: the digest of the id of the request that brought its first event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamId(u128);
@@ -83,7 +95,14 @@
     pub fn find(&self, id: StreamId) -> Option<&StreamOrigin> {
         let mut found = self.rows.iter().filter(|row| row.id == id).map(|row| row.origin);
         let first = found.next()?;
-        found.all(|other| other == first).then(|| &self.origins[first.0])
+        let origin = &self.origins[first.0];
+        let is_certain = found.all(|other| other == first) && !origin.is_uncertain();
+        is_certain.then_some(origin)
+    }
+
+    /// Returns whether something is known of a stream, certain or not.
+    pub fn knows(&self, id: StreamId) -> bool {
+        self.rows.iter().any(|row| row.id == id)
     }
 
     /// Returns the latest streams recorded since `since`, up to `count`, the newest first.
--- a/lib/src/dispatch/targets.rs
+++ b/lib/src/dispatch/targets.rs
@@ -48,6 +48,10 @@
 /// Maximum number of departed processes that are remembered.
 const MAX_DEPARTED: usize = 1_024;
 
+/// Time for which a report of another process at a target's address counts, in milliseconds; its
+/// registration follows within that time.
+const OTHER_PROCESS_MS: u64 = 4_000;
+
 /// Key of a target in its table; never reused for another target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TargetKey(u64);
@@ -87,6 +91,8 @@
     pub pending_tokens: u64,
     /// What the fleet knows of its load.
     pub known: KnownLoad,
+    /// When another process has last reported at its address.
+    other_process_at: Option<Millis>,
     /// Speed in relation to its service, as its answers showed it.
     pub speed: TargetSpeed,
     /// Smoothed delay beyond the expected time, in milliseconds, as of `delay_at`.
@@ -126,6 +132,7 @@
             running: 0,
             pending_tokens: 0,
             known: KnownLoad::default(),
+            other_process_at: None,
             speed: TargetSpeed::default(),
             delay_ms: 0.0,
             delay_at: Millis(0),
@@ -217,6 +224,18 @@
         TargetProcess { id: id.clone(), started_ms: *started_ms }
     }
 
+    /// Records that another process reported at its address.
+    pub fn record_other_process(&mut self, at: Millis) {
+        self.other_process_at = self.other_process_at.max(Some(at));
+    }
+
+    /// Returns whether another process may have its address that has not registered yet.
+    pub fn may_be_replaced(&self, now: Millis) -> bool {
+        let Some(at) = self.other_process_at else { return false };
+        let has_reported_since = self.known.report.is_some_and(|report| report.at > at);
+        now.since(at) < OTHER_PROCESS_MS && !has_reported_since
+    }
+
     /// Returns whether it runs this software version, as far as it registered one.
     pub fn has_software(&self, software: &str) -> bool {
         self.registration.software.as_deref() == Some(software)
