--- a/lib/src/budget/ceiling/spending.rs
+++ b/lib/src/budget/ceiling/spending.rs
@@ -17,7 +17,7 @@
 const CERTAIN_FOR_MS: u64 = 1_400;
 
 /// Number of lapsed reservations that still take a settlement.
-const MAX_LAPSED: usize = 4_096;
+const MAX_LAPSED: usize = 1_024;
 
 /// Granted reservation that has not been settled.
 struct Reservation {
