budget: the rest that is reserved anew covers the event that waits

An event of more tokens than one draw would have been passed on beyond what its second holder had confirmed: the rest was reserved with one step drawn, whatever the event needed. Read from the code, no run showed it; engines of the deployments have events of 4 tokens and draws of 64 or more.

--- a/daemon/src/direct/reservation.rs
+++ b/daemon/src/direct/reservation.rs
@@ -65,7 +65,7 @@
                 return Some(Covered::DrawnLate);
             }
             if Instant::now() >= patience || self.draw_failures() >= MAX_DRAW_FAILURES {
-                if self.reserve_rest().await {
+                if self.reserve_rest(used).await {
                     return Some(Covered::ReservedAnew);
                 }
                 tokio::time::sleep_until((Instant::now() + RETRY_PAUSE).min(deadline).into()).await;
@@ -101,10 +101,11 @@
         let _ = tokio::time::timeout_at(until.into(), last.draw_changed()).await;
     }
 
-    /// Reserves what is not drawn; returns whether it was granted.
-    async fn reserve_rest(&mut self) -> bool {
-        let tokens = self.params.tokens - self.limit();
-        let first_draw = tokens.min(self.params.draw_step);
+    /// Reserves what is not drawn, so that `used` is covered; returns whether it was granted.
+    async fn reserve_rest(&mut self, used: u64) -> bool {
+        let limit = self.limit();
+        let tokens = self.params.tokens - limit;
+        let first_draw = (used - limit + self.params.draw_step).min(tokens);
         let rest = ReservationParams { tokens, first_draw, ..self.params.clone() };
         let reply = self.client.reserve(&rest).await;
         log::info!(
