budget: a draw that arrives while the rest is reserved ends in no overflow

The limit of a reservation may rise between the check and the request for the rest, on a runtime of several threads. Read from the code; the platform's roles run on one thread.

--- a/daemon/src/direct/reservation.rs
+++ b/daemon/src/direct/reservation.rs
@@ -104,8 +104,8 @@
     /// Reserves what is not drawn, so that `used` is covered; returns whether it was granted.
     async fn reserve_rest(&mut self, used: u64) -> bool {
         let limit = self.limit();
-        let tokens = self.params.tokens - limit;
-        let first_draw = (used - limit + self.params.draw_step).min(tokens);
+        let tokens = self.params.tokens.saturating_sub(limit);
+        let first_draw = (used.saturating_sub(limit) + self.params.draw_step).min(tokens);
         let rest = ReservationParams { tokens, first_draw, ..self.params.clone() };
         let reply = self.client.reserve(&rest).await;
         log::info!(
