--- a/daemon/src/direct/reservation.rs
+++ b/daemon/src/direct/reservation.rs
@@ -7,6 +7,9 @@
 
 use super::budget_client::{BudgetClient, Part, ReservationDenied, ReservationParams};
 
+/// Part of a step that is left when the next one is drawn, in percent.
+const DRAW_AHEAD_PERCENT: u64 = 75;
+
 /// Wait for a draw after which the rest is reserved anew.
 const DRAW_PATIENCE: Duration = Duration::from_millis(300);
 
@@ -88,7 +91,7 @@
     fn draw_ahead(&self, used: u64) {
         let step = self.params.draw_step;
         let (limit, Some(last)) = (self.limit(), self.parts.last()) else { return };
-        if limit < self.params.tokens && used + step / 2 > limit {
+        if limit < self.params.tokens && used + step * DRAW_AHEAD_PERCENT / 100 > limit {
             let drawn_before = limit - last.limit();
             let wanted = (used.max(limit) + step).min(self.params.tokens);
             last.want(wanted - drawn_before);
--- a/daemon/src/direct/reserving.rs
+++ b/daemon/src/direct/reserving.rs
@@ -22,7 +22,7 @@
 const DRAW_STEP_DIVISOR: u64 = 4;
 
 /// Fewest tokens that are drawn at once.
-const MIN_DRAW_STEP_TOKENS: u64 = 64;
+const MIN_DRAW_STEP_TOKENS: u64 = 128;
 
 /// Longest wait for a reservation at one holder of the budget.
 const MAX_RESERVATION_WAIT: Duration = Duration::from_millis(250);
