budget: fewer calls for draws

Cause: each draw told its server of all open reservations there, and each reservation sent word every 0.65 s. Change: a draw waits 60 ms for others at its server and takes along what is due soon; word every 1.3 s, and a reservation lapses after 4 s without it.

--- a/daemon/src/direct/draws.rs
+++ b/daemon/src/direct/draws.rs
@@ -1,8 +1,8 @@
 //! Draws of an entry's open reservations at budget servers.
 //!
 //! An entry uses no more of a reservation than its server has confirmed as drawn, so that the server
-//! knows how much an entry may have spent that died. It draws ahead of need, and what is due for one
-//! server shares a call with word of all other reservations there.
+//! knows how much an entry may have spent that died. It draws ahead of need, and what is due at one
+//! server within a moment shares a call.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -16,7 +16,13 @@
 use super::peers::PeerRecord;
 
 /// Interval of word of an open reservation, a third of the time without word after which it lapses.
-const RENEW_INTERVAL: Duration = Duration::from_millis(650);
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_300);
+
+/// Time for which a draw waits for others at its server, which share a call.
+const SHARE_TIME: Duration = Duration::from_millis(60);
+
+/// Time by which word may come early to share a call.
+const MAX_EARLY: Duration = Duration::from_millis(500);
 
 /// Pause after a draw that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -146,7 +152,7 @@
         let Some(draw) = open.iter_mut().find(|draw| draw.id == id) else { return };
         if tokens > draw.wanted {
             draw.wanted = tokens;
-            draw.due = Instant::now();
+            draw.due = draw.due.min(Instant::now() + SHARE_TIME);
             self.shared.wake.notify_one();
         }
     }
@@ -170,9 +176,12 @@
         while let Some(due) = open.iter().find(|draw| !draw.in_call && draw.due <= now) {
             let server = due.server.clone();
             let mut draws = Vec::new();
-            let at_server =
-                |draw: &&mut OpenDraw| !draw.in_call && draw.server.internal == server.internal;
-            for draw in open.iter_mut().filter(at_server).take(MAX_DRAWS_PER_CALL) {
+            let shares_call = |draw: &&mut OpenDraw| {
+                !draw.in_call
+                    && draw.due <= now + MAX_EARLY
+                    && draw.server.internal == server.internal
+            };
+            for draw in open.iter_mut().filter(shares_call).take(MAX_DRAWS_PER_CALL) {
                 draw.in_call = true;
                 let OpenDraw { id, budget, wanted, .. } = draw;
                 draws.push(Draw { id: *id, budget: budget.clone(), drawn: *wanted });
--- a/lib/src/budget/ceiling/spending.rs
+++ b/lib/src/budget/ceiling/spending.rs
@@ -11,7 +11,7 @@
 const SETTLE_GRACE_MS: u64 = 5_000;
 
 /// Time without word of its requester after which a reservation lapses, in milliseconds.
-pub const MAX_SILENCE_MS: u64 = 2_000;
+pub const MAX_SILENCE_MS: u64 = 4_000;
 
 /// Time without word from which on it is not certain that a requester still runs, in milliseconds.
 const CERTAIN_FOR_MS: u64 = 1_400;
