daemon tests: a stream with long pauses ends before its deadline

The test had four pauses of 1.4 s since the interval of word grew, beyond the deadline of 5 s; three are still longer than the time after which a reservation without word lapses.

--- a/daemon/tests/test_direct_draws.rs
+++ b/daemon/tests/test_direct_draws.rs
@@ -148,7 +148,7 @@
 /// longer than a reservation without word is kept.
 #[tokio::test]
 async fn a_stream_with_long_pauses_keeps_its_reservation() {
-    let target = target(|received| events(received, 0, 4, Duration::from_millis(1_400))).await;
+    let target = target(|received| events(received, 0, 3, Duration::from_millis(1_400))).await;
     let targets = [("models", &target)];
     let fleet =
         PlatformFleet::open_with(Path::new(BINARY), &targets, 10_000, LogOutput::File).await;
