--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/rosemarymoord ] && [ -x target/review-2/case ] || exit 2
-exec target/review-2/case bodies review/8
+exec target/review-2/case promise review/8
